Lay out the workspace, the shared package and the contracts

Cause: the project starts empty; packages that are built in parallel need fixed interfaces first. Ruled out: running tests under tsx, because the compiled program resolves ts-results differently; tests are compiled and run as they ship. Change: workspace of twelve packages, XO and mocha set up, package common (settings, logs, metrics, JSON-RPC, rendezvous hashing), types of the other packages, the design page. Before: nothing. Conclusion: the packages can now be filled independently.

--- /dev/null
+++ b/packages/accounts/src/index.ts
@@ -0,0 +1,2 @@
+/** Limits for each client account. */
+export type * from './types.js';
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Demo, benchmarks, soak runs and golden sessions. */
+export {};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The operators command line yuccawood. */
+export {};
--- /dev/null
+++ b/packages/common/src/ini-document.ts
@@ -0,0 +1,80 @@
+/**
+INI text with line numbers.
+
+The library `ini` decodes values; it reports no lines, so sections and keys are found here.
+*/
+import {unsafe} from 'ini';
+
+/** One `key = value` line. */
+export type IniEntry = {
+	readonly key: string;
+	readonly value: string;
+
+	/** Line number, counted from 1. */
+	readonly line: number;
+};
+
+export type IniSection = {
+	readonly name: string;
+	readonly line: number;
+	readonly entries: readonly IniEntry[];
+};
+
+export type IniDocument = {
+	readonly sections: readonly IniSection[];
+
+	/** Lines that are neither a section, an entry, a comment nor blank, and keys or sections that stand twice. */
+	readonly faults: ReadonlyArray<{readonly line: number; readonly section: string; readonly detail: string; readonly remedy: string}>;
+};
+
+const SECTION_PATTERN = /^\[([^\]]+)]\s*$/;
+const ENTRY_PATTERN = /^([^=\s][^=]*?)\s*=\s*(.*)$/;
+
+/** Parses INI text. Faults are collected, not thrown, so that one check reports them all. */
+export const parseIni = (text: string): IniDocument => {
+	const sections: Array<{name: string; line: number; entries: IniEntry[]}> = [];
+	const faults: Array<{line: number; section: string; detail: string; remedy: string}> = [];
+
+	for (const [index, rawLine] of text.split(/\r?\n/).entries()) {
+		const line = index + 1;
+		const content = rawLine.trim();
+		const current = sections.at(-1);
+		if (content === '' || content.startsWith(';') || content.startsWith('#')) {
+			continue;
+		}
+
+		const header = SECTION_PATTERN.exec(content);
+		if (header) {
+			const name = header[1].trim();
+			if (sections.some(section => section.name === name)) {
+				faults.push({
+					line, section: name, detail: `section [${name}] stands twice`, remedy: 'Merge the two sections.',
+				});
+			}
+
+			sections.push({name, line, entries: []});
+			continue;
+		}
+
+		const entry = ENTRY_PATTERN.exec(content);
+		if (!entry || !current) {
+			const detail = current ? 'line is neither a section, a key nor a comment' : 'line stands before the first section';
+			faults.push({
+				line, section: current?.name ?? '', detail, remedy: 'Write [section], key = value, or a comment that starts with ; or #.',
+			});
+			continue;
+		}
+
+		const key = entry[1];
+		if (current.entries.some(other => other.key === key)) {
+			faults.push({
+				line, section: current.name, detail: `key ${key} stands twice`, remedy: 'Remove one of the two lines.',
+			});
+			continue;
+		}
+
+		current.entries.push({key, value: String(unsafe(entry[2])), line});
+	}
+
+	return {sections, faults};
+};
--- /dev/null
+++ b/packages/common/src/log.ts
@@ -0,0 +1,74 @@
+import winston from 'winston';
+
+export type LogFields = Readonly<Record<string, unknown>>;
+
+/** Log of one part of a process. Every line carries the part as its prefix. */
+export interface Log {
+	readonly debug: (message: string, fields?: LogFields) => void;
+	readonly info: (message: string, fields?: LogFields) => void;
+	readonly warn: (message: string, fields?: LogFields) => void;
+	readonly error: (message: string, fields?: LogFields) => void;
+
+	/** Records a change for the audit trail; written whatever the level. */
+	readonly audit: (message: string, fields?: LogFields) => void;
+
+	/** A log of another part with the same destination. */
+	readonly part: (prefix: string) => Log;
+}
+
+export type LogOptions = {
+	readonly prefix?: string;
+	readonly format?: 'json' | 'text';
+	readonly level?: 'debug' | 'info' | 'warn' | 'error';
+
+	/** Fields on every line, for example the id of the process. */
+	readonly fields?: LogFields;
+};
+
+const LEVELS = {
+	audit: 0, error: 1, warn: 2, info: 3, debug: 4,
+};
+
+const textLine = winston.format.printf(({timestamp, level, part, message, ...fields}) => {
+	const rest = Object.keys(fields).length === 0 ? '' : ` ${JSON.stringify(fields)}`;
+	return `${String(timestamp)} ${level} ${String(part)}: ${String(message)}${rest}`;
+});
+
+const wrap = (logger: winston.Logger, prefix: string): Log => {
+	const write = (level: string) => (message: string, fields: LogFields = {}): void => {
+		logger.log({
+			...fields, level, message, part: prefix,
+		});
+	};
+
+	return {
+		debug: write('debug'),
+		info: write('info'),
+		warn: write('warn'),
+		error: write('error'),
+		audit: write('audit'),
+		part: other => wrap(logger, other),
+	};
+};
+
+/** A log on standard error, so that standard output stays free for results. */
+export const createLog = ({prefix = 'process', format = 'text', level = 'info', fields = {}}: LogOptions = {}): Log => {
+	const line = format === 'json' ? winston.format.json() : textLine;
+	const logger = winston.createLogger({
+		levels: LEVELS,
+		level,
+		defaultMeta: fields,
+		format: winston.format.combine(winston.format.timestamp(), line),
+		transports: [new winston.transports.Console({stderrLevels: Object.keys(LEVELS)})],
+	});
+	return wrap(logger, prefix);
+};
+
+const discard = (): void => {
+	// A silent log writes nothing.
+};
+
+/** A log that writes nothing, for tests. */
+export const SILENT_LOG: Log = {
+	debug: discard, info: discard, warn: discard, error: discard, audit: discard, part: () => SILENT_LOG,
+};
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,2 @@
+/** Configuration document: format, checks, edits, distribution. */
+export type * from './types.js';
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+/** The daemon yuccawoodd. */
+export {};
--- /dev/null
+++ b/packages/lifecycle/src/index.ts
@@ -0,0 +1,2 @@
+/** Start order, drain and graceful shutdown. */
+export type * from './types.js';
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,2 @@
+/** Heartbeats, failure detection, upstream lease. */
+export type * from './types.js';
--- /dev/null
+++ b/packages/platform/src/errors.ts
@@ -0,0 +1,19 @@
+import {TypedError} from '@yuccawood/common';
+
+/**
+Failure of a call to the platform.
+
+- `unavailable`: the call had no effect.
+- `unknown-outcome`: the answer was lost; the call may have had its effect.
+- `conflict`: the condition of a write did not hold.
+- `rate-limited`: the call was refused by a rate limit and had no effect.
+- `too-large`: the value exceeds the limit of the service.
+- `lease-expired`: the lease has ended.
+- `not-found`: the object does not exist.
+- `stale-fencing`: the order carried an old fencing number and had no effect.
+- `rejected`: the platform refused the call for a reason of its own.
+*/
+export type PlatformErrorKind =
+	'unavailable' | 'unknown-outcome' | 'conflict' | 'rate-limited' | 'too-large' | 'lease-expired' | 'not-found' | 'stale-fencing' | 'rejected';
+
+export class PlatformError extends TypedError<PlatformErrorKind> {}
--- /dev/null
+++ b/packages/requests/src/index.ts
@@ -0,0 +1,2 @@
+/** Request path, routing, retries, settlement. */
+export {};
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,2 @@
+/** Small fakes of the platform with injectable faults. */
+export {};
--- /dev/null
+++ b/packages/weights/src/index.ts
@@ -0,0 +1,2 @@
+/** Manifests, chunks, transfers between peers, activation. */
+export {};
