Serve requests end to end through entry and agent

Callers need chat completions, streams and plain service calls passed from entry to agent to upstream, with the response verified before its first byte is passed on.

The entry reads and checks the request once, chooses an agent by load, distance and prompt prefix, and passes the response on as it arrives. Bodies of requests are buffered within the limit of their route, because a request that is sent again or settled must be complete.

--- /dev/null
+++ b/packages/requests/src/attempt.ts
@@ -0,0 +1,226 @@
+/** One attempt to have one agent answer one call. */
+import type {Dispatcher} from 'undici';
+import type {CallerResponse} from './caller-response.js';
+import type {Call} from './call.js';
+import {ARRIVAL_GRACE_MS, SILENCE_MS} from './constants.js';
+import type {ExecutionOutcome} from './errors.js';
+import {Exchange, type ExchangeRequest, type ResponseSink} from './exchange.js';
+import {
+	INCARNATION, LOAD, OUTCOME, REASON, REQUEST_ID, VERSION, VM, single, type ResponseHeaders,
+} from './headers.js';
+import type {Agent} from './router.js';
+import type {Settled} from './settlement.js';
+import type {Supervised} from './supervisor.js';
+
+/**
+How an attempt ended.
+
+- `answered`: the answer was passed on in full.
+- `rejected`: the agent rejected or failed the request and says whether it was run.
+- `not-sent`: no connection was made, so the request was not run.
+- `failed`: the connection broke, carried no data or exceeded the deadline; the outcome is not known.
+- `settled-not-run`: the agent guaranteed over a new connection that the request was not and will not be run.
+- `unverified`: the response belongs to another request, VM, incarnation or version.
+- `gone`: the caller closed its connection.
+*/
+export type AttemptEnd = {readonly kind: 'answered'} | {readonly kind: 'gone'} | AttemptFailure;
+
+export type AttemptFailure =
+	| {readonly kind: 'not-sent'} | {readonly kind: 'settled-not-run'} | {readonly kind: 'unverified'}
+	| {readonly kind: 'rejected'; readonly reason: string; readonly outcome: ExecutionOutcome}
+	| {readonly kind: 'failed'; readonly cause: 'broken' | 'silent' | 'deadline'; readonly detail: string};
+
+export type AttemptOptions = {
+	readonly call: Call;
+	readonly agent: Agent;
+	readonly dispatcher: Dispatcher;
+	readonly request: ExchangeRequest;
+	readonly response: CallerResponse;
+	readonly now: () => number;
+
+	/** Queries the agent about this request over a new connection. */
+	readonly query: () => Promise<Settled>;
+	readonly sleep: (milliseconds: number) => Promise<void>;
+};
+
+export class Attempt implements ResponseSink, Supervised {
+	readonly #ended: Promise<AttemptEnd>;
+	readonly #options: AttemptOptions;
+	readonly #exchange: Exchange;
+	#resolve!: (end: AttemptEnd) => void;
+	#end: AttemptEnd | undefined;
+	#rejection: AttemptEnd | undefined;
+	#isPaused = false;
+	#isQuerying = false;
+	#silentQueries = 0;
+	#nextQueryAt = 0;
+
+	constructor(options: AttemptOptions) {
+		this.#options = options;
+		this.#ended = new Promise(resolve => {
+			this.#resolve = resolve;
+		});
+		options.response.onWritable = () => {
+			this.#isPaused = false;
+			this.#exchange.resume();
+		};
+
+		options.response.onGone = () => {
+			this.#callerGone();
+		};
+
+		this.#exchange = new Exchange({
+			...options.request, dispatcher: options.dispatcher, sink: this, now: options.now,
+		});
+	}
+
+	async start(): Promise<AttemptEnd> {
+		this.#exchange.start();
+		return this.#ended;
+	}
+
+	onHead(status: number, headers: ResponseHeaders): void {
+		const {agent, call, response} = this.#options;
+		if (headers[REQUEST_ID] !== call.requestId || headers[VM] !== agent.id || headers[INCARNATION] !== String(agent.incarnation)) {
+			this.#finish({kind: 'unverified'});
+			return;
+		}
+
+		agent.load.report(Number(headers[LOAD] ?? 0), this.#options.now());
+		const outcome = single(headers[OUTCOME]);
+		if (outcome !== undefined) {
+			this.#rejection = {kind: 'rejected', reason: single(headers[REASON]) ?? 'unknown', outcome: outcome as ExecutionOutcome};
+			return;
+		}
+
+		if (!this.#isVersionVerified(status, headers)) {
+			this.#finish({kind: 'unverified'});
+			return;
+		}
+
+		response.begin(status, headers);
+	}
+
+	onData(chunk: Uint8Array): boolean {
+		if (this.#rejection) {
+			return true;
+		}
+
+		this.#isPaused = !this.#options.response.write(chunk);
+		return !this.#isPaused;
+	}
+
+	onEnd(): void {
+		if (this.#rejection) {
+			this.#finish(this.#rejection);
+			return;
+		}
+
+		this.#options.response.end();
+		this.#finish({kind: 'answered'});
+	}
+
+	onFailure(error: Error): void {
+		if (this.#rejection) {
+			this.#finish(this.#rejection);
+			return;
+		}
+
+		this.#finish(this.#exchange.sent ? {kind: 'failed', cause: 'broken', detail: error.message} : {kind: 'not-sent'});
+	}
+
+	check(now: number): void {
+		const {call} = this.#options;
+		if (now >= call.deadlineAt) {
+			this.#finish({kind: 'failed', cause: 'deadline', detail: 'The deadline passed.'});
+			return;
+		}
+
+		const isSilent = !this.#isPaused && this.#exchange.sent && now - this.#exchange.progressAt >= SILENCE_MS;
+		if (isSilent && !this.#isQuerying && now >= this.#nextQueryAt) {
+			void this.#investigate();
+		}
+	}
+
+	/** Finds out whether the path or the upstream is slow. */
+	async #investigate(): Promise<void> {
+		this.#isQuerying = true;
+		const settled = await this.#options.query();
+		await this.#judge(settled);
+		this.#nextQueryAt = this.#options.now() + SILENCE_MS;
+		this.#isQuerying = false;
+	}
+
+	async #judge(settled: Settled): Promise<void> {
+		switch (settled.state) {
+			case 'not-run': {
+				this.#finish({kind: 'settled-not-run'});
+				return;
+			}
+
+			case 'gone':
+			case 'unknown': {
+				this.#finish({kind: 'failed', cause: 'silent', detail: 'The agent was replaced.'});
+				return;
+			}
+
+			case 'silent': {
+				this.#silentQueries++;
+				if (this.#silentQueries >= 2) {
+					this.#finish({kind: 'failed', cause: 'silent', detail: 'The agent does not respond over new connections either.'});
+				}
+
+				return;
+			}
+
+			case 'running':
+			case 'completed': {
+				this.#silentQueries = 0;
+				await this.#compareProgress(settled);
+			}
+		}
+	}
+
+	async #compareProgress({state, headSent, bytesSent}: {readonly state: string; readonly headSent: boolean; readonly bytesSent: number}): Promise<void> {
+		const isMissing = (): boolean => state === 'completed' || (headSent && !this.#exchange.headReceived) || bytesSent > this.#exchange.bytesReceived;
+		const {progressAt} = this.#exchange;
+		if (!isMissing()) {
+			return;
+		}
+
+		await this.#options.sleep(ARRIVAL_GRACE_MS);
+		if (isMissing() && progressAt === this.#exchange.progressAt && !this.#isPaused) {
+			this.#finish({kind: 'failed', cause: 'silent', detail: 'Data that the agent sent did not arrive.'});
+		}
+	}
+
+	#isVersionVerified(status: number, headers: ResponseHeaders): boolean {
+		const {target, pinnedVersion} = this.#options.call;
+		const version = single(headers[VERSION]);
+		if (target.kind === 'service' || status >= 300) {
+			return true;
+		}
+
+		return version !== undefined && version !== '' && (pinnedVersion === undefined || pinnedVersion === version);
+	}
+
+	/** Cancels a repeatable call upstream by closing the connection. A non-repeatable one runs to its end at the agent. */
+	#callerGone(): void {
+		this.#finish({kind: 'gone'});
+	}
+
+	#finish(end: AttemptEnd): void {
+		if (this.#end) {
+			return;
+		}
+
+		this.#end = end;
+		this.#options.response.onWritable = undefined;
+		this.#options.response.onGone = undefined;
+		if (end.kind !== 'answered' && end.kind !== 'rejected') {
+			this.#exchange.abort(new Error(end.kind));
+		}
+
+		this.#resolve(end);
+	}
+}
--- /dev/null
+++ b/packages/requests/src/call.ts
@@ -0,0 +1,185 @@
+/** A caller's request after its headers and body have been read and checked. */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import {fingerprint} from '@yuccawood/common';
+import type {Configuration, RouteConfiguration} from '@yuccawood/configuration';
+import {PREFIX_CHARACTERS} from './constants.js';
+import {RequestError} from './errors.js';
+import {DEADLINE_MS, VERSION, single} from './headers.js';
+
+/** What an agent must offer to take a call. */
+export type Target = {readonly kind: 'model' | 'service'; readonly name: string};
+
+export type Call = {
+	readonly requestId: string;
+	readonly method: string;
+	readonly path: string;
+	readonly rawHeaders: readonly string[];
+	readonly connection: string | undefined;
+	readonly body: Uint8Array | undefined;
+	readonly target: Target;
+
+	/** Whether running the call twice does no harm. */
+	readonly repeatable: boolean;
+	readonly fingerprint: string;
+
+	/** Text that calls with the same prompt prefix share. */
+	readonly prefix: string | undefined;
+
+	/** Monotonic time in milliseconds. */
+	readonly deadlineAt: number;
+	readonly bearer: string | undefined;
+	readonly idempotencyKey: string | undefined;
+
+	/** Manifest hash that the caller insists on. */
+	readonly pinnedVersion: string | undefined;
+};
+
+const MALFORMED_REMEDY = 'Send a JSON object with "model" and "messages" as in the chat-completions format.';
+
+const malformed = (detail: string, cause?: unknown): RequestError => new RequestError({
+	kind: 'malformed', detail, remedy: MALFORMED_REMEDY, cause,
+});
+
+const tooLarge = (limitBytes: number): RequestError => new RequestError({kind: 'body-too-large', detail: `The body exceeds the limit of ${limitBytes} bytes.`, remedy: 'Send a smaller body.'});
+
+/** Reads a body up to a limit. Rejects at once when the announced length exceeds it. */
+export const readLimitedBody = async (request: IncomingMessage, limitBytes: number): Promise<Uint8Array | undefined> => {
+	const announced = request.headers['content-length'];
+	if (announced === undefined && request.headers['transfer-encoding'] === undefined) {
+		return undefined;
+	}
+
+	if (announced !== undefined && Number(announced) > limitBytes) {
+		throw tooLarge(limitBytes);
+	}
+
+	return new Promise((resolve, reject) => {
+		const parts: Uint8Array[] = [];
+		let size = 0;
+		request.on('data', (part: Uint8Array) => {
+			size += part.byteLength;
+			if (size > limitBytes) {
+				request.pause();
+				reject(tooLarge(limitBytes));
+				return;
+			}
+
+			parts.push(part);
+		});
+		request.on('end', () => {
+			resolve(parts.length === 1 ? parts[0] : Buffer.concat(parts, size));
+		});
+		request.on('close', () => {
+			reject(new RequestError({kind: 'malformed', detail: 'The connection closed before the body was complete.', remedy: 'Send the request again.'}));
+		});
+	});
+};
+
+/** The route with the longest path that is a prefix of the request's path, by whole segments. */
+export const findRoute = (routes: readonly RouteConfiguration[], url: string): RouteConfiguration => {
+	const query = url.indexOf('?');
+	const path = query === -1 ? url : url.slice(0, query);
+	let found: RouteConfiguration | undefined;
+	for (const route of routes) {
+		const matches = path.startsWith(route.path) && (path.length === route.path.length || route.path.endsWith('/') || path[route.path.length] === '/');
+		if (matches && (found === undefined || route.path.length > found.path.length)) {
+			found = route;
+		}
+	}
+
+	if (!found) {
+		throw new RequestError({kind: 'no-route', detail: `No route serves the path ${path}.`, remedy: 'Use a path of a [route.*] section of the configuration.'});
+	}
+
+	return found;
+};
+
+type ChatBody = {readonly model: string; readonly messages: readonly unknown[]};
+
+const parseChat = (body: Uint8Array | undefined): ChatBody => {
+	if (!body) {
+		throw malformed('The request has no body.');
+	}
+
+	let parsed: unknown;
+	try {
+		parsed = JSON.parse(Buffer.from(body.buffer, body.byteOffset, body.byteLength).toString('utf8'));
+	} catch (error) {
+		throw malformed('The body is not valid JSON.', error);
+	}
+
+	const chat = parsed as Partial<ChatBody> | undefined;
+	if (typeof chat !== 'object' || chat === null || typeof chat.model !== 'string' || !Array.isArray(chat.messages)) {
+		throw malformed('The body lacks "model" or "messages".');
+	}
+
+	return chat as ChatBody;
+};
+
+const promptPrefix = (messages: readonly unknown[]): string => {
+	const first = messages[0] as {readonly content?: unknown} | undefined;
+	return typeof first?.content === 'string' ? first.content.slice(0, PREFIX_CHARACTERS) : '';
+};
+
+const isServed = (model: string, models: readonly string[], configuration: Configuration): boolean => models.includes(model)
+	|| configuration.models.some(({name, kind, base}) => kind === 'adapter' && name === model && base !== undefined && models.includes(base));
+
+type Destination = Pick<Call, 'target' | 'prefix' | 'repeatable'>;
+
+const findDestination = ({method = 'GET'}: IncomingMessage, body: Uint8Array | undefined, route: RouteConfiguration, configuration: Configuration): Destination => {
+	if (route.target.kind === 'service') {
+		return {target: {kind: 'service', name: route.target.service}, prefix: undefined, repeatable: route.repeatableMethods.includes(method)};
+	}
+
+	if (method !== 'POST') {
+		throw malformed(`The route ${route.name} does not take ${method}.`);
+	}
+
+	const {model, messages} = parseChat(body);
+	if (!isServed(model, route.target.models, configuration)) {
+		throw new RequestError({kind: 'unknown-model', detail: `The route ${route.name} has no model "${model.slice(0, 100)}".`, remedy: `Use one of: ${route.target.models.join(', ')}.`});
+	}
+
+	// Generation has no side effects, so it may be repeated.
+	return {target: {kind: 'model', name: model}, prefix: promptPrefix(messages), repeatable: true};
+};
+
+const readDeadline = (request: IncomingMessage, route: RouteConfiguration): number => {
+	const asked = Number(single(request.headers[DEADLINE_MS]) ?? Number.NaN);
+	return asked > 0 ? Math.min(asked, route.deadlineMs) : route.deadlineMs;
+};
+
+const readBearer = (authorization: string | undefined): string | undefined => authorization?.startsWith('Bearer ') ? authorization.slice('Bearer '.length) : undefined;
+
+/** Reads and checks a request. @throws {RequestError} with outcome `not-run`. */
+export const readCall = async (request: IncomingMessage, {requestId, configuration, now}: {
+	readonly requestId: string;
+	readonly configuration: Configuration;
+
+	/** Monotonic time in milliseconds. */
+	readonly now: number;
+}): Promise<Call> => {
+	const path = request.url ?? '/';
+	if (!path.startsWith('/')) {
+		throw new RequestError({kind: 'malformed', detail: 'The request target is not a path.', remedy: 'Send a path that starts with "/".'});
+	}
+
+	const route = findRoute(configuration.routes, path);
+	const body = await readLimitedBody(request, route.maxBodyBytes);
+	const method = request.method ?? 'GET';
+	return {
+		requestId,
+		method,
+		path,
+		rawHeaders: request.rawHeaders,
+		connection: request.headers.connection,
+		body,
+		...findDestination(request, body, route, configuration),
+		fingerprint: fingerprint(method, path, body ?? ''),
+		deadlineAt: now + readDeadline(request, route),
+		bearer: readBearer(request.headers.authorization),
+		idempotencyKey: single(request.headers['idempotency-key']),
+		pinnedVersion: single(request.headers[VERSION]),
+	};
+};
--- /dev/null
+++ b/packages/requests/src/caller-response.ts
@@ -0,0 +1,82 @@
+/** The response to a caller, written as it arrives from an agent. */
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import type {RequestError} from './errors.js';
+import {appendResponseHeaders, single, type ResponseHeaders} from './headers.js';
+import {errorEvent} from './problem.js';
+import type {KeptAnswer} from './types.js';
+
+export class CallerResponse {
+	/** Body bytes passed on. */
+	bytesWritten = 0;
+
+	/** Called when the caller can take more data. */
+	onWritable: (() => void) | undefined;
+
+	/** Called when the caller closes the connection before its answer is complete. */
+	onGone: (() => void) | undefined;
+	readonly #response: ServerResponse;
+	readonly #requestId: string;
+	#isEventStream = false;
+
+	constructor({response, requestId}: {readonly response: ServerResponse; readonly requestId: string}) {
+		this.#response = response;
+		this.#requestId = requestId;
+		response.on('drain', () => {
+			this.onWritable?.();
+		});
+		response.on('close', () => {
+			if (!response.writableFinished) {
+				this.onGone?.();
+			}
+		});
+	}
+
+	get isBegun(): boolean {
+		return this.#response.headersSent;
+	}
+
+	/** Whether the caller closed the connection before its answer was complete. */
+	get isGone(): boolean {
+		return this.#response.destroyed && !this.#response.writableFinished;
+	}
+
+	begin(status: number, headers: ResponseHeaders): void {
+		const list = ['x-request-id', this.#requestId];
+		appendResponseHeaders(list, headers);
+		this.#isEventStream = single(headers['content-type'])?.startsWith('text/event-stream') ?? false;
+		this.#response.writeHead(status, list);
+		if (this.#isEventStream) {
+			this.#response.flushHeaders();
+		}
+	}
+
+	/** @returns false when the caller is slower than the answer. */
+	write(chunk: Uint8Array): boolean {
+		this.bytesWritten += chunk.byteLength;
+		return this.#response.write(chunk);
+	}
+
+	end(): void {
+		this.#response.end();
+	}
+
+	/** Writes the part of a kept answer that the caller has not received yet, and ends. */
+	finish({status, headers, body}: KeptAnswer): void {
+		if (!this.isBegun) {
+			this.#response.writeHead(status, ['x-request-id', this.#requestId, ...headers]);
+		}
+
+		this.#response.end(Buffer.from(body, 'base64').subarray(this.bytesWritten));
+	}
+
+	/** Ends an answer that broke off: a stream gets an error event, any other answer a cut connection. */
+	break(error: RequestError): void {
+		if (!this.#isEventStream || this.isGone) {
+			this.#response.destroy();
+			return;
+		}
+
+		this.#response.end(errorEvent(error, this.#requestId));
+	}
+}
--- /dev/null
+++ b/packages/requests/src/entry-server.ts
@@ -0,0 +1,213 @@
+/** Serves callers over HTTP/1.1. */
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {Admission, Permit} from '@yuccawood/accounts';
+import {
+	systemRandom, SystemClock, type Clock, type Log, type Metrics, type PeerClient, type PeerServer, type Random,
+} from '@yuccawood/common';
+import type {ConfigurationSource} from '@yuccawood/configuration';
+import type {MemberTable} from '@yuccawood/membership';
+import type {KeyValueService} from '@yuccawood/platform';
+import {readCall, type Call} from './call.js';
+import {CallerResponse} from './caller-response.js';
+import {answerClientError} from './client-errors.js';
+import {ConnectionPools} from './connection-pools.js';
+import {
+	BODY_TIMEOUT_MS, DRAIN_GRACE_MS, HEADERS_TIMEOUT_MS, MAX_HEADER_BYTES, RETRY_AFTER_SECONDS,
+} from './constants.js';
+import type {EntryContext} from './entry-context.js';
+import {RequestError} from './errors.js';
+import {Forwarding} from './forwarding.js';
+import {sendProblem, toRequestError} from './problem.js';
+import {RequestIds} from './request-ids.js';
+import {RetryBudget} from './retry-budget.js';
+import {Router} from './router.js';
+import {Settlement} from './settlement.js';
+import {Supervisor} from './supervisor.js';
+
+export type EntryServerOptions = {
+	readonly selfId: string;
+
+	/** `IP:port` for callers; port 0 lets the system choose. */
+	readonly listen: string;
+	readonly members: MemberTable;
+	readonly configuration: ConfigurationSource;
+	readonly admission: Admission;
+	readonly keyValue: KeyValueService;
+	readonly peerServer: PeerServer;
+	readonly peerClient: PeerClient;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly clock?: Clock;
+	readonly random?: Random;
+
+	/** Time between `/healthz` turning 503 and the listener closing, in milliseconds. */
+	readonly drainGraceMs?: number;
+};
+
+export class EntryServer {
+	readonly #options: EntryServerOptions;
+	readonly #clock: Clock;
+	readonly #context: EntryContext;
+	readonly #ids: RequestIds;
+	readonly #server: http.Server;
+	#address = '';
+	#inProgress = 0;
+	#isLeaving = false;
+	#onIdle: (() => void) | undefined;
+
+	constructor(options: EntryServerOptions) {
+		const {selfId, members, peerClient, log, metrics, clock = new SystemClock(), random = systemRandom()} = options;
+		this.#options = options;
+		this.#clock = clock;
+		this.#ids = new RequestIds({selfId, incarnation: members.self.incarnation});
+		this.#context = {
+			router: new Router({members, random, clock}),
+			pools: new ConnectionPools(),
+			settlement: new Settlement({client: peerClient}),
+			supervisor: new Supervisor({clock, log}),
+			budget: new RetryBudget(),
+			clock,
+			log,
+			metrics,
+		};
+		this.#server = http.createServer({
+			maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: BODY_TIMEOUT_MS, noDelay: true,
+		}, (request, response) => {
+			void this.#handle(request, response);
+		});
+		this.#server.on('clientError', (error, socket) => {
+			answerClientError(error, socket, metrics);
+		});
+	}
+
+	/** `IP:port` on which callers are served. */
+	get address(): string {
+		return this.#address;
+	}
+
+	/** Requests whose callers have no complete answer yet. */
+	get inProgress(): number {
+		return this.#inProgress;
+	}
+
+	async start(): Promise<void> {
+		const separator = this.#options.listen.lastIndexOf(':');
+		const host = this.#options.listen.slice(0, separator);
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(Number(this.#options.listen.slice(separator + 1)), host, resolve);
+		});
+		const bound = this.#server.address();
+		this.#address = `${host}:${typeof bound === 'object' && bound ? bound.port : 0}`;
+		this.#context.supervisor.start();
+	}
+
+	/** Reports unhealthy, accepts requests for a grace period, closes the listener and resolves when nothing is in progress. */
+	async drain(): Promise<void> {
+		this.#isLeaving = true;
+		await this.#clock.sleep(this.#options.drainGraceMs ?? DRAIN_GRACE_MS);
+		this.#server.close();
+		this.#server.closeIdleConnections();
+		if (this.#inProgress > 0) {
+			await new Promise<void>(resolve => {
+				this.#onIdle = resolve;
+			});
+		}
+	}
+
+	/** Closes all connections at once. Call `drain` before, so that nothing is cut. */
+	async close(): Promise<void> {
+		this.#server.close();
+		this.#server.closeAllConnections();
+		this.#context.supervisor.close();
+		this.#context.router.close();
+		await this.#context.pools.close();
+	}
+
+	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (request.url === '/healthz') {
+			this.#answerHealth(response);
+			return;
+		}
+
+		const requestId = this.#ids.next();
+		const startedAt = this.#clock.monotonic();
+		this.#inProgress++;
+		if (this.#isLeaving) {
+			response.setHeader('connection', 'close');
+		}
+
+		let result = 'answered';
+		const callerResponse = new CallerResponse({response, requestId});
+		try {
+			await this.#answer(request, callerResponse, requestId);
+		} catch (error) {
+			const failure = toRequestError(error);
+			result = failure.kind;
+			this.#reject(response, callerResponse, {failure, requestId});
+		} finally {
+			this.#inProgress--;
+			this.#options.metrics.count('requests.finished', {result});
+			this.#options.metrics.timing('requests.duration', this.#clock.monotonic() - startedAt);
+			if (this.#inProgress === 0) {
+				this.#onIdle?.();
+			}
+		}
+	}
+
+	#answerHealth(response: ServerResponse): void {
+		response.writeHead(this.#isLeaving ? 503 : 200, {'content-type': 'text/plain'});
+		response.end(this.#isLeaving ? 'leaving\n' : 'ok\n');
+	}
+
+	async #answer(request: IncomingMessage, response: CallerResponse, requestId: string): Promise<void> {
+		const {current} = this.#options.configuration;
+		if (!current) {
+			throw new RequestError({
+				kind: 'no-agent', detail: 'This entry has no configuration yet.', remedy: 'Try again later.', retryAfterSeconds: RETRY_AFTER_SECONDS,
+			});
+		}
+
+		const call = await readCall(request, {requestId, configuration: current.configuration, now: this.#clock.monotonic()});
+		const permit = await this.#admit(call);
+		try {
+			await new Forwarding({
+				context: this.#context, call, permit, response,
+			}).run();
+		} finally {
+			permit.release();
+		}
+	}
+
+	async #admit({bearer, deadlineAt}: Call): Promise<Permit> {
+		const admitted = await this.#options.admission.admit({bearer, deadlineMs: deadlineAt - this.#clock.monotonic()});
+		if (admitted.ok) {
+			return admitted.val;
+		}
+
+		const {kind, detail, remedy, retryAfterSeconds} = admitted.val;
+		if (kind === 'unknown-account') {
+			throw new RequestError({kind: 'unauthorized', detail, remedy});
+		}
+
+		const isRate = kind === 'rate-limit' || kind === 'concurrency-limit';
+		throw new RequestError({
+			kind: isRate ? 'rate-limited' : 'overloaded', detail, remedy, retryAfterSeconds,
+		});
+	}
+
+	#reject(response: ServerResponse, callerResponse: CallerResponse, {failure, requestId}: {readonly failure: RequestError; readonly requestId: string}): void {
+		if (failure.outcome !== 'not-run') {
+			this.#options.log.warn('Request failed.', {
+				requestId, kind: failure.kind, outcome: failure.outcome, detail: failure.detail,
+			});
+		}
+
+		if (callerResponse.isBegun) {
+			callerResponse.break(failure);
+			return;
+		}
+
+		sendProblem(response, failure, {requestId, close: failure.kind === 'body-too-large' || failure.kind === 'malformed'});
+	}
+}
--- /dev/null
+++ b/packages/requests/src/exchange.ts
@@ -0,0 +1,139 @@
+/** One HTTP request over a kept connection, with the response passed on as it arrives. */
+import type {Dispatcher} from 'undici';
+import type {ResponseHeaders} from './headers.js';
+
+/** Receives one response. Exactly one of `onEnd` and `onFailure` is called, as the last call. */
+export interface ResponseSink {
+	readonly onHead: (status: number, headers: ResponseHeaders) => void;
+
+	/** @returns false to pause the response until `Exchange.resume`. */
+	readonly onData: (chunk: Uint8Array) => boolean;
+	readonly onEnd: () => void;
+	readonly onFailure: (error: Error) => void;
+}
+
+export type ExchangeRequest = {
+	readonly method: string;
+	readonly path: string;
+
+	/** Names and values in turn. */
+	readonly headers: string[];
+	readonly body: Uint8Array | undefined;
+};
+
+type ExchangeOptions = ExchangeRequest & {
+	readonly dispatcher: Dispatcher;
+	readonly sink: ResponseSink;
+
+	/** Monotonic time in milliseconds. */
+	readonly now: () => number;
+};
+
+export class Exchange {
+	/** Whether the request was handed to a connection. While false, it cannot have been run. */
+	sent = false;
+
+	/** Body bytes of the response received. */
+	bytesReceived = 0;
+	headReceived = false;
+
+	/** Monotonic time of the last sign of life, in milliseconds. */
+	progressAt: number;
+	readonly #now: () => number;
+	#controller: Dispatcher.DispatchController | undefined;
+	#aborted: Error | undefined;
+	#finished = false;
+	readonly #sink: ResponseSink;
+	readonly #start: () => void;
+
+	constructor({dispatcher, sink, now, method, path, headers, body}: ExchangeOptions) {
+		this.#sink = sink;
+		this.#now = now;
+		this.progressAt = now();
+		this.#start = () => {
+			dispatcher.dispatch({
+				method, path, headers, body: body ?? null,
+			}, this);
+		};
+	}
+
+	/** Sends the request. The sink may be called before this returns. */
+	start(): void {
+		this.#start();
+	}
+
+	/** Ends the exchange and closes its connection; the sink gets the reason as a failure. */
+	abort(reason: Error): void {
+		if (this.#finished) {
+			return;
+		}
+
+		this.#aborted = reason;
+		if (this.#controller) {
+			this.#controller.abort(reason);
+		}
+
+		this.#fail(reason);
+	}
+
+	/** Continues a paused response. */
+	resume(): void {
+		this.progressAt = this.#now();
+		this.#controller?.resume();
+	}
+
+	/** Called by undici when the request is about to be written to a connection. */
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		if (this.#aborted) {
+			controller.abort(this.#aborted);
+			return;
+		}
+
+		this.sent = true;
+		this.#controller = controller;
+	}
+
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: ResponseHeaders): void {
+		if (this.#finished || status < 200) {
+			return;
+		}
+
+		this.headReceived = true;
+		this.progressAt = this.#now();
+		this.#sink.onHead(status, headers);
+	}
+
+	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
+		if (this.#finished) {
+			return;
+		}
+
+		this.bytesReceived += chunk.byteLength;
+		this.progressAt = this.#now();
+		if (!this.#sink.onData(chunk)) {
+			controller.pause();
+		}
+	}
+
+	onResponseEnd(): void {
+		if (this.#finished) {
+			return;
+		}
+
+		this.#finished = true;
+		this.#sink.onEnd();
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+		this.#fail(error);
+	}
+
+	#fail(error: Error): void {
+		if (this.#finished) {
+			return;
+		}
+
+		this.#finished = true;
+		this.#sink.onFailure(error);
+	}
+}
--- /dev/null
+++ b/packages/requests/src/forwarded-head.ts
@@ -0,0 +1,42 @@
+/** Headers of a request that an entry forwards. */
+import type {IncomingMessage} from 'node:http';
+import {
+	ACCOUNT, DEADLINE_MS, FINGERPRINT, INCARNATION, MODEL, PRIORITY, REPEATABLE, REQUEST_ID, SUSPECT, VERSION, VM, single,
+} from './headers.js';
+
+export type ForwardedHead = {
+	readonly requestId: string;
+	readonly vm: string;
+	readonly incarnation: number;
+	readonly deadlineMs: number;
+	readonly account: string;
+	readonly priority: string;
+	readonly fingerprint: string;
+	readonly repeatable: boolean;
+	readonly suspect: boolean;
+	readonly model: string | undefined;
+	readonly pinnedVersion: string | undefined;
+};
+
+/** @returns `undefined` when the request does not come from an entry. */
+export const parseForwardedHead = ({headers}: IncomingMessage): ForwardedHead | undefined => {
+	const requestId = single(headers[REQUEST_ID]);
+	if (requestId === undefined) {
+		return undefined;
+	}
+
+	const model = single(headers[MODEL]);
+	return {
+		requestId,
+		vm: single(headers[VM]) ?? '',
+		incarnation: Number(single(headers[INCARNATION])),
+		deadlineMs: Number(single(headers[DEADLINE_MS]) ?? 0),
+		account: single(headers[ACCOUNT]) ?? '',
+		priority: single(headers[PRIORITY]) ?? '0',
+		fingerprint: single(headers[FINGERPRINT]) ?? '',
+		repeatable: headers[REPEATABLE] === 'yes',
+		suspect: headers[SUSPECT] === 'yes',
+		model: model === undefined ? undefined : decodeURIComponent(model),
+		pinnedVersion: single(headers[VERSION]),
+	};
+};
--- /dev/null
+++ b/packages/requests/src/router.ts
@@ -0,0 +1,171 @@
+/** Chooses agents by load, prompt prefix and distance. */
+import {score, type Clock, type Random} from '@yuccawood/common';
+import type {MemberRecord, MemberTable} from '@yuccawood/membership';
+import type {Target} from './call.js';
+import {AFFINITY_SLACK, LOAD_REPORT_LIFETIME_MS} from './constants.js';
+
+/** What an entry knows about the load of one agent. */
+class AgentLoad {
+	own = 0;
+	avoidUntil = 0;
+	#othersReported = 0;
+	#reportedAt = Number.NEGATIVE_INFINITY;
+
+	/** Notes the number of requests that the agent reports, of which some are this entry's own. */
+	report(total: number, now: number): void {
+		this.#othersReported = Math.max(0, total - this.own);
+		this.#reportedAt = now;
+	}
+
+	/** Own requests plus the reported ones of others, which lose weight with age. */
+	estimate(now: number): number {
+		const age = now - this.#reportedAt;
+		const weight = age < LOAD_REPORT_LIFETIME_MS ? 1 - (age / LOAD_REPORT_LIFETIME_MS) : 0;
+		return this.own + (this.#othersReported * weight);
+	}
+}
+
+/** An agent that can take a call. */
+export type Agent = {
+	readonly id: string;
+	readonly address: string;
+	readonly incarnation: number;
+	readonly capacity: number;
+	readonly load: AgentLoad;
+};
+
+type Tiers = ReadonlyArray<readonly Agent[]>;
+
+type Choice = {
+	readonly excluded: ReadonlySet<string>;
+
+	/** Calls with the same prefix go to the same agent while its load allows. */
+	readonly prefix?: string;
+};
+
+const targetKey = ({kind, name}: Target): string => `${kind}:${name}`;
+
+const targetsOf = ({upstream}: MemberRecord): readonly string[] => {
+	if (!upstream?.ready) {
+		return [];
+	}
+
+	return upstream.kind === 'service' ? [`service:${upstream.service}`] : upstream.served.map(({name}) => `model:${name}`);
+};
+
+export class Router {
+	readonly #members: MemberTable;
+	readonly #random: Random;
+	readonly #clock: Clock;
+	readonly #loads = new Map<string, AgentLoad>();
+	readonly #observation: {unsubscribe: () => void};
+	#tiers: ReadonlyMap<string, Tiers> | undefined;
+
+	constructor({members, random, clock}: {readonly members: MemberTable; readonly random: Random; readonly clock: Clock}) {
+		this.#members = members;
+		this.#random = random;
+		this.#clock = clock;
+		this.#observation = members.changes.subscribe({
+			next: () => {
+				this.#tiers = undefined;
+			},
+			error: () => undefined,
+			complete: () => undefined,
+		});
+	}
+
+	/** @returns the better of two agents of the nearest tier that has one with room, or `undefined` when none is left. */
+	choose(target: Target, {excluded, prefix}: Choice): Agent | undefined {
+		const tiers = this.#currentTiers().get(targetKey(target)) ?? [];
+		const now = this.#clock.monotonic();
+		let full: Agent | undefined;
+		for (const tier of tiers) {
+			const usable = tier.filter(({id, load}) => load.avoidUntil <= now && !excluded.has(id));
+			const agent = usable.length === 0 ? undefined : this.#better(usable, prefix, now);
+			if (agent && agent.load.estimate(now) < agent.capacity) {
+				return agent;
+			}
+
+			full ??= agent;
+		}
+
+		return full;
+	}
+
+	/** Sends no calls to the agent for a time. */
+	avoid({load}: Agent, milliseconds: number): void {
+		load.avoidUntil = this.#clock.monotonic() + milliseconds;
+	}
+
+	close(): void {
+		this.#observation.unsubscribe();
+	}
+
+	#better(usable: readonly Agent[], prefix: string | undefined, now: number): Agent {
+		const first = prefix === undefined ? usable[this.#random.below(usable.length)] : preferred(usable, prefix);
+		const second = usable[this.#random.below(usable.length)];
+		const slack = prefix === undefined ? 0 : AFFINITY_SLACK;
+		return first.load.estimate(now) / first.capacity <= (second.load.estimate(now) / second.capacity) + slack && first.load.estimate(now) < first.capacity ? first : second;
+	}
+
+	#currentTiers(): ReadonlyMap<string, Tiers> {
+		this.#tiers ??= this.#buildTiers();
+		return this.#tiers;
+	}
+
+	#buildTiers(): ReadonlyMap<string, Tiers> {
+		const tiers = new Map<string, Agent[][]>();
+		const previous = new Map(this.#loads);
+		this.#loads.clear();
+		for (const member of this.#members.members) {
+			if (member.role !== 'agent' || (member.status !== 'alive' && member.status !== 'suspect')) {
+				continue;
+			}
+
+			for (const key of targetsOf(member)) {
+				const list = tiers.get(key) ?? [[], [], [], []];
+				tiers.set(key, list);
+				list[this.#distance(member)].push(this.#agent(member, previous));
+			}
+		}
+
+		return tiers;
+	}
+
+	/** 0 for the same failure domain, 1 for the same region, 2 for other regions, 3 for members under suspicion. */
+	#distance({status, failureDomain, region}: MemberRecord): number {
+		const {self} = this.#members;
+		if (status === 'suspect') {
+			return 3;
+		}
+
+		if (region !== self.region) {
+			return 2;
+		}
+
+		return failureDomain === self.failureDomain ? 0 : 1;
+	}
+
+	#agent({id, address, incarnation, upstream}: MemberRecord, previous: ReadonlyMap<string, AgentLoad>): Agent {
+		const key = `${id}/${incarnation}`;
+		const load = this.#loads.get(key) ?? previous.get(key) ?? new AgentLoad();
+		this.#loads.set(key, load);
+		return {
+			id, address, incarnation, load, capacity: Math.max(1, upstream?.capacity ?? 1),
+		};
+	}
+}
+
+const preferred = (agents: readonly Agent[], prefix: string): Agent => {
+	let best = agents[0];
+	let bestScore = -1;
+	for (const agent of agents) {
+		const value = score(prefix, agent.id);
+		if (value > bestScore) {
+			best = agent;
+			bestScore = value;
+		}
+	}
+
+	return best;
+};
--- /dev/null
+++ b/packages/requests/src/settlement.ts
@@ -0,0 +1,55 @@
+/** Queries agents about requests over new connections, so that a silent kept connection cannot hold the query up. */
+import {RpcError, type PeerClient} from '@yuccawood/common';
+import {ANSWER_WAIT_MS, QUERY_TIMEOUT_MS} from './constants.js';
+import type {AnswerReply, KeptAnswer, SettleAnswer} from './types.js';
+
+/** Where a request was sent. */
+export type Assignment = {
+	readonly requestId: string;
+	readonly address: string;
+	readonly incarnation: number;
+};
+
+/** What the agent said, or why it said nothing: `gone` when no process listens, `silent` when there was no reply in time. */
+export type Settled = SettleAnswer | {readonly state: 'gone' | 'silent'};
+
+type FinalAnswer = {readonly state: Settled['state']; readonly answer?: KeptAnswer};
+
+export class Settlement {
+	readonly #client: PeerClient;
+
+	constructor({client}: {readonly client: PeerClient}) {
+		this.#client = client;
+	}
+
+	/** Asks what became of a request. After `not-run` the agent will never run it. */
+	async query({address, requestId, incarnation}: Assignment): Promise<Settled> {
+		return this.#call<SettleAnswer>(address, 'requests.settle', {requestId, incarnation}, QUERY_TIMEOUT_MS);
+	}
+
+	/** Waits for the answer of a running request until the deadline or until the agent is silent twice in a row. */
+	async fetchAnswer({address, requestId, incarnation}: Assignment, timeLeftMs: () => number): Promise<FinalAnswer> {
+		let silences = 0;
+		for (;;) {
+			const waitMs = Math.max(0, Math.min(ANSWER_WAIT_MS, timeLeftMs()));
+			const reply = await this.#call<AnswerReply>(address, 'requests.answer', {requestId, incarnation, waitMs}, waitMs + QUERY_TIMEOUT_MS);
+			silences = reply.state === 'silent' ? silences + 1 : 0;
+			const wait = reply.state === 'running' || (reply.state === 'silent' && silences < 2);
+			if (!wait || timeLeftMs() <= 0) {
+				return reply;
+			}
+		}
+	}
+
+	async #call<Answer>(address: string, method: string, parameters: unknown, timeoutMs: number): Promise<Answer | {readonly state: 'gone' | 'silent'}> {
+		try {
+			return await this.#client.call<Answer>(address, method, parameters, {timeoutMs, fresh: true});
+		} catch (error) {
+			if (error instanceof RpcError && error.kind === 'unreachable') {
+				return {state: 'gone'};
+			}
+
+			return {state: 'silent'};
+		}
+	}
+}
--- /dev/null
+++ b/packages/requests/src/supervisor.ts
@@ -0,0 +1,52 @@
+/** Scans the attempts in progress for expired deadlines and silent connections, with one timer for all of them. */
+import {repeatUntilAborted, type Clock, type Log} from '@yuccawood/common';
+import {SCAN_INTERVAL_MS} from './constants.js';
+
+export interface Supervised {
+	/** Checks deadline and progress at this monotonic time, in milliseconds. */
+	readonly check: (now: number) => void;
+}
+
+export class Supervisor {
+	readonly #items = new Set<Supervised>();
+	readonly #clock: Clock;
+	readonly #log: Log;
+	readonly #stop = new AbortController();
+
+	constructor({clock, log}: {readonly clock: Clock; readonly log: Log}) {
+		this.#clock = clock;
+		this.#log = log;
+	}
+
+	start(): void {
+		void repeatUntilAborted(async () => {
+			await this.#clock.sleep(SCAN_INTERVAL_MS, this.#stop.signal);
+			this.#scan();
+		}, {
+			signal: this.#stop.signal,
+			pauseMs: 0,
+			onError: error => {
+				this.#log.error('Scan of requests in progress failed.', {error});
+			},
+		});
+	}
+
+	close(): void {
+		this.#stop.abort();
+	}
+
+	add(item: Supervised): void {
+		this.#items.add(item);
+	}
+
+	remove(item: Supervised): void {
+		this.#items.delete(item);
+	}
+
+	#scan(): void {
+		const now = this.#clock.monotonic();
+		for (const item of this.#items) {
+			item.check(now);
+		}
+	}
+}
