--- /dev/null
+++ b/packages/bench/src/benchmarks.ts
@@ -0,0 +1,4 @@
+import type {Benchmark} from './types.js';
+
+/** All measurements, in the order of `--list`. */
+export const BENCHMARKS: readonly Benchmark[] = [];
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,4 @@
 /** The daemon yuccawoodd. */
-export {};
+export type * from './types.js';
+export {checkSettings} from './check-settings.js';
+export {SETTINGS_RULES} from './settings-rules.js';
--- /dev/null
+++ b/packages/daemon/src/node.ts
@@ -0,0 +1,151 @@
+/** Parts that entries and agents have in common. */
+import process from 'node:process';
+import {
+	createLog, PeerClient, PeerServer, SystemClock, systemRandom, type Clock, type Log, type Random,
+} from '@yuccawood/common';
+import {ConfigurationDistributor} from '@yuccawood/configuration';
+import {drainOnSignals, ProcessLifecycle, type LeaveSign} from '@yuccawood/lifecycle';
+import {Gossip, type Role, type UpstreamSummary} from '@yuccawood/membership';
+import {HttpKeyValueService, HttpVmList, type KeyValueService} from '@yuccawood/platform';
+import {splitAddress} from './split-address.js';
+import {ProcessMetrics} from './process-metrics.js';
+import type {ProcessSettings, StatusReport} from './types.js';
+
+export type NodeOptions = {
+	readonly settings: ProcessSettings;
+	readonly role: Role;
+	readonly upstream?: UpstreamSummary;
+};
+
+/** One process of the system: its servers, its member table, its configuration and its phase. */
+export class Node {
+	readonly settings: ProcessSettings;
+	readonly log: Log;
+	readonly metrics: ProcessMetrics;
+	readonly clock: Clock = new SystemClock();
+	readonly random: Random = systemRandom();
+	readonly peerServer = new PeerServer();
+	readonly peerClient: PeerClient;
+	readonly keyValue: KeyValueService;
+	readonly gossip: Gossip;
+	readonly configuration: ConfigurationDistributor;
+	readonly lifecycle: ProcessLifecycle;
+	readonly #role: Role;
+	readonly #ended = new AbortController();
+	#clientBytes = 0;
+
+	constructor({settings, role, upstream}: NodeOptions) {
+		this.settings = settings;
+		this.#role = role;
+		this.log = createLog({...settings.log, fields: {vm: settings.id}});
+		this.metrics = new ProcessMetrics(settings);
+		this.peerClient = new PeerClient({
+			onControlBytes: bytes => {
+				this.#clientBytes += bytes;
+			},
+		});
+		this.keyValue = new HttpKeyValueService({address: settings.platform.keyValue});
+		this.lifecycle = new ProcessLifecycle({log: this.log.part('lifecycle')});
+		this.gossip = this.#createGossip(upstream);
+		this.configuration = new ConfigurationDistributor({
+			...this.#shared('configuration'), selfId: settings.id, members: this.gossip, keyValue: this.keyValue,
+		});
+		this.peerServer.method('status.report', () => this.report());
+	}
+
+	/** Aborts when the background tasks of the process have to end. */
+	get signal(): AbortSignal {
+		return this.#ended.signal;
+	}
+
+	/** Options that most parts take; the log carries the prefix of the part. */
+	#shared(prefix: string) {
+		const {
+			peerServer, peerClient, clock, random, metrics,
+		} = this;
+		return {
+			peerServer, peerClient, clock, random, metrics, log: this.log.part(prefix),
+		};
+	}
+
+	/** Listens for peers, joins the other members and starts to obtain the configuration. */
+	async start(): Promise<void> {
+		const {host, port} = splitAddress(this.settings.peer.listen);
+		drainOnSignals({lifecycle: {drain: this.leave}, source: process});
+		await this.peerServer.listen(host, port);
+		await this.gossip.start(this.signal);
+		await this.configuration.start(this.signal);
+		this.#followOwnRole();
+	}
+
+	/** Leaves for good, also while the process is still starting. */
+	readonly leave = (sign: LeaveSign): void => {
+		this.lifecycle.drain(sign);
+		this.lifecycle.markServing();
+	};
+
+	/** Ends the background tasks. */
+	endTasks(): void {
+		this.#ended.abort();
+	}
+
+	/** Closes what the process still holds, after its tasks have ended. */
+	async close(): Promise<void> {
+		await this.peerServer.close();
+		await this.peerClient.close();
+		this.metrics.close();
+	}
+
+	report(): StatusReport {
+		const {memory} = this.metrics;
+		const {user, system} = process.cpuUsage();
+		return {
+			id: this.settings.id,
+			role: this.#role,
+			phase: this.lifecycle.phase,
+			revision: this.configuration.current?.revision ?? 0,
+			members: this.gossip.members,
+			counters: Object.fromEntries(memory.counters),
+			residentBytes: process.memoryUsage.rss(),
+			cpuSeconds: (user + system) / 1_000_000,
+			controlBytes: this.#clientBytes + this.peerServer.controlBytes,
+		};
+	}
+
+	#createGossip(upstream: UpstreamSummary | undefined): Gossip {
+		const {
+			id, region, failureDomain, peer, platform,
+		} = this.settings;
+		const vmList = platform.vmList === undefined ? undefined : new HttpVmList({address: platform.vmList});
+		return new Gossip({
+			...this.#shared('membership'),
+			self: {
+				id, role: this.#role, address: peer.listen, region, failureDomain, upstream,
+			},
+			seeds: peer.seeds,
+			vmList,
+			onLeaveHint: () => {
+				this.leave('vm-list');
+			},
+			onSuperseded: () => {
+				this.log.warn('Another process with this id and a later start runs. This process stops.');
+				this.leave('signal');
+			},
+		});
+	}
+
+	/** Drains and resumes as the section of this VM in the configuration says. */
+	#followOwnRole(): void {
+		const follow = (): void => {
+			const own = this.configuration.current?.configuration.vms.find(({id}) => id === this.settings.id);
+			if (own?.role === 'drain') {
+				this.lifecycle.drain('configuration');
+				return;
+			}
+
+			this.lifecycle.resume();
+		};
+
+		void this.configuration.changes.observe(follow);
+	}
+}
