Add the HTTP platform adapters and the stand-ins

The other packages need a platform to run on, and tests need one whose faults they control.

The adapters speak plain HTTP; the paths and bodies stand in wire.ts, which the stand-ins share. A connection that was never made is unavailable. An answer that is lost after sending is unknown-outcome for calls with an effect and unavailable for reads, which have none. PlatformError carries the current version of a conflict.

The engine stand-in does not refuse corrupt chunks: it computes the hash of what it assembled, so an agent that skips its own check is found out. Its answers are a function of the request and the manifest that answers, so a checker can verify both.

--- a/packages/platform/src/errors.ts
+++ b/packages/platform/src/errors.ts
@@ -16,4 +16,18 @@
 export type PlatformErrorKind =
 	'unavailable' | 'unknown-outcome' | 'conflict' | 'rate-limited' | 'too-large' | 'lease-expired' | 'not-found' | 'stale-fencing' | 'rejected';
 
-export class PlatformError extends TypedError<PlatformErrorKind> {}
+export class PlatformError extends TypedError<PlatformErrorKind> {
+	/** With `conflict`: the version that the key has, 0 if it does not exist. */
+	readonly currentVersion: number | undefined;
+
+	constructor({currentVersion, ...rest}: {
+		readonly kind: PlatformErrorKind;
+		readonly detail: string;
+		readonly remedy: string;
+		readonly cause?: unknown;
+		readonly currentVersion?: number;
+	}) {
+		super(rest);
+		this.currentVersion = currentVersion;
+	}
+}
--- /dev/null
+++ b/packages/platform/src/http-vm-list.ts
@@ -0,0 +1,18 @@
+/** List of VMs over HTTP. */
+import {DEFAULT_CALL_TIMEOUT_MS} from './constants.js';
+import {HttpCaller} from './http-caller.js';
+import type {Outcome, VmList, VmState} from './types.js';
+import {VMS_PATH} from './wire.js';
+
+export class HttpVmList implements VmList {
+	readonly #caller: HttpCaller;
+
+	constructor({address, timeoutMs = DEFAULT_CALL_TIMEOUT_MS}: {readonly address: string; readonly timeoutMs?: number}) {
+		this.#caller = new HttpCaller({address, timeoutMs});
+	}
+
+	readonly list = async (): Outcome<readonly VmState[]> => this.#caller.json(VMS_PATH);
+
+	/** Ends all calls; those in progress fail. */
+	readonly close = async (): Promise<void> => this.#caller.close();
+}
--- /dev/null
+++ b/packages/platform/src/http-weight-origin.ts
@@ -0,0 +1,26 @@
+/** Origin of weights over HTTP. */
+import {DEFAULT_ORIGIN_IDLE_TIMEOUT_MS} from './constants.js';
+import {HttpCaller} from './http-caller.js';
+import type {Outcome, WeightOrigin} from './types.js';
+import {CHUNKS_PATH, MANIFESTS_PATH} from './wire.js';
+
+export class HttpWeightOrigin implements WeightOrigin {
+	readonly #caller: HttpCaller;
+
+	/** `timeoutMs` limits the time without any byte of the answer. */
+	constructor({address, timeoutMs = DEFAULT_ORIGIN_IDLE_TIMEOUT_MS}: {readonly address: string; readonly timeoutMs?: number}) {
+		this.#caller = new HttpCaller({address, timeoutMs});
+	}
+
+	readonly manifest = async (hash: string, signal?: AbortSignal): Outcome<Uint8Array> => this.#read(`${MANIFESTS_PATH}/${hash}`, signal);
+
+	readonly chunk = async (hash: string, signal?: AbortSignal): Outcome<Uint8Array> => this.#read(`${CHUNKS_PATH}/${hash}`, signal);
+
+	/** Ends all calls; those in progress fail. */
+	readonly close = async (): Promise<void> => this.#caller.close();
+
+	async #read(path: string, signal: AbortSignal | undefined): Outcome<Uint8Array> {
+		const answer = await this.#caller.call(path, {isIdleTimeout: true, signal});
+		return answer.map(bytes => bytes ?? new Uint8Array(0));
+	}
+}
--- /dev/null
+++ b/packages/platform/src/wire.ts
@@ -0,0 +1,72 @@
+/**
+Paths and bodies of the platform's HTTP interfaces, shared by the adapters and the stand-ins.
+
+A call that fails is answered with a status above 299 and a `FailureBody`.
+
+Key-value service:
+- `GET /entries/<key>` answers 200 with a `KeyValueEntry`, or 204 if the key does not exist.
+- `GET /entries/<key>?afterVersion=N&waitMs=M` is a watch: 200 with the entry, or 204 when the time runs out.
+- `GET /entries?prefix=P` answers with `KeyValueEntry[]`, ordered by key.
+- `PUT /entries/<key>?expectedVersion=N&lease=ID` has the value as its body and answers `{version}`.
+- `DELETE /entries/<key>?expectedVersion=N` answers 204.
+- `POST /leases` with `{ttlMs}` answers with a `Lease`.
+- `POST /leases/<id>/renewal` answers `{remainingMs}`.
+- `DELETE /leases/<id>` answers 204.
+
+Origin: `GET /manifests/<hash>` and `GET /chunks/<hash>` answer with the bytes.
+
+VM list: `GET /vms` answers with `VmState[]`.
+
+Engine:
+- `GET /engine/state` answers with an `EngineState`.
+- `PUT /engine/chunks/<hash>` takes the bytes of a chunk and answers 204.
+- `POST /engine/load` with a `LoadOrder` answers `{manifest}`, the hash that the engine computed.
+- `POST /engine/activate` and `POST /engine/unload` with an `Order` answer 204.
+- `POST /v1/chat/completions` generates; the response header `x-model-version` is the hash of the manifest that answers.
+*/
+import type {PlatformErrorKind} from './errors.js';
+
+/** Body of a failed call. */
+export type FailureBody = {
+	readonly kind: PlatformErrorKind;
+	readonly detail: string;
+	readonly remedy: string;
+	readonly currentVersion?: number;
+};
+
+/** HTTP status of each kind of failure. */
+export const FAILURE_STATUS: Readonly<Record<PlatformErrorKind, number>> = {
+	'not-found': 404,
+	conflict: 409,
+	'lease-expired': 410,
+	'stale-fencing': 412,
+	'too-large': 413,
+	rejected: 422,
+	'rate-limited': 429,
+	unavailable: 503,
+	'unknown-outcome': 504,
+};
+
+export const ENTRIES_PATH = '/entries';
+export const LEASES_PATH = '/leases';
+export const MANIFESTS_PATH = '/manifests';
+export const CHUNKS_PATH = '/chunks';
+export const VMS_PATH = '/vms';
+export const ENGINE_STATE_PATH = '/engine/state';
+export const ENGINE_CHUNKS_PATH = '/engine/chunks';
+export const ENGINE_LOAD_PATH = '/engine/load';
+export const ENGINE_ACTIVATE_PATH = '/engine/activate';
+export const ENGINE_UNLOAD_PATH = '/engine/unload';
+export const COMPLETIONS_PATH = '/v1/chat/completions';
+export const CACHE_EVENTS_PATH = '/cache-events';
+
+/** Response header of an engine with the hash of the manifest that answered. */
+export const MODEL_VERSION_HEADER = 'x-model-version';
+
+/** Request header of upstreams with the id of the request. */
+export const REQUEST_ID_HEADER = 'x-request-id';
+
+/** Largest value of the key-value service, in bytes. */
+export const MAX_VALUE_BYTES = 1_000_000;
+
+export const entryPath = (key: string): string => `${ENTRIES_PATH}/${encodeURIComponent(key)}`;
--- /dev/null
+++ b/packages/stand-ins/src/key-value-stand-in.test.ts
@@ -0,0 +1,102 @@
+import {expect} from 'chai';
+import {HttpKeyValueService} from '@yuccawood/platform';
+import {failure, value} from './outcomes.js';
+import {KeyValueStandIn} from './index.js';
+
+describe('KeyValueStandIn through HttpKeyValueService', () => {
+	let standIn: KeyValueStandIn;
+	let service: HttpKeyValueService;
+
+	beforeEach(async () => {
+		standIn = new KeyValueStandIn({writesPerSecond: 50});
+		service = new HttpKeyValueService({address: await standIn.listen(), timeoutMs: 300});
+	});
+
+	afterEach(async () => {
+		await service.close();
+		await standIn.close();
+	});
+
+	it('lets exactly one of two writers with the same expected version succeed', async () => {
+		const results = await Promise.all(['a', 'b'].map(async value => service.write('head/x y', value, {expectedVersion: 0})));
+		const lost = results.find(({ok}) => !ok);
+		const entry = await value(service.read('head/x y'));
+		expect(results.filter(({ok}) => ok)).to.have.length(1);
+		expect(lost?.val).to.include({kind: 'conflict', currentVersion: entry?.version});
+	});
+
+	it('gives a key that was removed and created again a higher version, so that a watcher sees it', async () => {
+		const first = await value(service.write('k', 'old'));
+		await service.remove('k');
+		expect(await value(service.read('k'))).to.equal(undefined);
+		const waiting = service.watch('k', first, 2000);
+		await service.write('k', 'new');
+		expect(await value(waiting)).to.include({value: 'new'});
+	});
+
+	it('answers a watch with nothing when its time runs out', async () => {
+		expect(await value(service.watch('k', 0, 30))).to.equal(undefined);
+	});
+
+	it('removes the keys of a lease that has ended, and grants rising fencing numbers', async () => {
+		const lease = await value(service.grantLease(60_000));
+		await service.write('held', 'me', {lease: lease.id});
+		expect(await value(service.renewLease(lease.id))).to.equal(60_000);
+		standIn.setFaults({expireLeases: true});
+		expect(await value(service.read('held'))).to.equal(undefined);
+		expect(await failure(service.renewLease(lease.id))).to.include({kind: 'lease-expired'});
+		expect(await failure(service.write('held', 'me', {lease: lease.id}))).to.include({kind: 'lease-expired'});
+		const next = await value(service.grantLease(1000));
+		expect(next.fencingNumber).to.be.above(lease.fencingNumber);
+	});
+
+	it('ends a lease that is not renewed', async () => {
+		const lease = await value(service.grantLease(1));
+		await service.watch('other', 0, 20);
+		expect(await failure(service.renewLease(lease.id))).to.include({kind: 'lease-expired'});
+	});
+
+	it('refuses calls beyond the rate', async () => {
+		const results = await Promise.all(Array.from({length: 120}, async (_, index) => service.write(`k${index}`, 'v')));
+		const refused = results.filter(({ok}) => !ok);
+		expect(refused).to.not.have.length(0);
+		expect(refused.every(({val}) => (val as {kind: string}).kind === 'rate-limited')).to.equal(true);
+		expect(standIn.counters).to.include({write: 120, 'rate-limited': refused.length});
+	});
+
+	describe('with faults', () => {
+		it('reports a write whose answer was lost as unknown-outcome although it took effect', async () => {
+			standIn.setFaults({loseAnswers: 1});
+			expect(await failure(service.write('k', 'v'))).to.include({kind: 'unknown-outcome'});
+			expect(await value(service.read('k'))).to.include({value: 'v'});
+		});
+
+		it('reports a write that is not answered in time as unknown-outcome, a read as unavailable', async () => {
+			standIn.setFaults({outage: 'silent'});
+			const [write, read] = await Promise.all([service.write('k', 'v'), service.read('k')]);
+			expect(write.val).to.include({kind: 'unknown-outcome'});
+			expect(read.val).to.include({kind: 'unavailable'});
+		});
+
+		it('reports a refused write and a refused connection as unavailable', async () => {
+			standIn.setFaults({outage: 'refused'});
+			expect(await failure(service.write('k', 'v'))).to.include({kind: 'unavailable'});
+			await standIn.close();
+			expect(await failure(service.write('k', 'v'))).to.include({kind: 'unavailable'});
+		});
+
+		it('reports a watch that was cut as an error, not as the end of its time', async () => {
+			const waiting = service.watch('k', 0, 5000);
+			while (standIn.counters.watch === undefined) {
+				await service.read('other');
+			}
+
+			standIn.setFaults({cutWatches: true});
+			expect(await failure(waiting)).to.include({kind: 'unavailable'});
+		});
+	});
+
+	it('refuses a value above the limit', async () => {
+		expect(await failure(service.write('k', 'x'.repeat(1_000_001)))).to.include({kind: 'too-large'});
+	});
+});
--- /dev/null
+++ b/packages/stand-ins/src/key-value-stand-in.ts
@@ -0,0 +1,276 @@
+/** Key-value service in memory, with rate limits and faults. */
+import {
+	delay, readBody, sha256, SystemClock, type Clock, type Result,
+} from '@yuccawood/common';
+import {ENTRIES_PATH, LEASES_PATH, type FailureBody} from '@yuccawood/platform';
+import {KeyValueState} from './key-value-state.js';
+import {RateLimit} from './rate-limit.js';
+import {
+	disconnected, fail, StandIn, succeed, type Call, type CommonFaults,
+} from './stand-in.js';
+
+export type KeyValueFaults = CommonFaults & {
+	/** `refused` answers 503 without effect, `reset` breaks the connection without effect, `silent` never answers. */
+	outage: 'none' | 'refused' | 'reset' | 'silent';
+
+	/** Added before each call takes effect. */
+	latencyMs: number;
+
+	/** The next N writes (also removals and lease calls) take effect, and their connections break before the answer. */
+	loseAnswers: number;
+
+	/** Set to true to break all pending watches once; returns to false. */
+	cutWatches: boolean;
+
+	/** Set to true to end all leases once; returns to false. */
+	expireLeases: boolean;
+};
+
+export type KeyValueOptions = {
+	readonly writesPerSecond?: number;
+	readonly readsPerSecond?: number;
+	readonly clock?: Clock;
+};
+
+const BODY_LIMIT_BYTES = 2 * 1024 * 1024;
+const OUTAGE_POLL_MS = 20;
+
+type CallKind = 'read' | 'list' | 'watch' | 'write' | 'remove' | 'grant' | 'renew' | 'revoke' | 'unknown';
+type Watch = {readonly wake: () => void; readonly cut: () => void};
+
+const READ_KINDS: ReadonlySet<CallKind> = new Set(['read', 'list', 'watch']);
+
+export class KeyValueStandIn extends StandIn<KeyValueFaults> {
+	readonly #state: KeyValueState;
+	readonly #reads: RateLimit;
+	readonly #writes: RateLimit;
+	readonly #watches = new Map<string, Set<Watch>>();
+
+	constructor({writesPerSecond = 400, readsPerSecond = 2000, clock = new SystemClock()}: KeyValueOptions = {}) {
+		super({
+			downMs: 0, breakConnections: false, outage: 'none', latencyMs: 0, loseAnswers: 0, cutWatches: false, expireLeases: false,
+		});
+		const {monotonic} = clock;
+		this.#state = new KeyValueState({monotonic});
+		this.#reads = new RateLimit({perSecond: readsPerSecond, monotonic});
+		this.#writes = new RateLimit({perSecond: writesPerSecond, monotonic});
+	}
+
+	override setFaults(patch: Partial<KeyValueFaults>): void {
+		super.setFaults(patch);
+		if (this.faults.cutWatches || this.faults.outage !== 'none') {
+			this.faults.cutWatches = false;
+			for (const watch of [...this.#watches.values()].flatMap(watches => [...watches])) {
+				watch.cut();
+			}
+		}
+
+		if (this.faults.expireLeases) {
+			this.faults.expireLeases = false;
+			this.record('leases-expired', {count: this.#state.expireAll()});
+		}
+	}
+
+	protected override async handle(call: Call): Promise<void> {
+		const kind = kindOf(call);
+		this.count(kind);
+		await delay(this.faults.latencyMs);
+		if (await this.#isOut(call)) {
+			return;
+		}
+
+		const limit = READ_KINDS.has(kind) ? this.#reads : this.#writes;
+		if (!limit.take()) {
+			this.count('rate-limited');
+			fail(call.response, {kind: 'rate-limited', detail: 'The call rate exceeds the limit.', remedy: 'Call less often.'});
+			return;
+		}
+
+		await this.#run(kind, call);
+	}
+
+	async #isOut({response}: Call): Promise<boolean> {
+		const {outage} = this.faults;
+		if (outage === 'none') {
+			return false;
+		}
+
+		this.count('during-outage');
+		if (outage === 'refused') {
+			fail(response, {kind: 'unavailable', detail: 'The service is out of order.', remedy: 'Repeat the call later.'});
+			return true;
+		}
+
+		const gone = disconnected(response);
+		while (this.faults.outage === 'silent' && !gone.aborted) {
+			await delay(OUTAGE_POLL_MS, gone);
+		}
+
+		response.destroy();
+		return true;
+	}
+
+	async #run(kind: CallKind, call: Call): Promise<void> {
+		const {request, response, url} = call;
+		const key = decodeURIComponent(url.pathname.slice(ENTRIES_PATH.length + 1));
+		const leaseId = url.pathname.split('/')[2] ?? '';
+		switch (kind) {
+			case 'read': {
+				succeed(response, this.#state.read(key));
+				return;
+			}
+
+			case 'list': {
+				succeed(response, this.#state.list(url.searchParams.get('prefix') ?? ''));
+				return;
+			}
+
+			case 'watch': {
+				await this.#watch(key, call);
+				return;
+			}
+
+			case 'write': {
+				const value = new TextDecoder().decode(await readBody(request, BODY_LIMIT_BYTES));
+				const result = this.#state.write(key, value, {expectedVersion: expectedVersion(url), lease: url.searchParams.get('lease') ?? undefined});
+				this.#finish(call, result.map(version => ({version})), {kind, key, valueHash: sha256(value)});
+				this.#wake(key);
+				return;
+			}
+
+			case 'remove': {
+				this.#finish(call, this.#state.remove(key, expectedVersion(url)), {kind, key});
+				return;
+			}
+
+			case 'grant': {
+				const {ttlMs} = JSON.parse(new TextDecoder().decode(await readBody(request, BODY_LIMIT_BYTES))) as {readonly ttlMs: number};
+				const lease = this.#state.grant(ttlMs);
+				this.#finish(call, {ok: true, val: lease}, {kind, lease: lease.id, fencingNumber: lease.fencingNumber});
+				return;
+			}
+
+			case 'renew': {
+				this.#finish(call, this.#state.renew(leaseId).map(remainingMs => ({remainingMs})), {kind, lease: leaseId});
+				return;
+			}
+
+			case 'revoke': {
+				this.#state.revoke(leaseId);
+				this.#finish(call, {ok: true, val: undefined}, {kind, lease: leaseId});
+				return;
+			}
+
+			case 'unknown': {
+				fail(response, {kind: 'rejected', detail: `No such path: ${url.pathname}.`, remedy: 'Use a path of the key-value service.'});
+			}
+		}
+	}
+
+	/** Answers a call that had its effect, or loses the answer. Renewals are frequent and stay out of the log. */
+	#finish({response}: Call, result: Pick<Result<unknown, FailureBody>, 'ok' | 'val'>, fields: Readonly<Record<string, unknown>>): void {
+		const isLost = result.ok && this.faults.loseAnswers > 0;
+		if (fields.kind !== 'renew' || !result.ok) {
+			this.record(result.ok ? 'applied' : 'refused', {...fields, answer: result.val, isLost});
+		}
+
+		if (isLost) {
+			this.faults.loseAnswers--;
+			this.count('answers-lost');
+			response.destroy();
+			return;
+		}
+
+		if (result.ok) {
+			succeed(response, result.val);
+			return;
+		}
+
+		fail(response, result.val as FailureBody);
+	}
+
+	async #watch(key: string, {response, url}: Call): Promise<void> {
+		const afterVersion = Number(url.searchParams.get('afterVersion'));
+		const endsAt = Date.now() + Number(url.searchParams.get('waitMs'));
+		const gone = disconnected(response);
+		while (!gone.aborted) {
+			const entry = this.#state.read(key);
+			if (entry && entry.version > afterVersion) {
+				succeed(response, entry);
+				return;
+			}
+
+			const remainingMs = endsAt - Date.now();
+			if (remainingMs <= 0) {
+				succeed(response);
+				return;
+			}
+
+			await this.#nextWrite(key, remainingMs, response, gone);
+		}
+	}
+
+	async #nextWrite(key: string, limitMs: number, response: Call['response'], gone: AbortSignal): Promise<void> {
+		const woken = new AbortController();
+		const wake = (): void => {
+			woken.abort();
+		};
+
+		const watch = {
+			wake,
+			cut(): void {
+				response.destroy();
+				woken.abort();
+			},
+		};
+		const watches = this.#watches.get(key) ?? new Set<Watch>();
+		this.#watches.set(key, watches.add(watch));
+		gone.addEventListener('abort', wake, {once: true});
+		await delay(limitMs, woken.signal);
+		gone.removeEventListener('abort', wake);
+		watches.delete(watch);
+	}
+
+	#wake(key: string): void {
+		for (const watch of this.#watches.get(key) ?? []) {
+			watch.wake();
+		}
+	}
+}
+
+const kindOf = ({method, url}: Call): CallKind => {
+	const {pathname, searchParams} = url;
+	const isEntry = pathname.startsWith(`${ENTRIES_PATH}/`);
+	const isLease = pathname.startsWith(`${LEASES_PATH}/`);
+	switch (method) {
+		case 'GET': {
+			if (pathname === ENTRIES_PATH) {
+				return 'list';
+			}
+
+			const kind = searchParams.has('afterVersion') ? 'watch' : 'read';
+			return isEntry ? kind : 'unknown';
+		}
+
+		case 'PUT': {
+			return isEntry ? 'write' : 'unknown';
+		}
+
+		case 'DELETE': {
+			const kind = isLease ? 'revoke' : 'unknown';
+			return isEntry ? 'remove' : kind;
+		}
+
+		case 'POST': {
+			const kind = isLease && pathname.endsWith('/renewal') ? 'renew' : 'unknown';
+			return pathname === LEASES_PATH ? 'grant' : kind;
+		}
+
+		default: {
+			return 'unknown';
+		}
+	}
+};
+
+const expectedVersion = ({searchParams}: URL): number | undefined =>
+	searchParams.has('expectedVersion') ? Number(searchParams.get('expectedVersion')) : undefined;
--- /dev/null
+++ b/packages/stand-ins/src/key-value-state.ts
@@ -0,0 +1,137 @@
+/** Entries and leases of the key-value stand-in, without its transport. */
+import {randomUUID} from 'node:crypto';
+import {Err, Ok, type Result} from '@yuccawood/common';
+import {
+	MAX_VALUE_BYTES, type FailureBody, type KeyValueEntry, type Lease, type WriteCondition,
+} from '@yuccawood/platform';
+
+type HeldLease = Lease & {readonly endsAt: number};
+type StoredEntry = KeyValueEntry & {readonly lease: string | undefined};
+
+const NO_SUCH_LEASE: FailureBody = {kind: 'lease-expired', detail: 'The lease has ended.', remedy: 'Grant a new lease.'};
+
+export class KeyValueState {
+	readonly #entries = new Map<string, StoredEntry>();
+	readonly #leases = new Map<string, HeldLease>();
+	readonly #monotonic: () => number;
+	#version = 0;
+	#fencingNumber = 0;
+	#nextExpiry = Number.POSITIVE_INFINITY;
+
+	constructor({monotonic}: {readonly monotonic: () => number}) {
+		this.#monotonic = monotonic;
+	}
+
+	read(key: string): KeyValueEntry | undefined {
+		this.#expire();
+		return publicEntry(this.#entries.get(key));
+	}
+
+	list(prefix: string): readonly KeyValueEntry[] {
+		this.#expire();
+		const found = [...this.#entries.values()].filter(({key}) => key.startsWith(prefix));
+		return found.sort((a, b) => a.key < b.key ? -1 : 1).map(entry => publicEntry(entry)!);
+	}
+
+	/** Versions come from one counter, so a key that was removed and created again has a higher one. */
+	write(key: string, value: string, {expectedVersion, lease}: WriteCondition): Result<number, FailureBody> {
+		this.#expire();
+		const refusal = this.#refusal(key, expectedVersion);
+		if (refusal) {
+			return Err(refusal);
+		}
+
+		if (new TextEncoder().encode(value).byteLength > MAX_VALUE_BYTES) {
+			return Err({kind: 'too-large', detail: `The value of ${key} is too large.`, remedy: `Keep values below ${MAX_VALUE_BYTES} bytes.`});
+		}
+
+		if (lease !== undefined && !this.#leases.has(lease)) {
+			return Err(NO_SUCH_LEASE);
+		}
+
+		this.#version++;
+		this.#entries.set(key, {
+			key, value, version: this.#version, lease,
+		});
+		return Ok(this.#version);
+	}
+
+	remove(key: string, expectedVersion: number | undefined): Result<void, FailureBody> {
+		this.#expire();
+		const refusal = this.#refusal(key, expectedVersion);
+		if (refusal) {
+			return Err(refusal);
+		}
+
+		this.#entries.delete(key);
+		return Ok(undefined);
+	}
+
+	grant(ttlMs: number): Lease {
+		this.#expire();
+		this.#fencingNumber++;
+		const lease = {id: randomUUID(), fencingNumber: this.#fencingNumber, ttlMs};
+		const endsAt = this.#monotonic() + ttlMs;
+		this.#leases.set(lease.id, {...lease, endsAt});
+		this.#nextExpiry = Math.min(this.#nextExpiry, endsAt);
+		return lease;
+	}
+
+	renew(id: string): Result<number, FailureBody> {
+		this.#expire();
+		const held = this.#leases.get(id);
+		if (!held) {
+			return Err(NO_SUCH_LEASE);
+		}
+
+		this.#leases.set(id, {...held, endsAt: this.#monotonic() + held.ttlMs});
+		return Ok(held.ttlMs);
+	}
+
+	revoke(id: string): void {
+		this.#leases.delete(id);
+		for (const [key, entry] of this.#entries) {
+			if (entry.lease === id) {
+				this.#entries.delete(key);
+			}
+		}
+	}
+
+	/** Ends all leases at once, as after an outage that outlasts them. */
+	expireAll(): number {
+		const count = this.#leases.size;
+		for (const id of this.#leases.keys()) {
+			this.revoke(id);
+		}
+
+		return count;
+	}
+
+	#refusal(key: string, expectedVersion: number | undefined): FailureBody | undefined {
+		const currentVersion = this.#entries.get(key)?.version ?? 0;
+		return expectedVersion === undefined || expectedVersion === currentVersion
+			? undefined
+			: {
+				kind: 'conflict', detail: `${key} has version ${currentVersion}, not ${expectedVersion}.`, remedy: 'Read the key and decide again.', currentVersion,
+			};
+	}
+
+	#expire(): void {
+		const now = this.#monotonic();
+		if (now < this.#nextExpiry) {
+			return;
+		}
+
+		this.#nextExpiry = Number.POSITIVE_INFINITY;
+		for (const [id, {endsAt}] of this.#leases) {
+			if (endsAt <= now) {
+				this.revoke(id);
+				continue;
+			}
+
+			this.#nextExpiry = Math.min(this.#nextExpiry, endsAt);
+		}
+	}
+}
+
+const publicEntry = (entry: StoredEntry | undefined): KeyValueEntry | undefined => entry && {key: entry.key, value: entry.value, version: entry.version};
--- /dev/null
+++ b/packages/stand-ins/src/origin-stand-in.test.ts
@@ -0,0 +1,87 @@
+import {expect} from 'chai';
+import {sha256} from '@yuccawood/common';
+import {HttpVmList, HttpWeightOrigin} from '@yuccawood/platform';
+import {failure, value} from './outcomes.js';
+import {createWeights, OriginStandIn, VmListStandIn} from './index.js';
+
+const OPTIONS = {
+	seed: 1, name: 'kit', version: 'v1', sizeBytes: 150_000, chunkBytes: 64_000,
+};
+
+describe('createWeights', () => {
+	it('gives the same bytes for the same seed and others for another version', () => {
+		const weights = createWeights(OPTIONS);
+		expect(createWeights(OPTIONS).hash).to.equal(weights.hash);
+		expect(sha256(weights.manifest)).to.equal(weights.hash);
+		expect(weights.chunks.map(({data}) => data.byteLength)).to.deep.equal([64_000, 64_000, 22_000]);
+		const next = createWeights({...OPTIONS, version: 'v2', sharedChunks: 1});
+		expect(next.chunks[0].hash).to.not.equal(weights.chunks[0].hash);
+		expect(next.chunks[0].hash).to.equal(createWeights({...OPTIONS, version: 'v3', sharedChunks: 1}).chunks[0].hash);
+	});
+});
+
+describe('OriginStandIn through HttpWeightOrigin', () => {
+	const weights = createWeights(OPTIONS);
+	const [{hash}] = weights.chunks;
+	let standIn: OriginStandIn;
+	let origin: HttpWeightOrigin;
+
+	beforeEach(async () => {
+		standIn = new OriginStandIn({weights: [weights], linkBytesPerSecond: 2_000_000});
+		origin = new HttpWeightOrigin({address: await standIn.listen(), timeoutMs: 300});
+	});
+
+	afterEach(async () => {
+		await origin.close();
+		await standIn.close();
+	});
+
+	it('serves manifests and chunks and counts the bytes of each', async () => {
+		expect(sha256(await value(origin.manifest(weights.hash)))).to.equal(weights.hash);
+		expect(sha256(await value(origin.chunk(hash)))).to.equal(hash);
+		expect(standIn.served[`/chunks/${hash}`]).to.equal(64_000);
+		expect(await failure(origin.chunk('0'.repeat(64)))).to.include({kind: 'not-found'});
+	});
+
+	it('shares the bandwidth of its link among connections', async () => {
+		const startedAt = performance.now();
+		await Promise.all(weights.chunks.map(async chunk => origin.chunk(chunk.hash)));
+		expect(performance.now() - startedAt).to.be.above(70);
+	});
+
+	it('damages the next chunk and the next manifest only', async () => {
+		standIn.setFaults({corruptChunks: 1, truncateManifests: 1});
+		expect(sha256(await value(origin.chunk(hash)))).to.not.equal(hash);
+		expect(sha256(await value(origin.chunk(hash)))).to.equal(hash);
+		const manifests = [await value(origin.manifest(weights.hash)), await value(origin.manifest(weights.hash))];
+		expect(manifests[0].byteLength).to.be.below(weights.manifest.byteLength);
+		expect(manifests[1].byteLength).to.equal(weights.manifest.byteLength);
+	});
+
+	it('reports a chunk that ends in the middle and a stopped origin as unavailable', async () => {
+		standIn.setFaults({cutChunks: 1});
+		expect(await failure(origin.chunk(hash))).to.include({kind: 'unavailable'});
+		standIn.setFaults({isStopped: true});
+		expect(await failure(origin.chunk(hash))).to.include({kind: 'unavailable'});
+	});
+
+	it('does not time out on a slow link that still carries bytes', async () => {
+		standIn.setFaults({slowBytesPerSecond: 120_000});
+		expect(await value(origin.chunk(hash))).to.have.length(64_000);
+	});
+});
+
+describe('VmListStandIn through HttpVmList', () => {
+	it('shows a change only after its lag', async () => {
+		let now = 0;
+		const clock = {now: () => now, monotonic: () => now, async sleep() {/* Unused. */}};
+		const standIn = new VmListStandIn({lagMs: 1000, vms: [{id: 'a', state: 'live'}], clock});
+		const list = new HttpVmList({address: await standIn.listen()});
+		standIn.setVms([{id: 'a', state: 'leaving'}]);
+		expect(await value(list.list())).to.deep.equal([{id: 'a', state: 'live'}]);
+		now = 1000;
+		expect(await value(list.list())).to.deep.equal([{id: 'a', state: 'leaving'}]);
+		await list.close();
+		await standIn.close();
+	});
+});
--- /dev/null
+++ b/packages/stand-ins/src/origin-stand-in.ts
@@ -0,0 +1,198 @@
+/** Origin of weights with a limited link and faults. */
+import {Buffer} from 'node:buffer';
+import {
+	delay, seededRandom, SystemClock, type Clock, type Random,
+} from '@yuccawood/common';
+import {CHUNKS_PATH, MANIFESTS_PATH} from '@yuccawood/platform';
+import {createWeights, type Weights, type WeightsOptions} from './create-weights.js';
+import {SharedLink} from './shared-link.js';
+import {
+	disconnected, fail, StandIn, type Call, type CommonFaults,
+} from './stand-in.js';
+
+export type OriginFaults = CommonFaults & {
+	/** Lower limit of the link while above 0, in bytes per second. */
+	slowBytesPerSecond: number;
+
+	/** Answers carry no further bytes while true. */
+	isStopped: boolean;
+
+	/** The next N chunks end in the middle. */
+	cutChunks: number;
+
+	/** The next N chunks carry a wrong byte. */
+	corruptChunks: number;
+
+	/** Share of chunks that carry a wrong byte, from 0 to 1. */
+	corruptShare: number;
+
+	/** The next N manifests lack their second half. */
+	truncateManifests: number;
+};
+
+export type OriginOptions = {
+	/** Shared by all connections; unlimited by default. */
+	readonly linkBytesPerSecond?: number;
+	readonly weights?: ReadonlyArray<Weights | WeightsOptions>;
+
+	/** Decides which chunks are corrupt. */
+	readonly random?: Random;
+	readonly clock?: Clock;
+};
+
+const SLICE_BYTES = 16 * 1024;
+const STOPPED_POLL_MS = 10;
+
+export class OriginStandIn extends StandIn<OriginFaults> {
+	readonly #objects = new Map<string, Uint8Array>();
+	readonly #linkBytesPerSecond: number;
+	readonly #random: Random;
+	readonly #link: SharedLink;
+	readonly #served = new Map<string, number>();
+
+	constructor({linkBytesPerSecond = Number.POSITIVE_INFINITY, weights = [], random = seededRandom('origin'), clock = new SystemClock()}: OriginOptions = {}) {
+		super({
+			downMs: 0, breakConnections: false, slowBytesPerSecond: 0, isStopped: false, cutChunks: 0, corruptChunks: 0, corruptShare: 0, truncateManifests: 0,
+		});
+		this.#linkBytesPerSecond = linkBytesPerSecond;
+		this.#random = random;
+		this.#link = new SharedLink({clock});
+		for (const one of weights) {
+			this.add('manifest' in one ? one : createWeights(one));
+		}
+	}
+
+	/** Bytes sent of each object, by its path. */
+	get served(): Readonly<Record<string, number>> {
+		return Object.fromEntries(this.#served);
+	}
+
+	get bytesServed(): number {
+		return [...this.#served.values()].reduce((sum, bytes) => sum + bytes, 0);
+	}
+
+	add(weights: Weights): void {
+		this.#objects.set(`${MANIFESTS_PATH}/${weights.hash}`, weights.manifest);
+		for (const {hash, data} of weights.chunks) {
+			this.#objects.set(`${CHUNKS_PATH}/${hash}`, data);
+		}
+	}
+
+	protected override async handleControl({method, url, response}: Call): Promise<boolean> {
+		if (method !== 'GET' || url.pathname !== '/served') {
+			return false;
+		}
+
+		response.writeHead(200, {'content-type': 'application/json'});
+		response.end(JSON.stringify({bytesServed: this.bytesServed, served: this.served}));
+		return true;
+	}
+
+	protected override async handle({response, url}: Call): Promise<void> {
+		const {pathname} = url;
+		const object = this.#objects.get(pathname);
+		if (!object) {
+			this.record('missing', {pathname});
+			fail(response, {kind: 'not-found', detail: `${pathname} does not exist.`, remedy: 'Check the hash.'});
+			return;
+		}
+
+		const isChunk = pathname.startsWith(CHUNKS_PATH);
+		this.count(isChunk ? 'chunk' : 'manifest');
+		const fault = isChunk ? this.#chunkFault() : this.#manifestFault();
+		this.record('served', {pathname, fault, bytes: object.byteLength});
+		await this.#send(pathname, response, damaged(object, fault), fault === 'cut');
+	}
+
+	#chunkFault(): 'none' | 'cut' | 'corrupt' {
+		if (this.faults.cutChunks > 0) {
+			this.faults.cutChunks--;
+			return 'cut';
+		}
+
+		if (this.faults.corruptChunks > 0) {
+			this.faults.corruptChunks--;
+			return 'corrupt';
+		}
+
+		return this.faults.corruptShare > 0 && this.#random.next() < this.faults.corruptShare ? 'corrupt' : 'none';
+	}
+
+	#manifestFault(): 'none' | 'truncated' {
+		if (this.faults.truncateManifests === 0) {
+			return 'none';
+		}
+
+		this.faults.truncateManifests--;
+		return 'truncated';
+	}
+
+	async #send(pathname: string, response: Call['response'], data: Uint8Array, isCut: boolean): Promise<void> {
+		const gone = disconnected(response);
+		response.writeHead(200, {'content-type': 'application/octet-stream', 'content-length': data.byteLength});
+		response.flushHeaders();
+		const end = isCut ? Math.floor(data.byteLength / 2) : data.byteLength;
+		for (let offset = 0; offset < end; offset += SLICE_BYTES) {
+			const slice = data.subarray(offset, Math.min(end, offset + SLICE_BYTES));
+			await this.#turn(slice.byteLength, gone);
+			if (gone.aborted) {
+				return;
+			}
+
+			this.#served.set(pathname, (this.#served.get(pathname) ?? 0) + slice.byteLength);
+			if (!response.write(slice)) {
+				await drained(response, gone);
+			}
+		}
+
+		if (isCut) {
+			response.destroy();
+			return;
+		}
+
+		response.end();
+	}
+
+	async #turn(bytes: number, gone: AbortSignal): Promise<void> {
+		while (this.faults.isStopped && !gone.aborted) {
+			await delay(STOPPED_POLL_MS, gone);
+		}
+
+		const {slowBytesPerSecond} = this.faults;
+		const rate = slowBytesPerSecond > 0 ? Math.min(slowBytesPerSecond, this.#linkBytesPerSecond) : this.#linkBytesPerSecond;
+		await this.#link.pass(bytes, rate, gone);
+	}
+}
+
+const damaged = (object: Uint8Array, fault: 'none' | 'cut' | 'corrupt' | 'truncated'): Uint8Array => {
+	if (fault === 'truncated') {
+		return object.subarray(0, Math.floor(object.byteLength / 2));
+	}
+
+	if (fault !== 'corrupt') {
+		return object;
+	}
+
+	const copy = Buffer.from(object);
+	const middle = Math.floor(copy.byteLength / 2);
+	copy[middle] = (copy[middle] + 1) % 256;
+	return copy;
+};
+
+const drained = async (response: Call['response'], gone: AbortSignal): Promise<void> => {
+	await new Promise<void>(resolve => {
+		const finish = (): void => {
+			response.off('drain', finish);
+			gone.removeEventListener('abort', finish);
+			resolve();
+		};
+
+		if (gone.aborted) {
+			finish();
+			return;
+		}
+
+		response.on('drain', finish);
+		gone.addEventListener('abort', finish, {once: true});
+	});
+};
--- /dev/null
+++ b/packages/stand-ins/src/prefix-cache.ts
@@ -0,0 +1,102 @@
+/** Cache of prompt prefixes in blocks, with the least recently used evicted, and its late and gappy events. */
+import {createHash} from 'node:crypto';
+import type {Clock, Random} from '@yuccawood/common';
+
+export type CacheEvent = {
+	/** Counts all events; a missing number is a gap. */
+	readonly sequence: number;
+	readonly kind: 'stored' | 'evicted';
+
+	/** Hash of the prompt up to the end of the block. */
+	readonly block: string;
+};
+
+const BLOCK_CHARACTERS = 64;
+
+/** Events kept for readers; older ones are a gap to those who come late. */
+const MAX_EVENTS = 10_000;
+
+export class PrefixCache {
+	readonly #capacity: number;
+	readonly #lagMs: number;
+	readonly #gapShare: number;
+	readonly #random: Random;
+	readonly #clock: Clock;
+	readonly #blocks = new Set<string>();
+	#events: Array<CacheEvent & {readonly visibleAt: number}> = [];
+	#sequence = 0;
+
+	constructor({capacity, lagMs, gapShare, random, clock}: {
+		/** Blocks of 64 characters. */
+		readonly capacity: number;
+		readonly lagMs: number;
+		readonly gapShare: number;
+		readonly random: Random;
+		readonly clock: Clock;
+	}) {
+		this.#capacity = capacity;
+		this.#lagMs = lagMs;
+		this.#gapShare = gapShare;
+		this.#random = random;
+		this.#clock = clock;
+	}
+
+	/** Looks up and stores a prompt. @returns its blocks and how many of the leading ones were cached. */
+	use(scope: string, prompt: string): {readonly blocks: number; readonly hits: number} {
+		const hash = createHash('sha256').update(scope);
+		const count = Math.floor(prompt.length / BLOCK_CHARACTERS);
+		let hits = 0;
+		let isHit = true;
+		for (let index = 0; index < count; index++) {
+			hash.update(prompt.slice(index * BLOCK_CHARACTERS, (index + 1) * BLOCK_CHARACTERS));
+			const block = hash.copy().digest('hex').slice(0, 32);
+			isHit &&= this.#blocks.has(block);
+			hits += isHit ? 1 : 0;
+			this.#store(block);
+		}
+
+		return {blocks: count, hits};
+	}
+
+	/** Events after the sequence number that are visible by now. */
+	eventsAfter(sequence: number): readonly CacheEvent[] {
+		const now = this.#clock.monotonic();
+		return this.#events
+			.filter(event => event.sequence > sequence && event.visibleAt <= now)
+			.map(event => ({sequence: event.sequence, kind: event.kind, block: event.block}));
+	}
+
+	clear(): void {
+		this.#blocks.clear();
+		this.#events = [];
+	}
+
+	#store(block: string): void {
+		if (this.#blocks.delete(block)) {
+			this.#blocks.add(block);
+			return;
+		}
+
+		this.#blocks.add(block);
+		this.#publish('stored', block);
+		if (this.#blocks.size > this.#capacity) {
+			const [oldest] = this.#blocks;
+			this.#blocks.delete(oldest);
+			this.#publish('evicted', oldest);
+		}
+	}
+
+	#publish(kind: CacheEvent['kind'], block: string): void {
+		this.#sequence++;
+		if (this.#random.next() < this.#gapShare) {
+			return;
+		}
+
+		this.#events.push({
+			sequence: this.#sequence, kind, block, visibleAt: this.#clock.monotonic() + this.#lagMs,
+		});
+		if (this.#events.length > 2 * MAX_EVENTS) {
+			this.#events = this.#events.slice(-MAX_EVENTS);
+		}
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/vm-list-stand-in.ts
@@ -0,0 +1,67 @@
+/** The platform's list of VMs, which lags behind its entries. */
+import {readBody, SystemClock, type Clock} from '@yuccawood/common';
+import {VMS_PATH, type VmState} from '@yuccawood/platform';
+import {
+	fail, StandIn, succeed, type Call, type CommonFaults,
+} from './stand-in.js';
+
+export type VmListFaults = CommonFaults & {
+	/** Answers 503 while true. */
+	isOut: boolean;
+};
+
+export type VmListOptions = {
+	/** Time until a change shows in the list. */
+	readonly lagMs?: number;
+	readonly vms?: readonly VmState[];
+	readonly clock?: Clock;
+};
+
+const BODY_LIMIT_BYTES = 1024 * 1024;
+
+export class VmListStandIn extends StandIn<VmListFaults> {
+	readonly #lagMs: number;
+	readonly #clock: Clock;
+	#history: ReadonlyArray<{readonly at: number; readonly vms: readonly VmState[]}>;
+
+	constructor({lagMs = 0, vms = [], clock = new SystemClock()}: VmListOptions = {}) {
+		super({downMs: 0, breakConnections: false, isOut: false});
+		this.#lagMs = lagMs;
+		this.#clock = clock;
+		this.#history = [{at: Number.NEGATIVE_INFINITY, vms}];
+	}
+
+	/** Replaces the entries; the list shows them after the lag. Over HTTP: `PUT /vms`. */
+	setVms(vms: readonly VmState[]): void {
+		this.#history = [...this.#history, {at: this.#clock.monotonic() + this.#lagMs, vms}];
+		this.record('changed', {vms});
+	}
+
+	protected override async handle({request, response, url, method}: Call): Promise<void> {
+		if (url.pathname !== VMS_PATH) {
+			fail(response, {kind: 'not-found', detail: `No such path: ${url.pathname}.`, remedy: `Use ${VMS_PATH}.`});
+			return;
+		}
+
+		if (method === 'PUT') {
+			this.setVms(JSON.parse(new TextDecoder().decode(await readBody(request, BODY_LIMIT_BYTES))) as readonly VmState[]);
+			succeed(response);
+			return;
+		}
+
+		this.count('list');
+		if (this.faults.isOut) {
+			fail(response, {kind: 'unavailable', detail: 'The VM list is out of order.', remedy: 'Repeat the call later.'});
+			return;
+		}
+
+		succeed(response, this.#visible());
+	}
+
+	#visible(): readonly VmState[] {
+		const now = this.#clock.monotonic();
+		const first = this.#history.findLastIndex(({at}) => at <= now);
+		this.#history = this.#history.slice(first);
+		return this.#history[0].vms;
+	}
+}
