--- a/packages/stand-ins/src/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -5,17 +5,13 @@
 } from '@yuccawood/common';
 import {
 	CACHE_EVENTS_PATH, COMPLETIONS_PATH, ENGINE_ACTIVATE_PATH, ENGINE_CHUNKS_PATH, ENGINE_LOAD_PATH, ENGINE_STATE_PATH, ENGINE_UNLOAD_PATH,
-	REQUEST_ID_HEADER, type EngineState, type FailureBody, type LoadedVersion, type LoadOrder, type Order,
+	type EngineState, type FailureBody, type LoadedVersion, type LoadOrder, type Order,
 } from '@yuccawood/platform';
-import {tokenSource} from './answer-text.js';
-import {Batch} from './batch.js';
-import {
-	CompletionAnswer, parseCompletion, promptText, type Completion,
-} from './completions.js';
 import {EngineWeights} from './engine-weights.js';
-import {PrefixCache, type CacheEvent} from './prefix-cache.js';
+import {Generation} from './generation.js';
+import type {CacheEvent} from './prefix-cache.js';
 import {
-	disconnected, fail, StandIn, succeed, type Call, type CommonFaults,
+	fail, StandIn, succeed, type Call, type CommonFaults,
 } from './stand-in.js';
 
 export type EngineFaults = CommonFaults & {
@@ -59,14 +55,11 @@
 };
 
 const BODY_LIMIT_BYTES = 256 * 1024 * 1024;
-const CHARACTERS_PER_TOKEN = 4;
-const CHARACTERS_PER_BLOCK = 64;
 
 export class EngineStandIn extends StandIn<EngineFaults> {
 	readonly #options: Required<Omit<EngineOptions, 'onCrash' | 'versions'>> & Pick<EngineOptions, 'onCrash'>;
 	readonly #weights: EngineWeights;
-	readonly #cache: PrefixCache;
-	#batch: Batch;
+	readonly #generation: Generation;
 	#incarnation: string = randomUUID();
 	#reported = {running: 0, waiting: 0, at: Number.NEGATIVE_INFINITY};
 	#latest = this.#reported;
@@ -85,10 +78,21 @@
 		};
 		this.#weights = new EngineWeights({checksFencing});
 		this.#weights.preset(versions);
-		this.#cache = new PrefixCache({
-			capacity: cacheBlocks, lagMs: cacheEventLagMs, gapShare: cacheEventGapShare, random, clock,
+		this.#generation = new Generation({
+			...this.#options,
+			versions: () => this.#weights.versions,
+			slowFactor: () => this.faults.slowFactor,
+			takeLoss: () => this.#takeLoss(),
+			crash: requestId => {
+				this.#crash(requestId);
+			},
+			record: (event, fields) => {
+				this.record(event, fields);
+			},
+			count: (name, amount) => {
+				this.count(name, amount);
+			},
 		});
-		this.#batch = new Batch({capacity, queueLimit});
 	}
 
 	get versions(): readonly LoadedVersion[] {
@@ -97,14 +101,12 @@
 
 	/** Cache events after the sequence number; late and with gaps. */
 	cacheEvents(after = 0): readonly CacheEvent[] {
-		return this.#cache.eventsAfter(after);
+		return this.#generation.cacheEvents(after);
 	}
 
 	protected override onDown(): void {
-		const {capacity, queueLimit} = this.#options;
 		this.#weights.clear();
-		this.#cache.clear();
-		this.#batch = new Batch({capacity, queueLimit});
+		this.#generation.reset();
 		this.#incarnation = randomUUID();
 	}
 
@@ -151,7 +153,7 @@
 			}
 
 			case `POST ${COMPLETIONS_PATH}`: {
-				await this.#complete(call);
+				await this.#generation.complete(call);
 				return;
 			}
 
@@ -181,101 +183,19 @@
 		const now = this.#options.clock.monotonic();
 		if (now - this.#latest.at >= this.#options.loadReportLagMs) {
 			this.#reported = this.#latest;
-			this.#latest = {...this.#batch.load, at: now};
+			this.#latest = {...this.#generation.load, at: now};
 		}
 
-		const {running, waiting} = this.#options.loadReportLagMs === 0 ? this.#batch.load : this.#reported;
+		const {running, waiting} = this.#options.loadReportLagMs === 0 ? this.#generation.load : this.#reported;
 		return {
 			incarnation: this.#incarnation, versions: this.#weights.versions, running, waiting, capacity: this.#options.capacity,
 		};
 	}
 
-	async #complete(call: Call): Promise<void> {
-		const {request, response} = call;
-		const requestId = String(request.headers[REQUEST_ID_HEADER] ?? '');
-		const parsed = parseCompletion(await readBody(request, BODY_LIMIT_BYTES));
-		if (parsed.err) {
-			this.record('refused', {requestId, reason: 'invalid'});
-			fail(response, parsed.val);
-			return;
-		}
-
-		const completion = parsed.val;
-		const active = this.#weights.versions.find(({name, active}) => active && name === completion.model);
-		if (!active) {
-			this.record('refused', {requestId, reason: 'not-active'});
-			fail(response, {kind: 'not-found', detail: `The model ${completion.model} is not active.`, remedy: 'Load and activate a version of it.'});
-			return;
-		}
-
-		const batch = this.#batch;
-		if (batch.isFull) {
-			this.record('refused', {requestId, reason: 'full'});
-			response.setHeader('retry-after', '1');
-			fail(response, {kind: 'unavailable', detail: 'The queue is full.', remedy: 'Repeat the request later.'});
-			return;
-		}
-
-		const gone = disconnected(response);
-		if (!await batch.enter(completion.priority, gone)) {
-			this.record('cancelled', {requestId, tokens: 0});
-			return;
-		}
-
-		try {
-			await this.#generate(call, completion, {requestId, manifest: active.manifest, gone});
-		} finally {
-			batch.leave();
-		}
-	}
-
-	async #generate({response}: Call, completion: Completion, {requestId, manifest, gone}: {
-		readonly requestId: string;
-		readonly manifest: string;
-		readonly gone: AbortSignal;
-	}): Promise<void> {
-		const prompt = promptText(completion.messages);
-		const {blocks, hits} = this.#cache.use(manifest, prompt);
-		this.count('completion');
-		this.count('cache-blocks', blocks);
-		this.count('cache-hits', hits);
-		this.record('run', {
-			requestId, model: completion.model, manifest, blocks, hits,
-		});
-		if (prompt.includes(this.#options.crashMarker)) {
-			this.#crash(requestId);
-			return;
-		}
-
+	#takeLoss(): boolean {
 		const isLost = this.faults.loseAnswers > 0;
 		this.faults.loseAnswers -= isLost ? 1 : 0;
-		await this.#pause(this.#options.prefillBlockMs * (blocks - hits), gone);
-		const answer = new CompletionAnswer({
-			response, completion, requestId, manifest,
-		});
-		const token = tokenSource({manifest, model: completion.model, messages: completion.messages});
-		answer.begin();
-		const count = isLost ? completion.maxTokens - 1 : completion.maxTokens;
-		for (let index = 0; index < count && !gone.aborted; index++) {
-			await this.#pause(this.#options.tokenIntervalMs, gone);
-			answer.token(token(index));
-		}
-
-		if (gone.aborted || isLost) {
-			this.record(isLost ? 'answer-lost' : 'cancelled', {requestId});
-			response.destroy();
-			return;
-		}
-
-		answer.end(completion.maxTokens, {promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN), cachedTokens: hits * CHARACTERS_PER_BLOCK / CHARACTERS_PER_TOKEN});
-		this.record('answered', {requestId, manifest, tokens: completion.maxTokens});
-	}
-
-	async #pause(milliseconds: number, gone: AbortSignal): Promise<void> {
-		const duration = milliseconds * this.faults.slowFactor;
-		if (duration > 0) {
-			await delay(duration, gone);
-		}
+		return isLost;
 	}
 
 	#crash(requestId: string): void {
--- /dev/null
+++ b/packages/stand-ins/src/key-value-calls.ts
@@ -0,0 +1,45 @@
+/** Kinds of calls to the key-value stand-in, from their method and path. */
+import {ENTRIES_PATH, LEASES_PATH} from '@yuccawood/platform';
+import type {Call} from './stand-in.js';
+
+export type CallKind = 'read' | 'list' | 'watch' | 'write' | 'remove' | 'grant' | 'renew' | 'revoke' | 'unknown';
+
+/** Kinds that count against the limit of reads; the others count against the limit of writes. */
+export const READ_KINDS: ReadonlySet<CallKind> = new Set(['read', 'list', 'watch']);
+
+export const kindOf = ({method, url}: Call): CallKind => {
+	const {pathname, searchParams} = url;
+	const isEntry = pathname.startsWith(`${ENTRIES_PATH}/`);
+	const isLease = pathname.startsWith(`${LEASES_PATH}/`);
+	switch (method) {
+		case 'GET': {
+			if (pathname === ENTRIES_PATH) {
+				return 'list';
+			}
+
+			const kind = searchParams.has('afterVersion') ? 'watch' : 'read';
+			return isEntry ? kind : 'unknown';
+		}
+
+		case 'PUT': {
+			return isEntry ? 'write' : 'unknown';
+		}
+
+		case 'DELETE': {
+			const kind = isLease ? 'revoke' : 'unknown';
+			return isEntry ? 'remove' : kind;
+		}
+
+		case 'POST': {
+			const kind = isLease && pathname.endsWith('/renewal') ? 'renew' : 'unknown';
+			return pathname === LEASES_PATH ? 'grant' : kind;
+		}
+
+		default: {
+			return 'unknown';
+		}
+	}
+};
+
+export const expectedVersion = ({searchParams}: URL): number | undefined =>
+	searchParams.has('expectedVersion') ? Number(searchParams.get('expectedVersion')) : undefined;
--- a/packages/stand-ins/src/key-value-stand-in.ts
+++ b/packages/stand-ins/src/key-value-stand-in.ts
@@ -2,8 +2,12 @@
 import {
 	delay, readBody, sha256, SystemClock, type Clock, type Result,
 } from '@yuccawood/common';
-import {ENTRIES_PATH, LEASES_PATH, type FailureBody} from '@yuccawood/platform';
+import {ENTRIES_PATH, type FailureBody} from '@yuccawood/platform';
+import {
+	expectedVersion, kindOf, READ_KINDS, type CallKind,
+} from './key-value-calls.js';
 import {KeyValueState} from './key-value-state.js';
+import {KeyValueWatches} from './key-value-watches.js';
 import {RateLimit} from './rate-limit.js';
 import {
 	disconnected, fail, StandIn, succeed, type Call, type CommonFaults,
@@ -35,16 +39,11 @@
 const BODY_LIMIT_BYTES = 2 * 1024 * 1024;
 const OUTAGE_POLL_MS = 20;
 
-type CallKind = 'read' | 'list' | 'watch' | 'write' | 'remove' | 'grant' | 'renew' | 'revoke' | 'unknown';
-type Watch = {readonly wake: () => void; readonly cut: () => void};
-
-const READ_KINDS: ReadonlySet<CallKind> = new Set(['read', 'list', 'watch']);
-
 export class KeyValueStandIn extends StandIn<KeyValueFaults> {
 	readonly #state: KeyValueState;
 	readonly #reads: RateLimit;
 	readonly #writes: RateLimit;
-	readonly #watches = new Map<string, Set<Watch>>();
+	readonly #watches: KeyValueWatches;
 
 	constructor({writesPerSecond = 400, readsPerSecond = 2000, clock = new SystemClock()}: KeyValueOptions = {}) {
 		super({
@@ -52,6 +51,7 @@
 		});
 		const {monotonic} = clock;
 		this.#state = new KeyValueState({monotonic});
+		this.#watches = new KeyValueWatches({read: key => this.#state.read(key)});
 		this.#reads = new RateLimit({perSecond: readsPerSecond, monotonic});
 		this.#writes = new RateLimit({perSecond: writesPerSecond, monotonic});
 	}
@@ -60,9 +60,7 @@
 		super.setFaults(patch);
 		if (this.faults.cutWatches || this.faults.outage !== 'none') {
 			this.faults.cutWatches = false;
-			for (const watch of [...this.#watches.values()].flatMap(watches => [...watches])) {
-				watch.cut();
-			}
+			this.#watches.cutAll();
 		}
 
 		if (this.faults.expireLeases) {
@@ -126,7 +124,7 @@
 			}
 
 			case 'watch': {
-				await this.#watch(key, call);
+				await this.#watches.answer(key, call);
 				return;
 			}
 
@@ -134,7 +132,7 @@
 				const value = new TextDecoder().decode(await readBody(request, BODY_LIMIT_BYTES));
 				const result = this.#state.write(key, value, {expectedVersion: expectedVersion(url), lease: url.searchParams.get('lease') ?? undefined});
 				this.#finish(call, result.map(version => ({version})), {kind, key, valueHash: sha256(value)});
-				this.#wake(key);
+				this.#watches.wake(key);
 				return;
 			}
 
@@ -188,89 +186,4 @@
 
 		fail(response, result.val as FailureBody);
 	}
-
-	async #watch(key: string, {response, url}: Call): Promise<void> {
-		const afterVersion = Number(url.searchParams.get('afterVersion'));
-		const endsAt = Date.now() + Number(url.searchParams.get('waitMs'));
-		const gone = disconnected(response);
-		while (!gone.aborted) {
-			const entry = this.#state.read(key);
-			if (entry && entry.version > afterVersion) {
-				succeed(response, entry);
-				return;
-			}
-
-			const remainingMs = endsAt - Date.now();
-			if (remainingMs <= 0) {
-				succeed(response);
-				return;
-			}
-
-			await this.#nextWrite(key, remainingMs, response, gone);
-		}
-	}
-
-	async #nextWrite(key: string, limitMs: number, response: Call['response'], gone: AbortSignal): Promise<void> {
-		const woken = new AbortController();
-		const wake = (): void => {
-			woken.abort();
-		};
-
-		const watch = {
-			wake,
-			cut(): void {
-				response.destroy();
-				woken.abort();
-			},
-		};
-		const watches = this.#watches.get(key) ?? new Set<Watch>();
-		this.#watches.set(key, watches.add(watch));
-		gone.addEventListener('abort', wake, {once: true});
-		await delay(limitMs, woken.signal);
-		gone.removeEventListener('abort', wake);
-		watches.delete(watch);
-	}
-
-	#wake(key: string): void {
-		for (const watch of this.#watches.get(key) ?? []) {
-			watch.wake();
-		}
-	}
 }
-
-const kindOf = ({method, url}: Call): CallKind => {
-	const {pathname, searchParams} = url;
-	const isEntry = pathname.startsWith(`${ENTRIES_PATH}/`);
-	const isLease = pathname.startsWith(`${LEASES_PATH}/`);
-	switch (method) {
-		case 'GET': {
-			if (pathname === ENTRIES_PATH) {
-				return 'list';
-			}
-
-			const kind = searchParams.has('afterVersion') ? 'watch' : 'read';
-			return isEntry ? kind : 'unknown';
-		}
-
-		case 'PUT': {
-			return isEntry ? 'write' : 'unknown';
-		}
-
-		case 'DELETE': {
-			const kind = isLease ? 'revoke' : 'unknown';
-			return isEntry ? 'remove' : kind;
-		}
-
-		case 'POST': {
-			const kind = isLease && pathname.endsWith('/renewal') ? 'renew' : 'unknown';
-			return pathname === LEASES_PATH ? 'grant' : kind;
-		}
-
-		default: {
-			return 'unknown';
-		}
-	}
-};
-
-const expectedVersion = ({searchParams}: URL): number | undefined =>
-	searchParams.has('expectedVersion') ? Number(searchParams.get('expectedVersion')) : undefined;
