--- /dev/null
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -0,0 +1,210 @@
+/** Model engine with continuous batching, a prefix cache, versions and faults. */
+import {randomUUID} from 'node:crypto';
+import {
+	delay, readBody, seededRandom, SystemClock, type Clock, type Random, type Result,
+} from '@yuccawood/common';
+import {
+	CACHE_EVENTS_PATH, COMPLETIONS_PATH, ENGINE_ACTIVATE_PATH, ENGINE_CHUNKS_PATH, ENGINE_LOAD_PATH, ENGINE_STATE_PATH, ENGINE_UNLOAD_PATH,
+	type EngineState, type FailureBody, type LoadedVersion, type LoadOrder, type Order,
+} from '@yuccawood/platform';
+import {EngineWeights} from './engine-weights.js';
+import {Generation} from './generation.js';
+import type {CacheEvent} from './prefix-cache.js';
+import {
+	fail, StandIn, succeed, type Call, type CommonFaults,
+} from './stand-in.js';
+
+export type EngineFaults = CommonFaults & {
+	/** Multiplies all times of generation. */
+	slowFactor: number;
+
+	/** The next N completions are run, and their connections break before the last token. */
+	loseAnswers: number;
+};
+
+export type EngineOptions = {
+	readonly capacity?: number;
+	readonly queueLimit?: number;
+	readonly tokenIntervalMs?: number;
+
+	/** Time for each block of 64 prompt characters that is not in the prefix cache. */
+	readonly prefillBlockMs?: number;
+	readonly loadMs?: number;
+	readonly checksFencing?: boolean;
+	readonly loadReportLagMs?: number;
+	readonly cacheBlocks?: number;
+	readonly cacheEventLagMs?: number;
+
+	/** Share of cache events that are never published. */
+	readonly cacheEventGapShare?: number;
+
+	/** A request whose messages contain this text crashes the engine. */
+	readonly crashMarker?: string;
+
+	/** Time that the engine is down after a crash; its weights are lost. */
+	readonly crashDownMs?: number;
+
+	/** Runs instead of the simulated restart, for example to exit the process. */
+	readonly onCrash?: () => void;
+
+	/** Versions that are loaded without a rollout. */
+	readonly versions?: readonly LoadedVersion[];
+
+	readonly random?: Random;
+	readonly clock?: Clock;
+};
+
+const BODY_LIMIT_BYTES = 256 * 1024 * 1024;
+
+export class EngineStandIn extends StandIn<EngineFaults> {
+	readonly #options: Required<Omit<EngineOptions, 'onCrash' | 'versions'>> & Pick<EngineOptions, 'onCrash'>;
+	readonly #weights: EngineWeights;
+	readonly #generation: Generation;
+	#incarnation: string = randomUUID();
+	#reported = {running: 0, waiting: 0, at: Number.NEGATIVE_INFINITY};
+	#latest = this.#reported;
+
+	constructor({
+		capacity = 16, queueLimit = 32, tokenIntervalMs = 5, prefillBlockMs = 0, loadMs = 0, checksFencing = true, loadReportLagMs = 100,
+		cacheBlocks = 4096, cacheEventLagMs = 200, cacheEventGapShare = 0.05, crashMarker = '[crash the engine]', crashDownMs = 500,
+		onCrash, versions = [], random = seededRandom('engine'), clock = new SystemClock(),
+	}: EngineOptions = {}) {
+		super({
+			downMs: 0, breakConnections: false, slowFactor: 1, loseAnswers: 0,
+		});
+		this.#options = {
+			capacity, queueLimit, tokenIntervalMs, prefillBlockMs, loadMs, checksFencing, loadReportLagMs,
+			cacheBlocks, cacheEventLagMs, cacheEventGapShare, crashMarker, crashDownMs, onCrash, random, clock,
+		};
+		this.#weights = new EngineWeights({checksFencing});
+		this.#weights.preset(versions);
+		this.#generation = new Generation({
+			...this.#options,
+			versions: () => this.#weights.versions,
+			slowFactor: () => this.faults.slowFactor,
+			takeLoss: () => this.#takeLoss(),
+			crash: requestId => {
+				this.#crash(requestId);
+			},
+			record: (event, fields) => {
+				this.record(event, fields);
+			},
+			count: (name, amount) => {
+				this.count(name, amount);
+			},
+		});
+	}
+
+	get versions(): readonly LoadedVersion[] {
+		return this.#weights.versions;
+	}
+
+	/** Cache events after the sequence number; late and with gaps. */
+	cacheEvents(after = 0): readonly CacheEvent[] {
+		return this.#generation.cacheEvents(after);
+	}
+
+	protected override onDown(): void {
+		this.#weights.clear();
+		this.#generation.reset();
+		this.#incarnation = randomUUID();
+	}
+
+	protected override async handle(call: Call): Promise<void> {
+		const {request, response, url, method} = call;
+		const {pathname} = url;
+		if (method === 'PUT' && pathname.startsWith(`${ENGINE_CHUNKS_PATH}/`)) {
+			const hash = pathname.slice(ENGINE_CHUNKS_PATH.length + 1);
+			const isIntact = this.#weights.putChunk(hash, await readBody(request, BODY_LIMIT_BYTES));
+			this.count('chunk');
+			if (!isIntact) {
+				this.record('chunk-mismatch', {hash});
+			}
+
+			succeed(response);
+			return;
+		}
+
+		switch (`${method} ${pathname}`) {
+			case `GET ${ENGINE_STATE_PATH}`: {
+				succeed(response, this.#state());
+				return;
+			}
+
+			case `GET ${CACHE_EVENTS_PATH}`: {
+				succeed(response, this.cacheEvents(Number(url.searchParams.get('after') ?? '0')));
+				return;
+			}
+
+			case `POST ${ENGINE_LOAD_PATH}`: {
+				await delay(this.#options.loadMs * this.faults.slowFactor);
+				await this.#order<LoadOrder>('load', call, order => this.#weights.load(order).map(manifest => ({manifest})));
+				return;
+			}
+
+			case `POST ${ENGINE_ACTIVATE_PATH}`: {
+				await this.#order('activate', call, order => this.#weights.activate(order));
+				return;
+			}
+
+			case `POST ${ENGINE_UNLOAD_PATH}`: {
+				await this.#order('unload', call, order => this.#weights.unload(order));
+				return;
+			}
+
+			case `POST ${COMPLETIONS_PATH}`: {
+				await this.#generation.complete(call);
+				return;
+			}
+
+			default: {
+				fail(response, {kind: 'not-found', detail: `No such path: ${pathname}.`, remedy: 'Use a path of the engine.'});
+			}
+		}
+	}
+
+	async #order<Body extends Order>(event: string, {request, response}: Call, apply: (order: Body) => Result<unknown, FailureBody>): Promise<void> {
+		const order = JSON.parse(new TextDecoder().decode(await readBody(request, BODY_LIMIT_BYTES))) as Body;
+		const refusal = this.#weights.refusal(order);
+		const {fencingNumber, manifest} = order;
+		const result = refusal ? undefined : apply(order);
+		const failure = refusal ?? (result?.err ? result.val : undefined);
+		this.record(event, {fencingNumber, manifest, refused: failure?.kind});
+		if (failure) {
+			fail(response, failure);
+			return;
+		}
+
+		succeed(response, result?.val);
+	}
+
+	/** The load is a snapshot that is renewed at most once in each lag period. */
+	#state(): EngineState {
+		const now = this.#options.clock.monotonic();
+		if (now - this.#latest.at >= this.#options.loadReportLagMs) {
+			this.#reported = this.#latest;
+			this.#latest = {...this.#generation.load, at: now};
+		}
+
+		const {running, waiting} = this.#options.loadReportLagMs === 0 ? this.#generation.load : this.#reported;
+		return {
+			incarnation: this.#incarnation, versions: this.#weights.versions, running, waiting, capacity: this.#options.capacity,
+		};
+	}
+
+	#takeLoss(): boolean {
+		const isLost = this.faults.loseAnswers > 0;
+		this.faults.loseAnswers -= isLost ? 1 : 0;
+		return isLost;
+	}
+
+	#crash(requestId: string): void {
+		this.record('crashed', {requestId});
+		if (this.#options.onCrash) {
+			this.#options.onCrash();
+			return;
+		}
+
+		void this.goDown(this.#options.crashDownMs);
+	}
+}
