Add gossip membership, upstream lease, admission and shutdown

The daemon needs a member table, a fenced right to send orders, account limits across entries and an ordered planned stop.

Gossip keeps the table with one ping a second, indirect pings, suspicion and refutation; messages are bounded in bytes. The fencing number comes from a lease that is checked on the monotonic clock. AccountAdmission divides limits by max-min shares granted by a home entry, which counts a lowered share until its holder confirms it.

Ruled out: gossiping each revision as a record change, because one edit would send every record again; revisions travel in every message instead.

--- /dev/null
+++ b/packages/accounts/src/account-admission.ts
@@ -0,0 +1,150 @@
+import {describeError, Err} from '@yuccawood/common';
+import {AccountDirectory} from './account-directory.js';
+import type {AccountState} from './account-state.js';
+import type {AccountAdmissionOptions} from './admission-options.js';
+import {CapacityGate, type AdmissionAnswer} from './capacity-gate.js';
+import {
+	FIRST_SHARE_WAIT_MS, FLEET, REPORT_PERIOD_MS, SHARE_TTL_MS,
+} from './constants.js';
+import {DemandReporter} from './demand-reporter.js';
+import {
+	concurrencyRefusal, leavingRefusal, rateRefusal, unknownAccountRefusal,
+} from './refusals.js';
+import {ShareHome} from './share-home.js';
+import type {Limits, ShareRequest} from './share-messages.js';
+import {ShareTable} from './share-table.js';
+import type {Admission, AdmissionRefusal, AdmissionRequest} from './types.js';
+
+/** Admits requests under the limits of their accounts, which the entries share, and under the capacity of the fleet. */
+export class AccountAdmission implements Admission {
+	readonly #options: AccountAdmissionOptions;
+	readonly #accounts = new AccountDirectory();
+	readonly #gate: CapacityGate;
+	readonly #home: ShareHome;
+	readonly #shares: ShareTable;
+	readonly #reporter: DemandReporter;
+
+	constructor(options: AccountAdmissionOptions) {
+		this.#options = options;
+		const {clock, shareTtlMs: ttlMs = SHARE_TTL_MS, firstShareWaitMs = FIRST_SHARE_WAIT_MS} = options;
+		this.#gate = new CapacityGate({
+			...options, capacity: () => this.#capacity(), onRefusal: refusal => {
+				this.#refuse(refusal);
+			},
+		});
+		this.#home = new ShareHome({clock, ttlMs, liveEntries: () => this.#shares.entries.length});
+		this.#shares = new ShareTable({
+			...options, home: this.#home, ttlMs, limitsOf: account => this.#limitsOf(account),
+		});
+		this.#reporter = new DemandReporter({
+			accounts: this.#accounts, fleet: this.#gate.fleet, shares: this.#shares, clock, firstShareWaitMs,
+		});
+		options.peerServer.method('accounts.share', (request: ShareRequest) => this.#shares.answer(request));
+	}
+
+	/** Reports demand to the home entries in the background, once per period until the signal aborts. */
+	start(signal: AbortSignal): void {
+		void this.#run(signal);
+	}
+
+	/** Requests admitted here that have not been released. */
+	get inProgress(): number {
+		return this.#gate.fleet.inFlight;
+	}
+
+	get waiting(): number {
+		return this.#gate.waiting;
+	}
+
+	readonly admit = async (request: AdmissionRequest): Promise<AdmissionAnswer> => {
+		const {clock, configuration, isLeaving} = this.#options;
+		const now = clock.monotonic();
+		this.#accounts.update(configuration.current, now);
+		if (isLeaving?.()) {
+			return this.#refuse(leavingRefusal());
+		}
+
+		const state = this.#accounts.identify(request.bearer);
+		if (!state) {
+			return this.#refuse(unknownAccountRefusal(request.bearer !== undefined));
+		}
+
+		state.attempt(now);
+		this.#gate.fleet.attempt(now);
+		const missing = [state, this.#gate.fleet].filter(candidate => this.#shareOf(candidate) === undefined);
+		if (missing.length > 0) {
+			await this.#reporter.reportFirst(missing);
+		}
+
+		return this.#decide(state, request);
+	};
+
+	#decide(state: AccountState, request: AdmissionRequest): AdmissionAnswer | Promise<AdmissionAnswer> {
+		const now = this.#options.clock.monotonic();
+		const {rate, concurrent} = this.#shareOf(state) ?? this.#shares.fallback(state.limits);
+		state.bucket.setRate(rate, now);
+		if (state.inUse >= concurrent) {
+			state.refuseConcurrency();
+			this.#reporter.reportEarly(state);
+			return this.#refuse(concurrencyRefusal(state, state.meanServiceMs / Math.max(1, state.inFlight) / 1000));
+		}
+
+		if (!state.bucket.take(now)) {
+			this.#reporter.reportEarly(state);
+			return this.#refuse(rateRefusal(state, this.#secondsToToken(state, now)));
+		}
+
+		return this.#gate.enter(state, request);
+	}
+
+	#refuse(refusal: AdmissionRefusal): AdmissionAnswer {
+		this.#options.metrics.count('accounts.refusals', {kind: refusal.kind});
+		return Err(refusal);
+	}
+
+	#shareOf(state: AccountState): Limits | undefined {
+		const limits = this.#limitsOf(state.name) ?? state.limits;
+		return Number.isFinite(limits.concurrent) ? this.#shares.current(state.name, limits) : limits;
+	}
+
+	#limitsOf(account: string): Limits | undefined {
+		if (account === FLEET) {
+			return {rate: 0, concurrent: this.#options.fleetCapacity()};
+		}
+
+		this.#accounts.update(this.#options.configuration.current, this.#options.clock.monotonic());
+		return this.#accounts.get(account)?.limits;
+	}
+
+	/** Requests that this entry may run at the same time. */
+	#capacity(): number {
+		const limits = {rate: 0, concurrent: this.#options.fleetCapacity()};
+		const {concurrent} = this.#shares.current(FLEET, limits) ?? this.#shares.fallback(limits);
+		return Math.min(concurrent, limits.concurrent);
+	}
+
+	/** Seconds until the bucket has a token. A share of several entries is adapted to the demand within its time, so waiting longer is not needed. */
+	#secondsToToken({bucket}: AccountState, now: number): number {
+		const {shareTtlMs = SHARE_TTL_MS} = this.#options;
+		const seconds = bucket.secondsToNext(now);
+		return this.#shares.entries.length > 1 ? Math.min(seconds, shareTtlMs / 1000) : seconds;
+	}
+
+	async #run(signal: AbortSignal): Promise<void> {
+		const {clock, random, log, metrics, reportPeriodMs = REPORT_PERIOD_MS} = this.#options;
+		// Entries that start together spread their reports over the period.
+		await clock.sleep(random.next() * reportPeriodMs, signal);
+		while (!signal.aborted) {
+			try {
+				await this.#reporter.reportAll();
+				this.#home.expire();
+				this.#gate.pump();
+			} catch (error) {
+				log.error('Report of demand failed.', {error: describeError(error)});
+			}
+
+			metrics.gauge('accounts.waiting', this.#gate.waiting);
+			await clock.sleep(reportPeriodMs, signal);
+		}
+	}
+}
--- /dev/null
+++ b/packages/accounts/src/admission-options.ts
@@ -0,0 +1,29 @@
+import type {
+	Clock, Log, Metrics, PeerClient, PeerServer, Random,
+} from '@yuccawood/common';
+import type {ConfigurationSource} from '@yuccawood/configuration';
+import type {MemberTable} from '@yuccawood/membership';
+
+export type AccountAdmissionOptions = {
+	readonly configuration: ConfigurationSource;
+	readonly members: MemberTable;
+	readonly peerServer: Pick<PeerServer, 'method'>;
+	readonly peerClient: Pick<PeerClient, 'call'>;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly metrics: Metrics;
+
+	/** Id of this entry. */
+	readonly selfId: string;
+
+	/** Requests that all ready upstreams together run at the same time. */
+	readonly fleetCapacity: () => number;
+	readonly isLeaving?: () => boolean;
+	readonly reportPeriodMs?: number;
+	readonly shareTtlMs?: number;
+	readonly firstShareWaitMs?: number;
+
+	/** Requests that may wait; by default a multiple of the entry's share of the capacity. */
+	readonly queueLength?: number;
+};
--- /dev/null
+++ b/packages/accounts/src/capacity-gate.ts
@@ -0,0 +1,151 @@
+import {
+	Err, Ok, type Clock, type Result,
+} from '@yuccawood/common';
+import {AccountState} from './account-state.js';
+import {FLEET, MIN_QUEUE_LENGTH, QUEUE_FACTOR} from './constants.js';
+import {FairQueue, type Waiter} from './fair-queue.js';
+import {deadlineRefusal, queueFullRefusal} from './refusals.js';
+import type {AdmissionRefusal, AdmissionRequest, Permit} from './types.js';
+
+export type AdmissionAnswer = Result<Permit, AdmissionRefusal>;
+
+/** Lets requests run as far as this entry's share of the fleet's capacity goes; the others wait in a bounded fair queue. */
+export class CapacityGate {
+	/** Use of the whole entry. */
+	readonly fleet: AccountState;
+	readonly #queue = new FairQueue();
+	readonly #clock: Clock;
+	readonly #capacity: () => number;
+	readonly #queueLength: number | undefined;
+	readonly #onRefusal: (refusal: AdmissionRefusal) => void;
+
+	constructor({clock, capacity, queueLength, onRefusal}: {
+		readonly clock: Clock;
+
+		/** Requests that this entry may run at the same time. */
+		readonly capacity: () => number;
+		readonly queueLength?: number;
+		readonly onRefusal: (refusal: AdmissionRefusal) => void;
+	}) {
+		this.#clock = clock;
+		this.#capacity = capacity;
+		this.#queueLength = queueLength;
+		this.#onRefusal = onRefusal;
+		this.fleet = new AccountState({
+			name: FLEET, limits: {rate: 0, concurrent: 0}, priority: 0, weight: 1, now: clock.monotonic(),
+		});
+	}
+
+	get waiting(): number {
+		return this.#queue.length;
+	}
+
+	/** Runs a request at once if there is room. The account's own limits have been checked and a token taken. */
+	enter(state: AccountState, request: AdmissionRequest): AdmissionAnswer | Promise<AdmissionAnswer> {
+		const capacity = this.#capacity();
+		return this.#queue.length === 0 && this.fleet.inFlight < capacity
+			? Ok(this.#begin(state))
+			: this.#enqueue(state, request, capacity);
+	}
+
+	/** Lets waiting requests run as far as there is capacity. */
+	pump(): void {
+		const capacity = this.#queue.length > 0 ? this.#capacity() : 0;
+		while (this.#queue.length > 0 && this.fleet.inFlight < capacity) {
+			this.#queue.next()?.admit();
+		}
+
+		this.fleet.waiting = this.#queue.length;
+	}
+
+	/** Makes room in the queue if it is full, then waits for capacity, the deadline or the caller's end. */
+	#enqueue(state: AccountState, request: AdmissionRequest, capacity: number): AdmissionAnswer | Promise<AdmissionAnswer> {
+		const waitSeconds = this.#expectedWaitSeconds(state, capacity);
+		const isAborted = request.signal?.aborted === true;
+		if (isAborted || waitSeconds * 1000 > request.deadlineMs) {
+			return this.#refuse(state, deadlineRefusal('The fleet is full and the request would wait beyond its deadline.', waitSeconds));
+		}
+
+		const limit = this.#queueLength ?? Math.max(MIN_QUEUE_LENGTH, Math.ceil(capacity * QUEUE_FACTOR));
+		if (this.#queue.length >= limit) {
+			const victim = this.#queue.victim({newcomer: state, places: capacity + limit});
+			if (!victim) {
+				return this.#refuse(state, queueFullRefusal(waitSeconds));
+			}
+
+			this.#queue.remove(victim);
+			victim.shed();
+		}
+
+		const answer = this.#wait(state, request);
+		this.pump();
+		return answer;
+	}
+
+	async #wait(state: AccountState, {deadlineMs, signal}: AdmissionRequest): Promise<AdmissionAnswer> {
+		const ended = new AbortController();
+		return new Promise<AdmissionAnswer>(resolve => {
+			const waiter: Waiter = {
+				state,
+				admit: () => {
+					ended.abort();
+					resolve(Ok(this.#begin(state)));
+				},
+				shed: () => {
+					ended.abort();
+					resolve(this.#refuse(state, queueFullRefusal(this.#expectedWaitSeconds(state, this.#capacity()))));
+				},
+			};
+			this.#queue.add(waiter);
+			const expire = async (): Promise<void> => {
+				await this.#clock.sleep(deadlineMs, signal ? AbortSignal.any([ended.signal, signal]) : ended.signal);
+				if (this.#queue.remove(waiter)) {
+					const detail = signal?.aborted ? 'The caller gave up while the request waited.' : 'The deadline passed while the request waited for capacity.';
+					resolve(this.#refuse(state, deadlineRefusal(detail, this.#expectedWaitSeconds(state, this.#capacity()))));
+				}
+			};
+
+			void expire();
+		});
+	}
+
+	#begin(state: AccountState): Permit {
+		const startedAt = this.#clock.monotonic();
+		let isHeld = true;
+		state.begin();
+		this.fleet.begin();
+		return {
+			account: state.name,
+			priority: state.priority,
+			release: () => {
+				if (!isHeld) {
+					return;
+				}
+
+				isHeld = false;
+				const serviceMs = this.#clock.monotonic() - startedAt;
+				state.end(serviceMs);
+				this.fleet.end(serviceMs);
+				this.pump();
+			},
+		};
+	}
+
+	#refuse(state: AccountState, refusal: AdmissionRefusal): AdmissionAnswer {
+		state.bucket.refund();
+		this.fleet.refuseConcurrency();
+		this.#onRefusal(refusal);
+		return Err(refusal);
+	}
+
+	/** Time until the account's next request may run if its requests beyond its part of the capacity wait in turn; 0 before any request has ended. */
+	#expectedWaitSeconds(state: AccountState, capacity: number): number {
+		if (!this.fleet.hasEnded || capacity < 1) {
+			return 0;
+		}
+
+		const slots = Math.max(1, capacity * this.#queue.weightShare(state));
+		const ahead = Math.max(0, state.inUse + 1 - slots);
+		return this.fleet.meanServiceMs * ((ahead / slots) + (1 / capacity)) / 1000;
+	}
+}
--- /dev/null
+++ b/packages/accounts/src/constants.ts
@@ -0,0 +1,54 @@
+/** Account of all requests while the configuration has no accounts. */
+export const ANONYMOUS_ACCOUNT = 'anonymous';
+
+export const ANONYMOUS_PRIORITY = 5;
+
+/** Name under which the entries share the capacity of the fleet. Section names of accounts cannot contain it. */
+export const FLEET = '*';
+
+/** Time between two reports of demand to the home entries. */
+export const REPORT_PERIOD_MS = 1000;
+
+/** Time that a report may take. */
+export const REPORT_TIMEOUT_MS = 500;
+
+/** Time for which a share is valid. Longer than three reports, so that two lost ones change nothing. */
+export const SHARE_TTL_MS = 3500;
+
+/** Time that a request waits for the first share of its account. */
+export const FIRST_SHARE_WAIT_MS = 300;
+
+/** Time without requests after which an entry stops reporting an account. */
+export const ACCOUNT_IDLE_MS = 10_000;
+
+/** Time between two early reports of an account whose share is used up. */
+export const EARLY_REPORT_PERIOD_MS = 250;
+
+/** Seconds of the rate that an account may use at once after a quiet time. */
+export const BURST_SECONDS = 1;
+
+/** Length of the queue for each concurrent request of the entry's capacity. */
+export const QUEUE_FACTOR = 2;
+
+export const MIN_QUEUE_LENGTH = 16;
+
+/** Weight of the newest value in moving averages. */
+export const AVERAGE_WEIGHT = 0.1;
+
+/** Mean service time that is assumed before the first request has ended. */
+export const ASSUMED_SERVICE_MS = 1000;
+
+/** Shortest time to wait that a refusal names. */
+export const MIN_RETRY_SECONDS = 0.1;
+
+/** Time after which a new key is in force everywhere; a refused caller may try again then. */
+export const UNKNOWN_ACCOUNT_RETRY_SECONDS = 8;
+
+/** Time after which a caller that a leaving entry refused reaches another one. */
+export const LEAVING_RETRY_SECONDS = 1;
+
+/** Distinct bearer keys whose hash is kept. */
+export const MAX_CACHED_KEYS = 10_000;
+
+/** Shortest period over which a rate of attempts is computed. */
+export const MIN_DEMAND_PERIOD_MS = 250;
--- /dev/null
+++ b/packages/membership/src/gossip.ts
@@ -0,0 +1,238 @@
+import {describeError} from '@yuccawood/common';
+import type {Stream} from 'most';
+import {ByteBudget} from './byte-budget.js';
+import {DEPARTURE_NOTICES, MAX_TOMBSTONES, PAGE_TIMEOUT_MS} from './constants.js';
+import {ExchangeClient} from './exchange-client.js';
+import {ExchangeHandler, type Followup} from './exchange-handler.js';
+import {FailureDetector} from './failure-detector.js';
+import {withDefaults, type CompleteGossipOptions, type GossipOptions} from './gossip-options.js';
+import {sendLeaveNotice, type LeaveNotice} from './leave-notice.js';
+import {MemberDirectory} from './member-directory.js';
+import {MessageComposer} from './message-composer.js';
+import {
+	claimOf, type Claim, type ExchangeMessage, type PingAnswer,
+} from './messages.js';
+import {OwnIdContest} from './own-id-contest.js';
+import {OwnRecord, type Defence} from './own-record.js';
+import {reconnectUntilAborted} from './reconnection.js';
+import {readTable, TablePages, type PagedAnswer} from './table-pages.js';
+import type {MemberPatch, MemberRecord, MemberTable} from './types.js';
+import {UpdateQueue} from './update-queue.js';
+import {runVmListWatch, VmListWatch} from './vm-list-watch.js';
+
+/** Member table kept by heartbeats over partial views. Message size and rate do not depend on the number of members. */
+export class Gossip implements MemberTable {
+	readonly #options: CompleteGossipOptions;
+	readonly #own: OwnRecord;
+	readonly #directory: MemberDirectory;
+	readonly #queue = new UpdateQueue();
+	readonly #handler: ExchangeHandler;
+	readonly #composer: MessageComposer;
+	readonly #client: ExchangeClient;
+	readonly #detector: FailureDetector;
+	readonly #contest: OwnIdContest;
+	#members: {readonly live: readonly MemberRecord[]; readonly self: MemberRecord; readonly all: readonly MemberRecord[]} | undefined;
+	#highest = 0;
+	#isStarting = true;
+
+	constructor(options: GossipOptions) {
+		const complete = withDefaults(options);
+		const {self, clock, recordBytesPerSecond, recordBurstBytes} = complete;
+		this.#options = complete;
+		this.#own = new OwnRecord({
+			...self, incarnation: self.incarnation ?? clock.now(), sequence: 1, status: 'alive', revision: 0,
+		});
+		this.#directory = new MemberDirectory({...complete, maxTombstones: MAX_TOMBSTONES});
+		const parts = {own: this.#own, directory: this.#directory, queue: this.#queue};
+		this.#handler = new ExchangeHandler({...parts, onDefence: this.#onDefence});
+		this.#composer = new MessageComposer({
+			...complete, ...parts, highest: () => this.highestRevision,
+			budget: new ByteBudget({clock, bytesPerSecond: recordBytesPerSecond, burstBytes: recordBurstBytes}),
+		});
+		this.#client = new ExchangeClient({
+			...complete, composer: this.#composer, apply: this.#apply, pageTimeoutMs: PAGE_TIMEOUT_MS,
+		});
+		this.#detector = new FailureDetector({
+			...complete, directory: this.#directory, exchange: this.#client.exchangeWith, pingVia: this.#client.pingVia,
+			spread: this.#spread, suspicionMs: () => this.#suspicionMs,
+		});
+		this.#contest = new OwnIdContest({
+			...complete, own: this.#own, client: this.#client, onRaised: this.#publishSelf,
+		});
+		this.#queue.add(self.id);
+		this.#serve();
+	}
+
+	get self(): MemberRecord {
+		return this.#own.record;
+	}
+
+	get members(): readonly MemberRecord[] {
+		const {live} = this.#directory;
+		const {self} = this;
+		if (this.#members?.live !== live || this.#members.self !== self) {
+			this.#members = {live, self, all: [self, ...live]};
+		}
+
+		return this.#members.all;
+	}
+
+	get changes(): Stream<MemberRecord> {
+		return this.#directory.published.changes;
+	}
+
+	get highestRevision(): number {
+		return Math.max(this.#highest, this.#directory.highestRevision, this.self.revision);
+	}
+
+	readonly find = (id: string): MemberRecord | undefined => id === this.self.id ? this.self : this.#directory.get(id);
+
+	readonly updateSelf = (patch: MemberPatch): void => {
+		const {sequence} = this.self;
+		this.#own.update(patch);
+		if (this.self.sequence === sequence) {
+			this.#directory.published.publish(this.self);
+			return;
+		}
+
+		this.#publishSelf();
+	};
+
+	/** Joins through the seeds, then keeps the table until the signal aborts. Resolves when the table has been read or no seed answers. */
+	async start(signal: AbortSignal): Promise<void> {
+		const options = {...this.#options, ownAddress: this.self.address, signal};
+		await readTable({
+			...options, members: () => this.#directory.live,
+			readPage: async (address, after) => this.#client.readPage(address, {after, selfId: this.self.id}),
+		});
+		this.#isStarting = false;
+		void this.#run(signal);
+		void reconnectUntilAborted({
+			...options, directory: this.#directory, exchange: async address => this.#client.exchange(address),
+		});
+		const {vmList, clock, vmListPeriodMs} = this.#options;
+		if (vmList) {
+			const watch = new VmListWatch({
+				...this.#options, vmList, table: this, onLeaving: this.#markLeaving,
+			});
+			void runVmListWatch(watch, {clock, periodMs: vmListPeriodMs, signal});
+		}
+	}
+
+	/** Marks this process as leaving: tells all entries directly and in parallel, the other members by gossip. */
+	async leave(): Promise<void> {
+		if (this.self.status !== 'leaving') {
+			this.updateSelf({status: 'leaving'});
+		}
+
+		await this.#tell({claim: claimOf(this.self), record: this.self}, this.#entries);
+	}
+
+	/** Tells a few members that this process has ended, so that they need not find out by pings. Call it last. */
+	async depart(): Promise<void> {
+		const [id, incarnation, sequence, , revision] = claimOf(this.self);
+		const members = this.#options.random.sample(this.#directory.live, DEPARTURE_NOTICES);
+		await this.#tell({claim: [id, incarnation, sequence + 1, 'dead', revision]}, members);
+	}
+
+	get #entries(): readonly MemberRecord[] {
+		return this.#directory.live.filter(({role}) => role === 'entry');
+	}
+
+	get #suspicionMs(): number {
+		const {periodMs, suspicionPeriods} = this.#options;
+		return periodMs * suspicionPeriods * Math.max(1, Math.log10(this.#directory.live.length + 1));
+	}
+
+	async #run(signal: AbortSignal): Promise<void> {
+		const {clock, periodMs, pingTimeoutMs, indirectPingTimeoutMs, log, metrics} = this.#options;
+		// A round that took longer than all its time limits together was interrupted by a pause of the process.
+		const pauseMs = (2 * periodMs) + (2 * pingTimeoutMs) + indirectPingTimeoutMs;
+		while (!signal.aborted) {
+			const before = clock.monotonic();
+			try {
+				await this.#detector.probe();
+			} catch (error) {
+				log.error('Ping failed.', {error: describeError(error)});
+			}
+
+			await clock.sleep(Math.max(0, periodMs - (clock.monotonic() - before)), signal);
+			const tookMs = clock.monotonic() - before;
+			if (tookMs > pauseMs) {
+				log.warn('Process was paused.', {milliseconds: Math.round(tookMs)});
+				metrics.count('membership.pauses');
+				this.#detector.restartSuspicions();
+			}
+
+			this.#detector.expireSuspicions();
+			for (const id of this.#directory.expire()) {
+				this.#queue.remove(id);
+			}
+
+			metrics.gauge('membership.members', this.members.length);
+		}
+	}
+
+	readonly #apply = (message: ExchangeMessage): Followup => {
+		this.#highest = Math.max(this.#highest, message.highest);
+		return this.#handler.apply(message);
+	};
+
+	readonly #spread = (id: string): void => {
+		this.#queue.add(id);
+	};
+
+	readonly #publishSelf = (): void => {
+		this.#queue.add(this.self.id);
+		this.#directory.published.publish(this.self);
+	};
+
+	readonly #onDefence = (defence: Defence, claim: Claim, record: MemberRecord | undefined): void => {
+		const {metrics, log, onLeaveHint} = this.#options;
+		metrics.count('membership.defences', {defence});
+		if (defence === 'contested') {
+			void this.#contest.settle(claim, {record, isStarting: this.#isStarting});
+			return;
+		}
+
+		this.#publishSelf();
+		if (defence === 'asked-to-leave') {
+			log.info('Another member marked this process as leaving.');
+			onLeaveHint();
+		}
+	};
+
+	/** Marks another member as leaving on a hint, and tells the entries and that member at once. */
+	readonly #markLeaving = async (member: MemberRecord): Promise<void> => {
+		const [id, incarnation, sequence, , revision] = claimOf(member);
+		const claim: Claim = [id, incarnation, sequence, 'leaving', revision];
+		this.#handler.apply({
+			from: claim, highest: 0, records: [], claims: [], wants: [],
+		});
+		await this.#tell({claim}, [...new Set([member, ...this.#entries])].filter(target => target.id !== this.self.id));
+	};
+
+	async #tell(notice: LeaveNotice, members: readonly MemberRecord[]): Promise<void> {
+		await sendLeaveNotice(notice, {...this.#options, members});
+	}
+
+	#serve(): void {
+		const {peerServer, clock} = this.#options;
+		const pages = new TablePages({directory: this.#directory, clock});
+		peerServer.method('membership.exchange', (message: ExchangeMessage): PagedAnswer => {
+			const answer = this.#composer.compose(this.#apply(message));
+			return message.pageAfter === undefined ? answer : {...answer, ...pages.page(message.pageAfter)};
+		});
+		peerServer.method('membership.ping', (): PingAnswer => ({id: this.self.id, incarnation: this.self.incarnation}));
+		peerServer.method('membership.pingVia', async ({id, address}: {readonly id: string; readonly address: string}): Promise<boolean> => {
+			const answer = await this.#client.ping(address);
+			return answer?.id === id;
+		});
+		peerServer.method('membership.leave', ({claim, record}: LeaveNotice): boolean => {
+			this.#handler.apply({
+				from: claim, highest: 0, records: record ? [record] : [], claims: [], wants: [],
+			});
+			return true;
+		});
+	}
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,2 +1,7 @@
 /** Heartbeats, failure detection, upstream lease. */
 export type * from './types.js';
+export {Gossip} from './gossip.js';
+export type {GossipOptions, GossipTiming, OwnDescription} from './gossip-options.js';
+export {LeaseError} from './errors.js';
+export {OrderLock} from './order-lock.js';
+export {UpstreamLease, type LeaseState, type UpstreamLeaseOptions} from './upstream-lease.js';
--- /dev/null
+++ b/packages/membership/src/member-directory.ts
@@ -0,0 +1,172 @@
+import {Publisher, type Clock} from '@yuccawood/common';
+import {compareVersions, mergeRecords} from './record-order.js';
+import {versionOf, type Claim} from './messages.js';
+import {Tombstones} from './tombstones.js';
+import type {MemberRecord} from './types.js';
+
+/** Records of the other members, and tombstones of those declared dead. */
+export class MemberDirectory {
+	readonly published = new Publisher<MemberRecord>();
+	readonly #clock: Clock;
+	readonly #tombstones: Tombstones;
+	readonly #deadRetentionMs: number;
+	readonly #records = new Map<string, MemberRecord>();
+	readonly #changedAt = new Map<string, number>();
+	#live: readonly MemberRecord[] | undefined;
+	#highestRevision = 0;
+
+	constructor({clock, deadRetentionMs, tombstoneRetentionMs, maxTombstones}: {
+		readonly clock: Clock;
+		readonly deadRetentionMs: number;
+		readonly tombstoneRetentionMs: number;
+		readonly maxTombstones: number;
+	}) {
+		this.#clock = clock;
+		this.#deadRetentionMs = deadRetentionMs;
+		this.#tombstones = new Tombstones({retentionMs: tombstoneRetentionMs, limit: maxTombstones});
+	}
+
+	/** Members not declared dead. The array is replaced when a record changes. */
+	get live(): readonly MemberRecord[] {
+		this.#live ??= [...this.#records.values()].filter(({status}) => status !== 'dead');
+		return this.#live;
+	}
+
+	/** Highest configuration revision that any record has named. */
+	get highestRevision(): number {
+		return this.#highestRevision;
+	}
+
+	get tombstoneCount(): number {
+		return this.#tombstones.size;
+	}
+
+	/** The record of a member, dead ones included until they are dropped. */
+	get(id: string): MemberRecord | undefined {
+		return this.#records.get(id);
+	}
+
+	/** The newest version known of a member, from its record or its tombstone. */
+	versionOf(id: string): Claim | undefined {
+		const record = this.#records.get(id);
+		if (record) {
+			return [id, record.incarnation, record.sequence, record.status, record.revision];
+		}
+
+		const tombstone = this.#tombstones.get(id);
+		return tombstone && [id, tombstone.incarnation, tombstone.sequence, 'dead', 0];
+	}
+
+	/** Monotonic time at which the status of a member last changed here. */
+	changedAt(id: string): number {
+		return this.#changedAt.get(id) ?? 0;
+	}
+
+	/** Restarts the time since the last change of all members, after this process was paused. */
+	touchAll(): void {
+		for (const id of this.#changedAt.keys()) {
+			this.#changedAt.set(id, this.#clock.monotonic());
+		}
+	}
+
+	/**
+	Merges a record.
+
+	@returns `changed` if it was news, `stale` if a newer version is known, `same` otherwise.
+	*/
+	apply(incoming: MemberRecord): 'changed' | 'same' | 'stale' {
+		const known = this.#records.get(incoming.id);
+		if (!known) {
+			return this.#applyUnknown(incoming);
+		}
+
+		const merged = mergeRecords(known, incoming);
+		if (merged === known) {
+			return compareVersions(incoming, known) < 0 ? 'stale' : 'same';
+		}
+
+		const isNews = compareVersions(merged, known) > 0;
+		this.#store(merged, known.status !== merged.status || known.incarnation !== merged.incarnation);
+		return isNews ? 'changed' : 'same';
+	}
+
+	/**
+	Merges a version without its description.
+
+	@returns `changed` if it was news, `stale` if a newer version is known, `unknown` if the record has to be fetched, `same` otherwise.
+	*/
+	applyClaim(claim: Claim): 'changed' | 'same' | 'stale' | 'unknown' {
+		const [id, incarnation, sequence, status, revision] = claim;
+		const known = this.#records.get(id);
+		if (!known) {
+			return this.#tombstones.covers(id, versionOf(claim)) ? this.#compareTombstone(claim) : 'unknown';
+		}
+
+		// A newer sequence may describe another upstream, so only the record itself can replace the known one, except for a death.
+		const isDescribed = known.incarnation === incarnation && known.sequence === sequence;
+		if (!isDescribed && status !== 'dead' && compareVersions(versionOf(claim), known) > 0) {
+			return 'unknown';
+		}
+
+		return this.apply({
+			...known, incarnation, sequence, status, revision,
+		});
+	}
+
+	/** Drops records of members that died long ago and tombstones past their time. */
+	expire(): readonly string[] {
+		const now = this.#clock.monotonic();
+		this.#tombstones.expire(now);
+		const dropped: string[] = [];
+		for (const {id, status} of this.#records.values()) {
+			if (status === 'dead' && now - this.changedAt(id) >= this.#deadRetentionMs) {
+				this.#records.delete(id);
+				this.#changedAt.delete(id);
+				dropped.push(id);
+			}
+		}
+
+		return dropped;
+	}
+
+	/** Addresses of members that died within the given time, in milliseconds. */
+	lostAddresses(withinMs: number): readonly string[] {
+		return this.#tombstones.addressesSince(this.#clock.monotonic() - withinMs);
+	}
+
+	#applyUnknown(incoming: MemberRecord): 'changed' | 'same' | 'stale' {
+		if (this.#tombstones.covers(incoming.id, incoming)) {
+			return incoming.status === 'dead' ? 'same' : 'stale';
+		}
+
+		if (incoming.status === 'dead') {
+			// A death of a member that was never seen alive is remembered only as a tombstone.
+			this.#tombstones.add(incoming, this.#clock.monotonic());
+			return 'same';
+		}
+
+		this.#store(incoming, true);
+		return 'changed';
+	}
+
+	#compareTombstone(claim: Claim): 'same' | 'stale' {
+		return claim[3] === 'dead' ? 'same' : 'stale';
+	}
+
+	#store(record: MemberRecord, isStatusChange: boolean): void {
+		this.#records.set(record.id, record);
+		this.#live = undefined;
+		this.#highestRevision = Math.max(this.#highestRevision, record.revision);
+		if (isStatusChange) {
+			this.#changedAt.set(record.id, this.#clock.monotonic());
+		}
+
+		if (record.status === 'dead') {
+			this.#tombstones.add(record, this.#clock.monotonic());
+		} else {
+			this.#tombstones.remove(record.id);
+		}
+
+		this.published.publish(record);
+	}
+}
--- /dev/null
+++ b/packages/membership/src/testing/virtual-time.ts
@@ -0,0 +1,122 @@
+import type {Clock} from '@yuccawood/common';
+
+type Timer = {readonly at: number; readonly run: () => void};
+
+/** Time that moves only when told to. Its clocks belong to one process each and can be frozen. */
+export class VirtualTime {
+	readonly #timers: Timer[] = [];
+	#now = 0;
+
+	get now(): number {
+		return this.#now;
+	}
+
+	/** Runs the function at the given time from now. */
+	schedule(milliseconds: number, run: () => void): void {
+		const at = this.#now + Math.max(0, milliseconds);
+		let low = 0;
+		let high = this.#timers.length;
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (this.#timers[middle].at > at) {
+				low = middle + 1;
+			} else {
+				high = middle;
+			}
+		}
+
+		this.#timers.splice(low, 0, {at, run});
+	}
+
+	/** Moves on and runs everything that falls due, in order of time. */
+	async advance(milliseconds: number): Promise<void> {
+		const end = this.#now + milliseconds;
+		await settle();
+		for (let next = this.#timers.at(-1); next && next.at <= end; next = this.#timers.at(-1)) {
+			this.#now = next.at;
+			while (this.#timers.at(-1)?.at === this.#now) {
+				this.#timers.pop()?.run();
+			}
+
+			await settle();
+		}
+
+		this.#now = end;
+	}
+
+	/** Moves on in steps until the condition holds. @returns the time it took, or undefined if the limit was reached. */
+	async advanceUntil(condition: () => boolean, {limitMs, stepMs = 100}: {readonly limitMs: number; readonly stepMs?: number}): Promise<number | undefined> {
+		const start = this.#now;
+		while (this.#now - start <= limitMs) {
+			if (condition()) {
+				return this.#now - start;
+			}
+
+			await this.advance(stepMs);
+		}
+
+		return undefined;
+	}
+}
+
+/** Lets pending promises run on. */
+const settle = async (): Promise<void> => {
+	await new Promise<void>(resolve => {
+		setImmediate(resolve);
+	});
+};
+
+/** Clock of one process. While it is frozen no sleep ends, but time goes on. */
+export class VirtualClock implements Clock {
+	/** Offset of the wall clock, which tests may make jump. */
+	wallOffsetMs = 1_700_000_000_000;
+	readonly #time: VirtualTime;
+	#held: Array<() => void> = [];
+	#isFrozen = false;
+
+	constructor(time: VirtualTime) {
+		this.#time = time;
+	}
+
+	get isFrozen(): boolean {
+		return this.#isFrozen;
+	}
+
+	readonly now = (): number => this.#time.now + this.wallOffsetMs;
+	readonly monotonic = (): number => this.#time.now;
+
+	readonly sleep = async (milliseconds: number, signal?: AbortSignal): Promise<void> => new Promise<void>(resolve => {
+		if (signal?.aborted) {
+			resolve();
+			return;
+		}
+
+		const finish = (): void => {
+			if (this.#isFrozen) {
+				this.#held.push(finish);
+				return;
+			}
+
+			signal?.removeEventListener('abort', finish);
+			resolve();
+		};
+
+		this.#time.schedule(milliseconds, finish);
+		signal?.addEventListener('abort', finish, {once: true});
+	});
+
+	/** Like SIGSTOP. */
+	freeze(): void {
+		this.#isFrozen = true;
+	}
+
+	/** Like SIGCONT. */
+	resume(): void {
+		this.#isFrozen = false;
+		const held = this.#held;
+		this.#held = [];
+		for (const finish of held) {
+			finish();
+		}
+	}
+}
