--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -14,6 +14,7 @@
 		const progress = (line: string): void => {
 			process.stderr.write(`${line}\n`);
 		};
+
 		const fields = await benchmark.run(values, progress);
 		process.stdout.write(values.json ? `${JSON.stringify(fields)}\n` : `${JSON.stringify(fields, undefined, 2)}\n`);
 	});
--- a/packages/bench/src/fleet/child.ts
+++ b/packages/bench/src/fleet/child.ts
@@ -2,6 +2,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {fileURLToPath} from 'node:url';
 import {readFile} from 'node:fs/promises';
+import process from 'node:process';
 import {delay, TypedError} from '@yuccawood/common';
 
 const MAX_KEPT_LINES = 400;
--- a/packages/bench/src/fleet/ports.ts
+++ b/packages/bench/src/fleet/ports.ts
@@ -23,6 +23,6 @@
 		const address = server.address();
 		return `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`;
 	});
-	await Promise.all(servers.map(close));
+	await Promise.all(servers.map(async server => close(server)));
 	return addresses;
 };
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -58,16 +58,6 @@
 		return this.#ended.signal;
 	}
 
-	/** Options that most parts take; the log carries the prefix of the part. */
-	#shared(prefix: string) {
-		const {
-			peerServer, peerClient, clock, random, metrics,
-		} = this;
-		return {
-			peerServer, peerClient, clock, random, metrics, log: this.log.part(prefix),
-		};
-	}
-
 	/** Listens for peers, joins the other members and starts to obtain the configuration. */
 	async start(): Promise<void> {
 		const {host, port} = splitAddress(this.settings.peer.listen);
@@ -112,6 +102,16 @@
 		};
 	}
 
+	/** Options that most parts take; the log carries the prefix of the part. */
+	#shared(prefix: string) {
+		const {
+			peerServer, peerClient, clock, random, metrics,
+		} = this;
+		return {
+			peerServer, peerClient, clock, random, metrics, log: this.log.part(prefix),
+		};
+	}
+
 	#createGossip(upstream: UpstreamSummary | undefined): Gossip {
 		const {
 			id, region, failureDomain, peer, platform,
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -1,3 +1,5 @@
+import type {MemberRecord} from '@yuccawood/membership';
+
 /** Checked settings of a process. */
 export type ProcessSettings = {
 	readonly id: string;
@@ -47,7 +49,7 @@
 	readonly role: 'entry' | 'agent';
 	readonly phase: string;
 	readonly revision: number;
-	readonly members: readonly unknown[];
+	readonly members: readonly MemberRecord[];
 	readonly counters: Readonly<Record<string, number>>;
 	readonly residentBytes: number;
 	readonly cpuSeconds: number;
--- a/packages/lifecycle/src/process-lifecycle.ts
+++ b/packages/lifecycle/src/process-lifecycle.ts
@@ -38,7 +38,8 @@
 
 		this.#signs.add(sign);
 		this.#log.info('Sign to leave received.', {sign});
-		if (this.#phase === 'serving') {
+		// A process drained by the configuration learns from the repeated phase that it now has to exit.
+		if (this.#phase === 'serving' || this.#phase === 'draining') {
 			this.#set('draining');
 		}
 	};
--- a/xo.config.js
+++ b/xo.config.js
@@ -9,6 +9,8 @@
 			'no-await-in-loop': 'off',
 			// Ok and Err are constructors of ts-results that are called without new.
 			'new-cap': ['error', {capIsNewExceptions: ['Ok', 'Err']}],
+			// Member tables have a method named find that takes an id.
+			'unicorn/no-array-callback-reference': 'off',
 			// Customary short names of Node.js programs.
 			'unicorn/prevent-abbreviations': ['error', {
 				allowList: {
