Build the publisher's stream from most's Stream constructor

Cause: from() of most 1.9 recognises observables only by a symbol that its symbol-observable polyfill makes up, so the daemon failed at its start with 'from(x) must be observable'. Ruled out: setting Symbol.observable globally, which changes the process for all libraries. Before: the daemon ended at its start.

--- a/packages/common/src/publisher.ts
+++ b/packages/common/src/publisher.ts
@@ -1,24 +1,26 @@
-import {from, type Stream} from 'most';
+import {Stream, type Scheduler, type Sink} from 'most';
 
 type Listener<Item> = (item: Item) => void;
 
 /** A source of events. Its owner publishes; other slices read `changes` as a stream or subscribe directly. */
 export class Publisher<Item> {
-	readonly #listeners = new Set<Listener<Item>>();
-
 	/** All items published after the stream is observed. */
-	get changes(): Stream<Item> {
-		const subscribe = (observer: {readonly next?: (item: Item) => void}) => {
-			const unsubscribe = this.subscribe(item => observer.next?.(item));
-			return {unsubscribe};
-		};
+	readonly changes: Stream<Item>;
+	readonly #listeners = new Set<Listener<Item>>();
 
-		const observable = {
-			subscribe,
-			[Symbol.for('observable')]: () => observable,
-			'@@observable': () => observable,
-		};
-		return from(observable as unknown as readonly Item[]);
+	constructor() {
+		this.changes = new Stream<Item>({
+			run: (sink: Sink<Item>, scheduler: Scheduler) => {
+				const unsubscribe = this.subscribe(item => {
+					sink.event(scheduler.now(), item);
+				});
+				return {
+					dispose() {
+						unsubscribe();
+					},
+				};
+			},
+		});
 	}
 
 	/** @returns a function that ends the subscription. */
