Split the daemon into an entry process and an agent process

Change: EntryProcess and AgentProcess take an environment; main only reads settings and handles signals.

--- /dev/null
+++ b/packages/daemon/src/agent-process.ts
@@ -0,0 +1,120 @@
+import {ShutdownSequence, type Phase} from '@yuccawood/lifecycle';
+import type {ServedVersion, UpstreamSummary} from '@yuccawood/membership';
+import {AgentRequests} from '@yuccawood/requests';
+import {createEngineParts, type EngineParts} from './engine-parts.js';
+import {Node, type Environment} from './node.js';
+import {stopAfterDrain} from './stop-after-drain.js';
+import type {AgentSettings} from './types.js';
+
+const initialSummary = ({upstream: {kind, service, capacity}}: AgentSettings): UpstreamSummary => ({
+	kind, service, capacity, ready: false, served: [], held: [],
+});
+
+/** An agent: the only process that gives its upstream orders and passes requests to it. */
+export class AgentProcess {
+	readonly node: Node;
+	readonly requests: AgentRequests;
+
+	/** Resolves when the process has stopped as planned. */
+	readonly stopped: Promise<void>;
+	readonly #settings: AgentSettings;
+	readonly #engine: EngineParts | undefined;
+
+	constructor(settings: AgentSettings, environment?: Partial<Environment>) {
+		this.#settings = settings;
+		this.node = new Node({
+			settings, role: 'agent', upstream: initialSummary(settings), environment,
+		});
+		const engine = settings.weights && createEngineParts(this.node, settings, settings.weights);
+		this.#engine = engine;
+		const {
+			log, metrics, clock, gossip, lifecycle, peerServer,
+		} = this.node;
+		const {upstream} = settings;
+		this.requests = new AgentRequests({
+			selfId: settings.id, incarnation: gossip.self.incarnation, upstreamAddress: upstream.address, kind: upstream.kind, service: upstream.service,
+			capacity: upstream.capacity, serving: () => engine?.weights.serving ?? [], peerServer, log: log.part('requests'), metrics, clock,
+			onLiveLatency(milliseconds) {
+				engine?.weights.reportLiveLatency(milliseconds);
+			},
+			onLiveBytes(bytes) {
+				engine?.weights.reportLiveBytes(bytes);
+			},
+		});
+		this.stopped = stopAfterDrain({
+			lifecycle, shutdown: this.#createShutdown(settings.stopLimitMs), stopsAlways: false, onPhase: this.#followPhase,
+		});
+	}
+
+	/** Joins the fleet; takes requests as soon as a configuration is in force and the upstream is ready. */
+	async start(): Promise<void> {
+		const {node, requests} = this;
+		const engine = this.#engine;
+		requests.refuseNewWork();
+		await node.start();
+		void this.#serveWhenConfigured();
+		void engine?.lease.start(node.signal);
+		void engine?.weights.changes.observe(this.#publishReadiness);
+		void engine?.weights.start(node.signal);
+		const {address, service} = this.#settings.upstream;
+		node.log.info('Agent started.', {upstream: address, service});
+	}
+
+	async #serveWhenConfigured(): Promise<void> {
+		await this.node.configuration.ready;
+		this.#publishReadiness(this.#engine?.weights.serving ?? []);
+		this.node.lifecycle.markServing();
+	}
+
+	readonly #publishReadiness = (served: readonly ServedVersion[]): void => {
+		const {gossip, configuration} = this.node;
+		const summary = gossip.self.upstream ?? initialSummary(this.#settings);
+		const ready = configuration.current !== undefined && (summary.kind === 'service' || served.length > 0);
+		gossip.updateSelf({upstream: {...summary, served, ready}});
+	};
+
+	readonly #followPhase = (phase: Phase): void => {
+		const {gossip} = this.node;
+		if (phase === 'serving') {
+			this.requests.acceptNewWork();
+			gossip.updateSelf({status: 'alive'});
+			return;
+		}
+
+		this.requests.refuseNewWork();
+		if (phase === 'draining') {
+			void gossip.leave();
+		}
+	};
+
+	#createShutdown(stopLimitMs: number): ShutdownSequence {
+		const {clock, log, metrics, gossip} = this.node;
+		return new ShutdownSequence({
+			clock,
+			log: log.part('lifecycle'),
+			metrics,
+			steps: [
+				{
+					name: 'finish requests',
+					run: async () => this.requests.drain(),
+					limitMs: stopLimitMs,
+				},
+				{
+					name: 'end tasks',
+					run: async () => {
+						this.node.endTasks();
+						await gossip.depart();
+						await this.#engine?.lease.stopped();
+					},
+				},
+				{
+					name: 'close',
+					run: async () => {
+						await this.requests.close();
+						await this.node.close();
+					},
+				},
+			],
+		});
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/engine-parts.ts
@@ -0,0 +1,31 @@
+import {OrderLock, UpstreamLease} from '@yuccawood/membership';
+import {HttpModelEngine, HttpWeightOrigin} from '@yuccawood/platform';
+import {WeightManager} from '@yuccawood/weights';
+import type {Node} from './node.js';
+import {splitAddress} from './split-address.js';
+import type {AgentSettings, WeightSettings} from './types.js';
+
+/** What an agent has in addition when its upstream is a model engine. */
+export type EngineParts = {
+	readonly lease: UpstreamLease;
+	readonly weights: WeightManager;
+};
+
+export const createEngineParts = (node: Node, {id, upstream, platform}: AgentSettings, weightSettings: WeightSettings): EngineParts => {
+	const {
+		log, metrics, clock, random, keyValue, gossip, configuration, peerServer,
+	} = node;
+	const orderLock = upstream.orderLock === undefined ? undefined : new OrderLock(splitAddress(upstream.orderLock));
+	const lease = new UpstreamLease({
+		keyValue, vm: id, owner: `${id}/${gossip.self.incarnation}`, clock, log: log.part('lease'), metrics,
+		ttlMs: platform.leaseTtlMs, checksFencing: upstream.checksFencing, orderLock,
+	});
+	const {origin, ...settings} = weightSettings;
+	const weights = new WeightManager({
+		selfId: id, service: upstream.service, members: gossip, configuration, peerServer, settings, clock, random, log, metrics,
+		origin: new HttpWeightOrigin({address: origin}),
+		engine: new HttpModelEngine({address: upstream.address}),
+		fencing: lease.fencing,
+	});
+	return {lease, weights};
+};
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -4,9 +4,10 @@
 import process from 'node:process';
 import {Command} from 'commander';
 import {describeError, EXIT_CONFIGURATION, formatFault} from '@yuccawood/common';
+import {drainOnSignals} from '@yuccawood/lifecycle';
 import {checkSettings} from './check-settings.js';
-import {runAgent} from './run-agent.js';
-import {runEntry} from './run-entry.js';
+import {AgentProcess} from './agent-process.js';
+import {EntryProcess} from './entry-process.js';
 import type {Settings} from './types.js';
 
 const loadSettings = async (file: string): Promise<Settings | undefined> => {
@@ -41,7 +42,10 @@
 		return 0;
 	}
 
-	await (settings.role === 'entry' ? runEntry(settings) : runAgent(settings));
+	const daemon = settings.role === 'entry' ? new EntryProcess(settings) : new AgentProcess(settings);
+	drainOnSignals({lifecycle: {drain: daemon.node.leave}, source: process});
+	await daemon.start();
+	await daemon.stopped;
 	return 0;
 };
 
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -4,17 +4,27 @@
 	createLog, PeerClient, PeerServer, SystemClock, systemRandom, type Clock, type Log, type Random,
 } from '@yuccawood/common';
 import {ConfigurationDistributor} from '@yuccawood/configuration';
-import {drainOnSignals, ProcessLifecycle, type LeaveSign} from '@yuccawood/lifecycle';
+import {ProcessLifecycle, type LeaveSign} from '@yuccawood/lifecycle';
 import {Gossip, type Role, type UpstreamSummary} from '@yuccawood/membership';
 import {HttpKeyValueService, HttpVmList, type KeyValueService} from '@yuccawood/platform';
 import {splitAddress} from './split-address.js';
 import {ProcessMetrics} from './process-metrics.js';
 import type {ProcessSettings, StatusReport} from './types.js';
 
+/** Time, randomness and the network; tests replace them to hold them still or to record them. */
+export type Environment = {
+	readonly log: Log;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly keyValue: KeyValueService;
+	readonly peerClient: PeerClient;
+};
+
 export type NodeOptions = {
 	readonly settings: ProcessSettings;
 	readonly role: Role;
 	readonly upstream?: UpstreamSummary;
+	readonly environment?: Partial<Environment>;
 };
 
 /** One process of the system: its servers, its member table, its configuration and its phase. */
@@ -22,8 +32,8 @@
 	readonly settings: ProcessSettings;
 	readonly log: Log;
 	readonly metrics: ProcessMetrics;
-	readonly clock: Clock = new SystemClock();
-	readonly random: Random = systemRandom();
+	readonly clock: Clock;
+	readonly random: Random;
 	readonly peerServer = new PeerServer();
 	readonly peerClient: PeerClient;
 	readonly keyValue: KeyValueService;
@@ -34,17 +44,19 @@
 	readonly #ended = new AbortController();
 	#clientBytes = 0;
 
-	constructor({settings, role, upstream}: NodeOptions) {
+	constructor({settings, role, upstream, environment = {}}: NodeOptions) {
 		this.settings = settings;
 		this.#role = role;
-		this.log = createLog({...settings.log, fields: {vm: settings.id}});
+		this.log = environment.log ?? createLog({...settings.log, fields: {vm: settings.id}});
+		this.clock = environment.clock ?? new SystemClock();
+		this.random = environment.random ?? systemRandom();
 		this.metrics = new ProcessMetrics(settings);
-		this.peerClient = new PeerClient({
+		this.peerClient = environment.peerClient ?? new PeerClient({
 			onControlBytes: bytes => {
 				this.#clientBytes += bytes;
 			},
 		});
-		this.keyValue = new HttpKeyValueService({address: settings.platform.keyValue});
+		this.keyValue = environment.keyValue ?? new HttpKeyValueService({address: settings.platform.keyValue});
 		this.lifecycle = new ProcessLifecycle({log: this.log.part('lifecycle')});
 		this.gossip = this.#createGossip(upstream);
 		this.configuration = new ConfigurationDistributor({
@@ -61,7 +73,6 @@
 	/** Listens for peers, joins the other members and starts to obtain the configuration. */
 	async start(): Promise<void> {
 		const {host, port} = splitAddress(this.settings.peer.listen);
-		drainOnSignals({lifecycle: {drain: this.leave}, source: process});
 		await this.peerServer.listen(host, port);
 		await this.gossip.start(this.signal);
 		await this.configuration.start(this.signal);
