--- a/packages/common/src/publisher.ts
+++ b/packages/common/src/publisher.ts
@@ -1,5 +1,8 @@
 import {from, type Stream} from 'most';
 
+/** The key that most looks for; importing most defines it, because Node.js does not. */
+const OBSERVABLE = (Symbol as unknown as {readonly observable: symbol}).observable;
+
 type Listener<Item> = (item: Item) => void;
 
 /** A source of events. Its owner publishes; other slices read `changes` as a stream or subscribe directly. */
@@ -15,8 +18,7 @@
 
 		const observable = {
 			subscribe,
-			[Symbol.for('observable')]: () => observable,
-			'@@observable': () => observable,
+			[OBSERVABLE]: () => observable,
 		};
 		return from(observable as unknown as readonly Item[]);
 	}
--- /dev/null
+++ b/packages/configuration/src/archive.ts
@@ -0,0 +1,139 @@
+/**
+Audit entries that no longer fit in the head.
+
+Each archive key is named by the first revision that it holds. Entries never change and there is one for each
+revision, so two writers that archive at the same time write the same entries; they may only differ in how many.
+The key that was created first counts.
+*/
+import {
+	Err, Ok, type Result,
+} from '@yuccawood/common';
+import type {KeyValueService, PlatformError} from '@yuccawood/platform';
+import {
+	ARCHIVE_BATCH, ARCHIVE_PREFIX, MAX_HEAD_BYTES, MAX_HEAD_EDITS,
+} from './constants.js';
+import {ConfigurationError} from './errors.js';
+import {byteLength, encodeHead} from './head.js';
+import {boundedCall, type TimeLimit} from './key-value-calls.js';
+import type {AuditEntry, Head} from './types.js';
+
+type Archive = {
+	readonly edits: readonly AuditEntry[];
+
+	/** First revision of the archive before this one. */
+	readonly previous?: number;
+};
+
+type Store = {readonly keyValue: KeyValueService; readonly limit: TimeLimit};
+
+const archiveKey = (revision: number): string => `${ARCHIVE_PREFIX}${revision}`;
+
+const timeoutError = (cause: PlatformError): ConfigurationError => new ConfigurationError({
+	kind: 'timeout', detail: `The audit archive did not answer: ${cause.message}`, remedy: 'Try again when the key-value service answers.', cause,
+});
+
+/** Reads one archive, repeating failed reads within the time limit. */
+const readArchive = async ({keyValue, limit}: Store, revision: number): Promise<Result<Archive | undefined, ConfigurationError>> => {
+	for (;;) {
+		const outcome = await boundedCall(async () => keyValue.read(archiveKey(revision)), limit.callMs);
+		if (outcome.ok) {
+			return Ok(outcome.val ? JSON.parse(outcome.val.value) as Archive : undefined);
+		}
+
+		if (limit.hasPassed) {
+			return Err(timeoutError(outcome.val));
+		}
+
+		await limit.pause();
+	}
+};
+
+/** Creates an archive unless it exists. @returns the archive that counts. */
+const createArchive = async (store: Store, revision: number, archive: Archive): Promise<Result<Archive, ConfigurationError>> => {
+	for (;;) {
+		const outcome = await boundedCall(
+			async () => store.keyValue.write(archiveKey(revision), JSON.stringify(archive), {expectedVersion: 0}),
+			store.limit.callMs,
+		);
+		if (outcome.ok) {
+			return Ok(archive);
+		}
+
+		if (outcome.val.kind === 'conflict') {
+			const existing = await readArchive(store, revision);
+			return existing.map(found => found ?? archive);
+		}
+
+		if (store.limit.hasPassed) {
+			return Err(timeoutError(outcome.val));
+		}
+
+		await store.limit.pause();
+	}
+};
+
+const needsArchive = (head: Head): boolean => head.edits.length > MAX_HEAD_EDITS || byteLength(encodeHead(head)) > MAX_HEAD_BYTES;
+
+/**
+Moves the oldest audit entries to archive keys until the head fits. The newest entry always stays in the head.
+
+Errors: `too-large` when it does not fit even so, `timeout`.
+*/
+export const archiveOldEdits = async (store: Store, head: Head): Promise<Result<Head, ConfigurationError>> => {
+	let current = head;
+	while (needsArchive(current)) {
+		const {floor, edits, lastArchive} = current;
+		const oldest = edits.slice(0, Math.min(ARCHIVE_BATCH, edits.length - 1));
+		if (oldest.length === 0) {
+			return Err(new ConfigurationError({
+				kind: 'too-large',
+				detail: `The document would take ${byteLength(encodeHead(current))} bytes with the record of this edit; the limit is ${MAX_HEAD_BYTES}.`,
+				remedy: 'Remove sections that are no longer used, or shorten this one.',
+			}));
+		}
+
+		const created = await createArchive(store, floor, {edits: oldest, ...(lastArchive !== undefined && {previous: lastArchive})});
+		if (created.err) {
+			return created;
+		}
+
+		const count = created.val.edits.length;
+		current = {
+			...current, edits: edits.slice(count), floor: floor + count, lastArchive: floor,
+		};
+	}
+
+	return Ok(current);
+};
+
+/**
+Audit entries from the newest to the oldest, down to revision `downTo`, and the head's own first.
+
+Stops early when `isEnough` holds for the entries found so far.
+*/
+export const collectEdits = async (store: Store, head: Head, {downTo = 1, isEnough = () => false}: {
+	readonly downTo?: number;
+	readonly isEnough?: (edits: readonly AuditEntry[]) => boolean;
+} = {}): Promise<Result<readonly AuditEntry[], ConfigurationError>> => {
+	const found = [...head.edits].reverse();
+	let next = head.lastArchive;
+	let {floor} = head;
+	while (next !== undefined && floor > downTo && !isEnough(found)) {
+		const outcome = await readArchive(store, next);
+		if (outcome.err) {
+			return outcome;
+		}
+
+		if (!outcome.val) {
+			return Err(new ConfigurationError({
+				kind: 'corrupt', detail: `The audit archive ${archiveKey(next)} is missing.`, remedy: 'Restore it from a backup of the key-value service.',
+			}));
+		}
+
+		found.push(...[...outcome.val.edits].reverse());
+		floor = next;
+		next = outcome.val.previous;
+	}
+
+	return Ok(found.filter(({revision}) => revision >= downTo));
+};
--- a/packages/configuration/src/types.ts
+++ b/packages/configuration/src/types.ts
@@ -71,3 +71,55 @@
 	/** Configurations as they come into force, in rising order of revision. */
 	readonly changes: Stream<ConfigurationInForce>;
 }
+
+/** One section as its owners wrote it, without its header line. */
+export type SectionText = {
+	readonly text: string;
+
+	/** Revision of the document that last changed this section. */
+	readonly revision: number;
+};
+
+/** Sections by name. */
+export type Sections = Readonly<Record<string, SectionText>>;
+
+/** A whole document at one revision. */
+export type Snapshot = {
+	readonly revision: number;
+	readonly sections: Sections;
+};
+
+/** A change of one section. */
+export type Edit = {
+	/** Unique; finds the edit again when the answer to its write was lost. */
+	readonly editId: string;
+	readonly author: string;
+	readonly team: string;
+	readonly section: string;
+
+	/** Revision of the section that the author has read; 0 when it did not exist. */
+	readonly baseRevision: number;
+
+	/** New text without or with the header line; absent to remove the section. */
+	readonly text?: string;
+};
+
+/** Record of one accepted edit. The section `*` stands for the whole first document. */
+export type AuditEntry = Edit & {
+	readonly revision: number;
+
+	/** Wall-clock time of the writer in milliseconds since the epoch. */
+	readonly time: number;
+};
+
+/** Value of the head key. */
+export type Head = Snapshot & {
+	/** Newest audit entries, one for each revision, in rising order. */
+	readonly edits: readonly AuditEntry[];
+
+	/** Lowest revision whose audit entry is in `edits` or still to come; older ones are in archive keys. */
+	readonly floor: number;
+
+	/** First revision of the newest archive key; each archive names the one before it. */
+	readonly lastArchive?: number;
+};
