Add manifests, chunk exchange and activation for agents

Agents had no way to bring a configured version to their engine.

Each chunk is fetched along a binary tree in rendezvous order, verified by hash before it is stored, handed to the engine, and the version is activated after the engine confirmed the manifest hash. Interim responses (102) show that a peer that holds a request is alive; a plain timeout was ruled out because a queued upload looks like a stall.

--- /dev/null
+++ b/packages/weights/src/chunk-fetcher.ts
@@ -0,0 +1,212 @@
+/** Fetches one chunk at a time from the source that the plan assigns, and passes over sources that fail. */
+import type {
+	Clock, Log, Metrics, Random, Result,
+} from '@yuccawood/common';
+import type {MemberTable} from '@yuccawood/membership';
+import type {WeightOrigin} from '@yuccawood/platform';
+import {
+	ABSENT_PATIENCE_MS, AVOID_ABSENT_MS, AVOID_CORRUPT_MS, AVOID_STALLED_MS, MAX_ORIGIN_RETRY_MS, ORIGIN_READERS_AT_BALANCE_1, ORIGIN_RETRY_MS,
+	ORIGIN_TIMEOUT_MS, PATIENCE_AT_BALANCE_0_MS, PATIENCE_AT_BALANCE_1_MS,
+} from './constants.js';
+import type {Avoidance} from './avoidance.js';
+import {
+	listParticipants, planSource, type Plan, type Source,
+} from './fetch-plan.js';
+import type {PeerChunkClient} from './peer-chunk-client.js';
+import type {TokenBucket} from './token-bucket.js';
+import {verifyChunk, type VerifiedChunk} from './verified-chunk.js';
+
+export type ChunkFetcherOptions = {
+	readonly selfId: string;
+	readonly service: string;
+	readonly storeRegion: string;
+	readonly members: MemberTable;
+	readonly origin: WeightOrigin;
+	readonly peers: PeerChunkClient;
+	readonly avoidance: Avoidance;
+	readonly link: TokenBucket;
+	readonly crossRegionLink: TokenBucket;
+	readonly originLink: TokenBucket;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly metrics: Metrics;
+
+	/** `rollout.balance` in force, from 0 to 1. */
+	readonly balance: () => number;
+};
+
+export type ChunkTask = {
+	readonly manifest: string;
+	readonly hash: string;
+	readonly sizeBytes: number;
+
+	/** Waits until this member may read the chunk from the origin. */
+	readonly originTurn: () => Promise<void>;
+	readonly signal: AbortSignal;
+};
+
+/** What one fetch has met so far. */
+type FetchState = {
+	readonly startedAt: number;
+	waitingFor?: string;
+	waitingSince: number;
+	originFailures: number;
+};
+
+/** Members of the store's region that may read a chunk from the origin: one up to balance 0.5, then more. */
+export const countOriginReaders = (balance: number): number => 1 + Math.round(Math.max(0, (balance - 0.5) * 2) * (ORIGIN_READERS_AT_BALANCE_1 - 1));
+
+/** Longest wait for a parent that answers but has not got the chunk, in milliseconds. */
+export const patienceMs = (balance: number): number => PATIENCE_AT_BALANCE_0_MS * ((PATIENCE_AT_BALANCE_1_MS / PATIENCE_AT_BALANCE_0_MS) ** balance);
+
+export class ChunkFetcher {
+	readonly #options: ChunkFetcherOptions;
+
+	constructor(options: ChunkFetcherOptions) {
+		this.#options = options;
+	}
+
+	/** @returns the chunk, or nothing when the signal aborted. */
+	async fetch(task: ChunkTask): Promise<VerifiedChunk | undefined> {
+		const {clock, avoidance} = this.#options;
+		const state: FetchState = {startedAt: clock.monotonic(), waitingSince: 0, originFailures: 0};
+		try {
+			while (!task.signal.aborted) {
+				const plan = this.#plan(task);
+				const chunk = plan.source.kind === 'origin' ? await this.#readOrigin(task, state) : await this.#askPeer(task, plan, plan.source, state);
+				if (chunk) {
+					return chunk;
+				}
+			}
+
+			return undefined;
+		} finally {
+			avoidance.clear(task.hash);
+		}
+	}
+
+	#plan({hash, manifest}: ChunkTask): Plan {
+		const {selfId, service, storeRegion, members, avoidance, balance} = this.#options;
+		return planSource({
+			chunk: hash,
+			manifest,
+			selfId,
+			region: members.self.region,
+			storeRegion,
+			participants: listParticipants(members.members, {selfId, service, manifest}),
+			isAvoided: id => avoidance.isAvoided(id) || avoidance.isAvoided(id, manifest) || avoidance.isAvoided(id, hash),
+			originReaders: countOriginReaders(balance()),
+		});
+	}
+
+	async #readOrigin({hash, sizeBytes, originTurn, signal}: ChunkTask, state: FetchState): Promise<VerifiedChunk | undefined> {
+		const {origin, link, originLink, metrics, log} = this.#options;
+		await originTurn();
+		await originLink.take(sizeBytes, signal);
+		await link.take(sizeBytes, signal);
+		if (signal.aborted) {
+			return undefined;
+		}
+
+		const result = await origin.chunk(hash, AbortSignal.any([signal, AbortSignal.timeout(ORIGIN_TIMEOUT_MS)]));
+		if (signal.aborted) {
+			return undefined;
+		}
+
+		if (result.ok) {
+			metrics.count('weights.origin_bytes', {}, result.val.byteLength);
+			const checked = await verifyChunk(hash, sizeBytes, result.val);
+			if (checked.ok) {
+				return checked.val;
+			}
+
+			metrics.count('weights.corrupt_chunks', {source: 'origin'});
+		}
+
+		log.warn('The origin did not return a valid chunk; trying again.', {chunk: hash, error: describeFailure(result)});
+		await this.#pauseForOrigin(hash, state, signal);
+		return undefined;
+	}
+
+	/** Pauses after a failed read, and asks members again that were passed over for this chunk: they may have it by now. */
+	async #pauseForOrigin(hash: string, state: FetchState, signal: AbortSignal): Promise<void> {
+		const {clock, random, avoidance} = this.#options;
+		const pauseMs = Math.min(MAX_ORIGIN_RETRY_MS, ORIGIN_RETRY_MS * (2 ** state.originFailures));
+		state.originFailures++;
+		await clock.sleep(pauseMs * (0.5 + random.next()), signal);
+		avoidance.clear(hash);
+	}
+
+	async #askPeer(task: ChunkTask, plan: Plan, source: Extract<Source, {kind: 'peer'}>, state: FetchState): Promise<VerifiedChunk | undefined> {
+		const {peers, link, crossRegionLink, metrics} = this.#options;
+		const {hash, sizeBytes, signal} = task;
+		if (state.waitingFor !== source.id) {
+			state.waitingFor = source.id;
+			state.waitingSince = this.#options.clock.monotonic();
+		}
+
+		const buckets = source.isCrossRegion ? [link, crossRegionLink] : [link];
+		const answer = await peers.fetchChunk(source.address, {
+			hash, sizeBytes, buckets, signal,
+		});
+		if (signal.aborted) {
+			return undefined;
+		}
+
+		if (answer.kind === 'chunk') {
+			metrics.count('weights.peer_bytes', {crossRegion: String(source.isCrossRegion)}, sizeBytes);
+			return answer.chunk;
+		}
+
+		this.#passOver(task, plan, {id: source.id, answer: answer.kind, waitedMs: this.#options.clock.monotonic() - state.waitingSince});
+		if ('detail' in answer) {
+			this.#options.log.info('A peer did not send a chunk; asking another one.', {
+				peer: source.id, chunk: hash, answer: answer.kind, detail: answer.detail,
+			});
+		}
+
+		return undefined;
+	}
+
+	/** Decides whether the source is asked again or passed over for a while. */
+	#passOver({hash, manifest}: ChunkTask, {position}: Plan, {id, answer, waitedMs}: {
+		readonly id: string;
+		readonly answer: 'pending' | 'absent' | 'corrupt' | 'failed';
+		readonly waitedMs: number;
+	}): void {
+		const {avoidance, random, metrics, balance} = this.#options;
+
+		// Members at a later position wait longer, and chance spreads those at the same one.
+		const spread = (1 + (Math.log2(position + 1) / 2)) * (0.75 + (random.next() / 2));
+		switch (answer) {
+			case 'corrupt': {
+				metrics.count('weights.corrupt_chunks', {source: 'peer'});
+				avoidance.avoid(id, AVOID_CORRUPT_MS);
+				return;
+			}
+
+			case 'failed': {
+				metrics.count('weights.failed_peers');
+				avoidance.avoid(id, AVOID_STALLED_MS);
+				return;
+			}
+
+			case 'absent': {
+				if (waitedMs > ABSENT_PATIENCE_MS * spread) {
+					avoidance.avoid(id, AVOID_ABSENT_MS, manifest);
+				}
+
+				return;
+			}
+
+			case 'pending': {
+				if (waitedMs > patienceMs(balance()) * spread) {
+					avoidance.avoid(id, AVOID_STALLED_MS, hash);
+				}
+			}
+		}
+	}
+}
+
+const describeFailure = (result: Result<unknown, {readonly message: string}>): string => result.ok ? 'the bytes are corrupt' : result.val.message;
--- /dev/null
+++ b/packages/weights/src/engine-monitor.ts
@@ -0,0 +1,54 @@
+/** Follows the state of the engine by polling it. */
+import type {Log} from '@yuccawood/common';
+import type {EngineState, LoadedVersion, ModelEngine} from '@yuccawood/platform';
+import {ENGINE_DOWN_AFTER_POLLS} from './constants.js';
+
+export class EngineMonitor {
+	readonly #engine: ModelEngine;
+	readonly #log: Log;
+	#state: EngineState | undefined;
+	#failedPolls = 0;
+
+	constructor({engine, log}: {readonly engine: ModelEngine; readonly log: Log}) {
+		this.#engine = engine;
+		this.#log = log;
+	}
+
+	/** The last state; nothing while the engine is down. */
+	get state(): EngineState | undefined {
+		return this.#state;
+	}
+
+	get versions(): readonly LoadedVersion[] {
+		return this.#state?.versions ?? [];
+	}
+
+	/** Asks the engine for its state. An engine that refuses connections is down; one answer that is late is not enough. */
+	async refresh(): Promise<void> {
+		const result = await this.#engine.state();
+		if (result.ok) {
+			if (this.#state && this.#state.incarnation !== result.val.incarnation) {
+				this.#log.warn('The engine has restarted.', {incarnation: result.val.incarnation});
+			}
+
+			this.#failedPolls = 0;
+			this.#state = result.val;
+			return;
+		}
+
+		this.#failedPolls++;
+		if (this.#state && (result.val.kind === 'unavailable' || this.#failedPolls >= ENGINE_DOWN_AFTER_POLLS)) {
+			this.#log.warn('The engine is down.', {error: result.val.message});
+			this.#state = undefined;
+		}
+	}
+
+	async isLoaded(manifest: string): Promise<boolean> {
+		await this.refresh();
+		return this.versions.some(version => version.manifest === manifest);
+	}
+
+	isActive(manifest: string): boolean {
+		return this.versions.some(version => version.active && version.manifest === manifest);
+	}
+}
--- /dev/null
+++ b/packages/weights/src/exchange.ts
@@ -0,0 +1,69 @@
+/** Assembles the parts that move manifests and chunks between the origin, the peers and this process. */
+import type {Clock, Log, Random} from '@yuccawood/common';
+import {Avoidance} from './avoidance.js';
+import {ChunkFetcher} from './chunk-fetcher.js';
+import {ChunkServer} from './chunk-server.js';
+import {ChunkStore} from './chunk-store.js';
+import {LinkBudget} from './link-budget.js';
+import {ManifestFetcher} from './manifest-fetcher.js';
+import {ManifestLibrary} from './manifest-library.js';
+import {PeerChunkClient} from './peer-chunk-client.js';
+import {TokenBucket} from './token-bucket.js';
+import type {WeightManagerOptions} from './types.js';
+import {UploadQueue} from './upload-queue.js';
+
+const DEFAULT_BALANCE = 0.5;
+
+export class Exchange {
+	readonly store: ChunkStore;
+	readonly library = new ManifestLibrary();
+	readonly budget: LinkBudget;
+	readonly chunks: ChunkFetcher;
+	readonly manifests: ManifestFetcher;
+	readonly #peers: PeerChunkClient;
+
+	constructor(options: WeightManagerOptions & {readonly clock: Clock; readonly random: Random; readonly log: Log}) {
+		const {selfId, members, configuration, peerServer, settings, clock, metrics} = options;
+		const {
+			linkBytesPerSecond = Number.POSITIVE_INFINITY, crossRegionBytesPerSecond = Number.POSITIVE_INFINITY,
+			originBytesPerSecond = Number.POSITIVE_INFINITY, storeRegion, storeBytes,
+		} = settings;
+		this.store = new ChunkStore({limitBytes: storeBytes});
+		this.budget = new LinkBudget({clock, bytesPerSecond: linkBytesPerSecond});
+		this.#peers = new PeerChunkClient({selfId});
+		const linkRate = (): number => this.budget.bytesPerSecond;
+
+		// All members of the region read from the store's region at the same time, each its part of the chunks.
+		const crossRegionRate = (): number => {
+			const {region} = members.self;
+			const sharers = members.members.filter(member => member.role === 'agent' && member.region === region).length;
+			return crossRegionBytesPerSecond / Math.max(1, sharers);
+		};
+
+		const shared = {
+			...options,
+			storeRegion,
+			peers: this.#peers,
+			avoidance: new Avoidance(clock),
+		};
+		this.manifests = new ManifestFetcher({...shared, library: this.library});
+		this.chunks = new ChunkFetcher({
+			...shared,
+			link: new TokenBucket({clock, bytesPerSecond: linkRate}),
+			crossRegionLink: new TokenBucket({clock, bytesPerSecond: crossRegionRate}),
+			originLink: new TokenBucket({clock, bytesPerSecond: () => originBytesPerSecond}),
+			balance: () => configuration.current?.configuration.rollout.balance ?? DEFAULT_BALANCE,
+		});
+		new ChunkServer({
+			store: this.store,
+			manifests: this.library,
+			uploads: new UploadQueue({clock}),
+			bucket: new TokenBucket({clock, bytesPerSecond: linkRate}),
+			metrics,
+		}).register(peerServer);
+	}
+
+	async close(): Promise<void> {
+		await this.#peers.close();
+	}
+}
--- /dev/null
+++ b/packages/weights/src/fetch-plan.ts
@@ -0,0 +1,79 @@
+/** Assignment of chunk sources: a binary tree for each chunk over the members of a region, in rendezvous order. */
+import {rank} from '@yuccawood/common';
+import type {MemberRecord} from '@yuccawood/membership';
+
+/** Where a member fetches a chunk from. */
+export type Source = {readonly kind: 'origin'} | {readonly kind: 'peer'; readonly id: string; readonly address: string; readonly isCrossRegion: boolean};
+
+export type PlanOptions = {
+	readonly chunk: string;
+	readonly manifest: string;
+	readonly selfId: string;
+	readonly region: string;
+	readonly storeRegion: string;
+
+	/** Members that take part in the version, this one included. */
+	readonly participants: readonly MemberRecord[];
+
+	/** Members that are passed over for now. */
+	readonly isAvoided: (id: string) => boolean;
+
+	/** Members of the store's region that may read the chunk from the origin. */
+	readonly originReaders: number;
+};
+
+export type Plan = {
+	readonly source: Source;
+
+	/** Position of this member in its region's order for the chunk. */
+	readonly position: number;
+};
+
+/** Position of the parent in the binary tree; the root has none. */
+export const parentPosition = (position: number): number | undefined => position === 0 ? undefined : Math.floor((position - 1) / 2);
+
+/**
+Members that hold or fetch a version: live agents of the service's engines.
+
+A member that answers with the version but does not hold its chunks has nothing to send and nothing to fetch.
+*/
+export const listParticipants = (members: readonly MemberRecord[], {selfId, service, manifest}: {
+	readonly selfId: string;
+	readonly service: string;
+	readonly manifest: string;
+}): readonly MemberRecord[] => members.filter(({id, role, status, upstream}) => {
+	if (id === selfId) {
+		return true;
+	}
+
+	if (role !== 'agent' || status !== 'alive' || upstream?.kind !== 'engine' || upstream.service !== service) {
+		return false;
+	}
+
+	return upstream.held.includes(manifest) || !upstream.served.some(served => served.manifest === manifest);
+});
+
+const peerSource = (member: MemberRecord, region: string): Source => ({
+	kind: 'peer', id: member.id, address: member.address, isCrossRegion: member.region !== region,
+});
+
+/** Chooses the source of a chunk for this member. */
+export const planSource = ({chunk, manifest, selfId, region, storeRegion, participants, isAvoided, originReaders}: PlanOptions): Plan => {
+	const usable = participants.filter(({id}) => id === selfId || !isAvoided(id));
+	const byId = new Map(usable.map(member => [member.id, member]));
+	const orderOf = (members: readonly MemberRecord[]): readonly string[] => rank(chunk, members.map(({id}) => id));
+	const local = usable.filter(member => member.region === region || member.id === selfId);
+	const order = orderOf(local);
+	const position = order.indexOf(selfId);
+	const isReader = position === 0 || (region === storeRegion && position < originReaders);
+	if (!isReader) {
+		return {source: peerSource(byId.get(order[parentPosition(position)!])!, region), position};
+	}
+
+	const isHolder = ({id, upstream}: MemberRecord): boolean => id !== selfId && (upstream?.held.includes(manifest) ?? false);
+	const localHolders = local.filter(member => isHolder(member));
+	const remote = region === storeRegion ? [] : usable.filter(member => member.region === storeRegion);
+	const candidates = localHolders.length > 0 ? localHolders : remote;
+	const first = orderOf(candidates).at(0);
+	return {source: first === undefined ? {kind: 'origin'} : peerSource(byId.get(first)!, region), position};
+};
--- /dev/null
+++ b/packages/weights/src/manifest-fetcher.ts
@@ -0,0 +1,106 @@
+/** Fetches manifests along the same trees as chunks, so that the origin sends each one once. */
+import type {ChunkFetcherOptions} from './chunk-fetcher.js';
+import {
+	MAX_ORIGIN_RETRY_MS, ORIGIN_RETRY_MS, ORIGIN_TIMEOUT_MS,
+} from './constants.js';
+import {listParticipants, planSource, type Source} from './fetch-plan.js';
+import {checkSubject, parseManifest, type ManifestSubject} from './manifest.js';
+import type {KnownManifest, ManifestLibrary} from './manifest-library.js';
+
+/** Unanswered requests after which a member is passed over; the first ones cover the spread of a configuration edit. */
+const ATTEMPTS_PER_PEER = 2;
+const AVOID_MS = 5000;
+
+export type ManifestFetcherOptions = Pick<
+	ChunkFetcherOptions,
+	'selfId' | 'service' | 'storeRegion' | 'members' | 'origin' | 'peers' | 'avoidance' | 'clock' | 'random' | 'log' | 'metrics'
+> & {readonly library: ManifestLibrary};
+
+export class ManifestFetcher {
+	readonly #options: ManifestFetcherOptions;
+
+	constructor(options: ManifestFetcherOptions) {
+		this.#options = options;
+	}
+
+	/** @returns the manifest, or nothing when the signal aborted. A wrong manifest is reported and asked for again. */
+	async fetch(hash: string, subject: ManifestSubject, signal: AbortSignal): Promise<KnownManifest | undefined> {
+		const {library, clock, random, avoidance} = this.#options;
+		const attempts = new Map<string, number>();
+		let failures = 0;
+		while (!signal.aborted) {
+			const known = library.get(hash) ?? await this.#read(hash, attempts, signal);
+			if (known && this.#describes(known, subject)) {
+				return known;
+			}
+
+			if (known ?? this.#source(hash).kind === 'origin') {
+				await clock.sleep(Math.min(MAX_ORIGIN_RETRY_MS, ORIGIN_RETRY_MS * (2 ** failures++)) * (0.5 + random.next()), signal);
+				avoidance.clear(hash);
+				attempts.clear();
+			}
+		}
+
+		return undefined;
+	}
+
+	#describes({manifest}: KnownManifest, subject: ManifestSubject): boolean {
+		const checked = checkSubject(manifest, subject);
+		if (checked.err) {
+			this.#options.log.error(checked.val.message, {name: subject.name});
+		}
+
+		return checked.ok;
+	}
+
+	#source(hash: string): Source {
+		const {selfId, service, storeRegion, members, avoidance} = this.#options;
+		return planSource({
+			chunk: hash,
+			manifest: hash,
+			selfId,
+			region: members.self.region,
+			storeRegion,
+			participants: listParticipants(members.members, {selfId, service, manifest: hash}),
+			isAvoided: id => avoidance.isAvoided(id) || avoidance.isAvoided(id, hash),
+			originReaders: 1,
+		}).source;
+	}
+
+	async #read(hash: string, attempts: Map<string, number>, signal: AbortSignal): Promise<KnownManifest | undefined> {
+		const {peers, origin, library, log, avoidance, metrics} = this.#options;
+		const source = this.#source(hash);
+		const sender = source.kind === 'origin' ? 'origin' : source.id;
+		let bytes: Uint8Array | undefined;
+		if (source.kind === 'origin') {
+			const result = await origin.manifest(hash, AbortSignal.any([signal, AbortSignal.timeout(ORIGIN_TIMEOUT_MS)]));
+			bytes = result.ok ? result.val : undefined;
+			if (result.err && !signal.aborted) {
+				log.warn('The origin did not return a manifest; trying again.', {manifest: hash, error: result.val.message});
+			}
+		} else {
+			bytes = await peers.fetchManifest(source.address, hash, signal);
+		}
+
+		const parsed = bytes && parseManifest(bytes, hash);
+		if (parsed?.ok) {
+			const known: KnownManifest = {hash, manifest: parsed.val, bytes: bytes!};
+			library.add(known);
+			return known;
+		}
+
+		if (parsed?.err) {
+			metrics.count('weights.invalid_manifests', {kind: parsed.val.kind});
+			log.error(parsed.val.message, {sender});
+		}
+
+		if (source.kind === 'peer') {
+			attempts.set(sender, (attempts.get(sender) ?? 0) + 1);
+			if (parsed ?? attempts.get(sender)! >= ATTEMPTS_PER_PEER) {
+				avoidance.avoid(sender, AVOID_MS, hash);
+			}
+		}
+
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/weights/src/peer-chunk-client.ts
@@ -0,0 +1,113 @@
+/** Fetches chunks and manifests from peers. */
+import {Agent, request} from 'undici';
+import {describeError, readBody} from '@yuccawood/common';
+import {
+	HELD_WAIT_MS, MAX_MANIFEST_BYTES, STALL_WINDOW_MS,
+} from './constants.js';
+import {CHUNK_STATE_HEADER, REQUESTER_HEADER} from './chunk-server.js';
+import {ProgressWatch} from './progress-watch.js';
+import type {TokenBucket} from './token-bucket.js';
+import {ChunkAssembler, type VerifiedChunk} from './verified-chunk.js';
+
+/**
+Answer of a peer.
+
+- `pending`: the peer fetches the chunk itself and has not got it yet.
+- `absent`: the peer neither has the chunk nor fetches it.
+- `corrupt`: the peer sent other bytes.
+- `failed`: the peer is unreachable, did not answer in time or stalled.
+*/
+export type PeerAnswer =
+	{readonly kind: 'chunk'; readonly chunk: VerifiedChunk}
+	| {readonly kind: 'pending' | 'absent'}
+	| {readonly kind: 'corrupt' | 'failed'; readonly detail: string};
+
+export type PeerChunkClientOptions = {
+	readonly selfId: string;
+	readonly connectTimeoutMs?: number;
+	readonly heldWaitMs?: number;
+	readonly stallWindowMs?: number;
+};
+
+export class PeerChunkClient {
+	readonly #agent: Agent;
+	readonly #selfId: string;
+	readonly #heldWaitMs: number;
+	readonly #stallWindowMs: number;
+
+	constructor({selfId, connectTimeoutMs = 1000, heldWaitMs = HELD_WAIT_MS, stallWindowMs = STALL_WINDOW_MS}: PeerChunkClientOptions) {
+		this.#selfId = selfId;
+		this.#heldWaitMs = heldWaitMs;
+		this.#stallWindowMs = stallWindowMs;
+		this.#agent = new Agent({connect: {timeout: connectTimeoutMs}, keepAliveTimeout: 10_000, pipelining: 1});
+	}
+
+	/** Asks a peer for a chunk. The peer holds the request until it has the chunk or the wait ends. */
+	async fetchChunk(address: string, {hash, sizeBytes, buckets, signal}: {
+		readonly hash: string;
+		readonly sizeBytes: number;
+
+		/** Rate limits that the bytes must pass. */
+		readonly buckets: readonly TokenBucket[];
+		readonly signal: AbortSignal;
+	}): Promise<PeerAnswer> {
+		const watch = new ProgressWatch(this.#stallWindowMs);
+		const combined = AbortSignal.any([signal, watch.signal]);
+		watch.restart();
+		try {
+			const {statusCode, headers, body} = await request(`http://${address}/chunks/${hash}?wait=${this.#heldWaitMs}`, {
+				dispatcher: this.#agent, signal: combined, headers: {[REQUESTER_HEADER]: this.#selfId}, headersTimeout: 0, bodyTimeout: 0,
+				onInfo() {
+					watch.restart();
+				},
+			});
+			if (statusCode !== 200) {
+				await body.dump();
+				return statusCode === 404 ? {kind: headers[CHUNK_STATE_HEADER] === 'pending' ? 'pending' : 'absent'} : {kind: 'failed', detail: `status ${statusCode}`};
+			}
+
+			const assembler = new ChunkAssembler(hash, sizeBytes);
+			watch.restart();
+			for await (const part of body as AsyncIterable<Uint8Array>) {
+				watch.stop();
+				if (!assembler.add(part)) {
+					return {kind: 'corrupt', detail: `more than ${sizeBytes} bytes`};
+				}
+
+				for (const bucket of buckets) {
+					await bucket.take(part.byteLength, signal);
+				}
+
+				watch.restart();
+			}
+
+			const result = assembler.finish();
+			return result.ok ? {kind: 'chunk', chunk: result.val} : {kind: 'corrupt', detail: result.val.message};
+		} catch (error) {
+			return {kind: 'failed', detail: describeError(watch.signal.aborted ? watch.signal.reason : error)};
+		} finally {
+			watch.stop();
+		}
+	}
+
+	/** @returns the bytes of a manifest as the peer sent them, or nothing when it does not know or does not answer. */
+	async fetchManifest(address: string, hash: string, signal: AbortSignal): Promise<Uint8Array | undefined> {
+		try {
+			const {statusCode, body} = await request(`http://${address}/manifests/${hash}?wait=${this.#heldWaitMs}`, {
+				dispatcher: this.#agent, signal: AbortSignal.any([signal, AbortSignal.timeout(this.#heldWaitMs + this.#stallWindowMs)]),
+			});
+			if (statusCode === 200) {
+				return await readBody(body, MAX_MANIFEST_BYTES);
+			}
+
+			await body.dump();
+			return undefined;
+		} catch {
+			return undefined;
+		}
+	}
+
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+}
