--- a/packages/requests/src/agent-requests.ts
+++ b/packages/requests/src/agent-requests.ts
@@ -4,22 +4,23 @@
 	SystemClock, type Clock, type Log, type Metrics, type PeerServer,
 } from '@yuccawood/common';
 import type {ServedVersion} from '@yuccawood/membership';
+import type {ModelEngine} from '@yuccawood/platform';
+import {refuseForwarded} from './agent-admission.js';
 import {readLimitedBody} from './call.js';
-import {ConnectionPools} from './connection-pools.js';
-import {MAX_FORWARDED_BODY_BYTES, RETRY_AFTER_SECONDS} from './constants.js';
-import {RequestError, type RequestErrorKind} from './errors.js';
+import {MAX_FORWARDED_BODY_BYTES} from './constants.js';
+import {RequestError} from './errors.js';
 import type {ExchangeRequest} from './exchange.js';
 import {parseForwardedHead, type ForwardedHead} from './forwarded-head.js';
 import {
-	INCARNATION, LOAD, REQUEST_ID, VM, appendRequestHeaders,
+	DEATH, DEATH_FINGERPRINTS, INCARNATION, LOAD, REQUEST_ID, VM, appendRequestHeaders,
 } from './headers.js';
 import {sendProblem, toRequestError} from './problem.js';
 import {RequestRecords, type RequestRecord} from './request-records.js';
-import {Supervisor} from './supervisor.js';
 import type {
-	AnswerQuestion, AnswerReply, SettleAnswer, SettleQuestion,
+	AnswerQuestion, AnswerReply, DeathReport, SettleAnswer, SettleQuestion,
 } from './types.js';
-import {UpstreamRun, type RunEnd} from './upstream-run.js';
+import {Upstream} from './upstream.js';
+import type {RunEnd} from './upstream-run.js';
 
 const PREFIX = '/requests';
 
@@ -45,6 +46,9 @@
 	/** Versions whose weights were verified and that the upstream answers with. */
 	readonly serving: () => readonly ServedVersion[];
 	readonly peerServer: PeerServer;
+
+	/** Tells how many requests the engine has, which tells silent connections from a slow engine. Absent for a plain service. */
+	readonly engine?: Pick<ModelEngine, 'state'>;
 	readonly log: Log;
 	readonly metrics: Metrics;
 	readonly clock?: Clock;
@@ -56,30 +60,28 @@
 	readonly onLiveBytes?: (bytes: number) => void;
 };
 
-const refusal = (kind: RequestErrorKind, detail: string): RequestError => new RequestError({
-	kind, detail, remedy: 'Send the request to another VM.', retryAfterSeconds: RETRY_AFTER_SECONDS,
-});
-
 export class AgentRequests {
 	readonly #options: AgentRequestsOptions;
 	readonly #clock: Clock;
 	readonly #records = new RequestRecords();
-	readonly #pools = new ConnectionPools();
-	readonly #supervisor: Supervisor;
+	readonly #upstream: Upstream;
 	readonly #limit: number;
 	#inProgress = 0;
 	#isRefusing = false;
 	#onIdle: Array<() => void> = [];
 
 	constructor(options: AgentRequestsOptions) {
-		const {clock = new SystemClock(), capacity, queueLimit = Math.ceil(capacity / 4), peerServer, log} = options;
+		const {
+			clock = new SystemClock(), capacity, queueLimit = Math.ceil(capacity / 4), peerServer, upstreamAddress, engine, onLiveLatency = () => undefined, onLiveBytes = () => undefined,
+		} = options;
 		this.#options = options;
 		this.#clock = clock;
 		this.#limit = capacity + queueLimit;
-		this.#supervisor = new Supervisor({clock, log});
-		this.#supervisor.start();
+		this.#upstream = new Upstream({
+			...options, address: upstreamAddress, clock, engine, records: this.#records, onLiveLatency, onLiveBytes,
+		});
 		peerServer.handle(`${PREFIX}/`, async (request, response) => this.#handle(request, response));
-		peerServer.method('requests.settle', (question: SettleQuestion) => this.#settle(question));
+		peerServer.method('requests.settle', async (question: SettleQuestion) => this.#settle(question));
 		peerServer.method('requests.answer', async (question: AnswerQuestion) => this.#answer(question));
 	}
 
@@ -109,8 +111,7 @@
 
 	/** Closes the connections to the upstream. Call `drain` before, so that nothing is cut. */
 	async close(): Promise<void> {
-		this.#supervisor.close();
-		await this.#pools.close();
+		await this.#upstream.close();
 	}
 
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -137,32 +138,16 @@
 		}
 	}
 
-	#refuse({requestId, vm, incarnation, model, pinnedVersion}: ForwardedHead): RequestError | undefined {
-		const {selfId, kind, serving, capacity} = this.#options;
-		if (vm !== selfId || incarnation !== this.#options.incarnation) {
-			return refusal('wrong-incarnation', 'The request is meant for another VM or an earlier incarnation.');
-		}
-
-		const known = this.#records.get(requestId);
-		if (known !== undefined || this.#records.isForgotten(requestId)) {
-			return new RequestError({
-				kind: 'tombstone', detail: 'The request was settled before it arrived.', remedy: 'Send a new request.', outcome: known?.state === 'not-run' ? 'not-run' : 'unknown',
-			});
-		}
-
-		if (this.#isRefusing) {
-			return refusal('leaving', 'This VM is leaving.');
-		}
-
-		if (this.#inProgress >= this.#limit) {
-			return refusal('overloaded', `This VM runs ${this.#inProgress} requests of ${capacity}.`);
-		}
-
-		if (kind === 'engine' && !serving().some(({name, manifest}) => name === model && (pinnedVersion === undefined || pinnedVersion === manifest))) {
-			return refusal('wrong-version', 'This VM does not serve the model in a verified version.');
-		}
-
-		return undefined;
+	#refuse(head: ForwardedHead): RequestError | undefined {
+		const {selfId, incarnation, kind, serving} = this.#options;
+		return refuseForwarded(head, {
+			selfId, incarnation, kind, serving,
+			records: this.#records,
+			inProgress: this.#inProgress,
+			limit: this.#limit,
+			isRefusing: this.#isRefusing,
+			upstream: this.#upstream,
+		});
 	}
 
 	async #run(head: ForwardedHead, request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -175,13 +160,10 @@
 		}
 
 		record.state = 'running';
-		const run = this.#createRun(head, {
-			record, response, deadlineAt, exchange: this.#exchangeRequest(head, request, body),
+		const end = await this.#upstream.run({
+			head, record, response, deadlineAt, request: this.#exchangeRequest(head, request, body), identity: () => this.#identity(head),
 		});
-		this.#supervisor.add(run);
-		const end = await run.run();
-		this.#supervisor.remove(run);
-		this.#report(end, head, response);
+		this.#report(end, head, {response, death: record.death});
 	}
 
 	async #receive(record: RequestRecord, request: IncomingMessage): Promise<Uint8Array | undefined> {
@@ -206,27 +188,13 @@
 		};
 	}
 
-	#createRun(head: ForwardedHead, {record, response, deadlineAt, exchange}: {
-		readonly record: RequestRecord;
-		readonly response: ServerResponse;
-		readonly deadlineAt: number;
-		readonly exchange: ExchangeRequest;
-	}): UpstreamRun {
-		const {kind, upstreamAddress, serving, onLiveLatency = () => undefined, onLiveBytes = () => undefined} = this.#options;
-		return new UpstreamRun({
-			head, kind, response, record, deadlineAt, serving,
-			request: exchange,
-			records: this.#records,
-			dispatcher: this.#pools.get(upstreamAddress),
-			identity: () => this.#identity(head),
-			now: this.#clock.monotonic,
-			onFirstByte: onLiveLatency,
-			onBytes: onLiveBytes,
-		});
-	}
-
-	#report(end: RunEnd, head: ForwardedHead, response: ServerResponse): void {
+	#report(end: RunEnd, head: ForwardedHead, {response, death}: {readonly response: ServerResponse; readonly death: DeathReport | undefined}): void {
 		this.#options.metrics.count('requests.upstream', {result: end.kind === 'failed' ? end.error.kind : end.kind});
+		if (death && death.fingerprints.length > 0 && !response.headersSent) {
+			response.setHeader(DEATH, death.deathId);
+			response.setHeader(DEATH_FINGERPRINTS, death.fingerprints.join(','));
+		}
+
 		if (end.kind === 'failed') {
 			this.#sendRefusal(response, head, end.error);
 		}
@@ -247,12 +215,13 @@
 		return [REQUEST_ID, requestId, VM, this.#options.selfId, INCARNATION, String(this.#options.incarnation), LOAD, String(this.#inProgress)];
 	}
 
-	#settle({requestId, incarnation}: SettleQuestion): SettleAnswer {
+	async #settle({requestId, incarnation}: SettleQuestion): Promise<SettleAnswer> {
+		await this.#upstream.inspected();
 		return incarnation === this.#options.incarnation ? this.#records.settle(requestId) : UNKNOWN;
 	}
 
 	async #answer({requestId, incarnation, waitMs}: AnswerQuestion): Promise<AnswerReply> {
-		const settled = this.#settle({requestId, incarnation});
+		const settled = await this.#settle({requestId, incarnation});
 		const record = this.#records.get(requestId);
 		if (settled.state === 'unknown' || !record) {
 			return settled;
--- a/packages/requests/src/attempt.ts
+++ b/packages/requests/src/attempt.ts
@@ -2,15 +2,16 @@
 import type {Dispatcher} from 'undici';
 import type {CallerResponse} from './caller-response.js';
 import type {Call} from './call.js';
-import {ARRIVAL_GRACE_MS, SILENCE_MS} from './constants.js';
+import {ARRIVAL_GRACE_MS, MAX_QUERY_INTERVAL_MS, SILENCE_MS} from './constants.js';
 import type {ExecutionOutcome} from './errors.js';
 import {Exchange, type ExchangeRequest, type ResponseSink} from './exchange.js';
 import {
-	INCARNATION, LOAD, OUTCOME, REASON, REQUEST_ID, VERSION, VM, single, type ResponseHeaders,
+	DEATH, DEATH_FINGERPRINTS, INCARNATION, LOAD, OUTCOME, REASON, REQUEST_ID, VERSION, VM, single, type ResponseHeaders,
 } from './headers.js';
 import type {Agent} from './router.js';
 import type {Settled} from './settlement.js';
 import type {Supervised} from './supervisor.js';
+import type {DeathReport} from './types.js';
 
 /**
 How an attempt ended.
@@ -27,8 +28,11 @@
 
 export type AttemptFailure =
 	| {readonly kind: 'not-sent'} | {readonly kind: 'settled-not-run'} | {readonly kind: 'unverified'}
-	| {readonly kind: 'rejected'; readonly reason: string; readonly outcome: ExecutionOutcome}
-	| {readonly kind: 'failed'; readonly cause: 'broken' | 'silent' | 'deadline'; readonly detail: string};
+	| {readonly kind: 'rejected'; readonly reason: string; readonly outcome: ExecutionOutcome; readonly death: DeathReport | undefined}
+	| {readonly kind: 'failed'; readonly cause: FailureCause; readonly detail: string};
+
+/** Why an attempt failed: a broken connection, one that carries no data, an agent that does not respond over new connections either, or the deadline. */
+export type FailureCause = 'broken' | 'silent' | 'agent-silent' | 'deadline';
 
 export type AttemptOptions = {
 	readonly call: Call;
@@ -81,7 +85,8 @@
 
 	onHead(status: number, headers: ResponseHeaders): void {
 		const {agent, call, response} = this.#options;
-		if (headers[REQUEST_ID] !== call.requestId || headers[VM] !== agent.id || headers[INCARNATION] !== String(agent.incarnation)) {
+		const isOtherIncarnation = headers[REASON] === 'wrong-incarnation';
+		if (headers[REQUEST_ID] !== call.requestId || (!isOtherIncarnation && (headers[VM] !== agent.id || headers[INCARNATION] !== String(agent.incarnation)))) {
 			this.#finish({kind: 'unverified'});
 			return;
 		}
@@ -89,7 +94,9 @@
 		agent.load.report(Number(headers[LOAD] ?? 0), this.#options.now());
 		const outcome = single(headers[OUTCOME]);
 		if (outcome !== undefined) {
-			this.#rejection = {kind: 'rejected', reason: single(headers[REASON]) ?? 'unknown', outcome: outcome as ExecutionOutcome};
+			this.#rejection = {
+				kind: 'rejected', reason: single(headers[REASON]) ?? 'unknown', outcome: outcome as ExecutionOutcome, death: readDeath(agent.id, headers),
+			};
 			return;
 		}
 
@@ -147,7 +154,8 @@
 		this.#isQuerying = true;
 		const settled = await this.#options.query();
 		await this.#judge(settled);
-		this.#nextQueryAt = this.#options.now() + SILENCE_MS;
+		// The first silent reply is followed up at once, to stay within the bound on silent connections.
+		this.#nextQueryAt = this.#options.now() + (settled.state === 'silent' ? 0 : MAX_QUERY_INTERVAL_MS);
 		this.#isQuerying = false;
 	}
 
@@ -160,14 +168,14 @@
 
 			case 'gone':
 			case 'unknown': {
-				this.#finish({kind: 'failed', cause: 'silent', detail: 'The agent was replaced.'});
+				this.#finish({kind: 'failed', cause: 'agent-silent', detail: 'The agent was replaced.'});
 				return;
 			}
 
 			case 'silent': {
 				this.#silentQueries++;
 				if (this.#silentQueries >= 2) {
-					this.#finish({kind: 'failed', cause: 'silent', detail: 'The agent does not respond over new connections either.'});
+					this.#finish({kind: 'failed', cause: 'agent-silent', detail: 'The agent does not respond over new connections either.'});
 				}
 
 				return;
@@ -224,3 +232,8 @@
 		this.#resolve(end);
 	}
 }
+
+const readDeath = (vm: string, headers: ResponseHeaders): DeathReport | undefined => {
+	const deathId = single(headers[DEATH]);
+	return deathId === undefined ? undefined : {deathId, vm, fingerprints: single(headers[DEATH_FINGERPRINTS])?.split(',') ?? []};
+};
--- a/packages/requests/src/call.ts
+++ b/packages/requests/src/call.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage} from 'node:http';
 import {fingerprint} from '@yuccawood/common';
 import type {Configuration, RouteConfiguration} from '@yuccawood/configuration';
-import {PREFIX_CHARACTERS} from './constants.js';
+import {parseChat, promptPrefix, type ChatBody} from './chat-body.js';
 import {RequestError} from './errors.js';
 import {DEADLINE_MS, VERSION, single} from './headers.js';
 
@@ -17,6 +17,9 @@
 	readonly rawHeaders: readonly string[];
 	readonly connection: string | undefined;
 	readonly body: Uint8Array | undefined;
+
+	/** The parsed body of a call to a model. */
+	readonly chat: ChatBody | undefined;
 	readonly target: Target;
 
 	/** Whether running the call twice does no harm. */
@@ -35,12 +38,6 @@
 	readonly pinnedVersion: string | undefined;
 };
 
-const MALFORMED_REMEDY = 'Send a JSON object with "model" and "messages" as in the chat-completions format.';
-
-const malformed = (detail: string, cause?: unknown): RequestError => new RequestError({
-	kind: 'malformed', detail, remedy: MALFORMED_REMEDY, cause,
-});
-
 const tooLarge = (limitBytes: number): RequestError => new RequestError({kind: 'body-too-large', detail: `The body exceeds the limit of ${limitBytes} bytes.`, remedy: 'Send a smaller body.'});
 
 /** Reads a body up to a limit. Rejects at once when the announced length exceeds it. */
@@ -95,54 +92,32 @@
 	return found;
 };
 
-type ChatBody = {readonly model: string; readonly messages: readonly unknown[]};
-
-const parseChat = (body: Uint8Array | undefined): ChatBody => {
-	if (!body) {
-		throw malformed('The request has no body.');
-	}
-
-	let parsed: unknown;
-	try {
-		parsed = JSON.parse(Buffer.from(body.buffer, body.byteOffset, body.byteLength).toString('utf8'));
-	} catch (error) {
-		throw malformed('The body is not valid JSON.', error);
-	}
-
-	const chat = parsed as Partial<ChatBody> | undefined;
-	if (typeof chat !== 'object' || chat === null || typeof chat.model !== 'string' || !Array.isArray(chat.messages)) {
-		throw malformed('The body lacks "model" or "messages".');
-	}
-
-	return chat as ChatBody;
-};
-
-const promptPrefix = (messages: readonly unknown[]): string => {
-	const first = messages[0] as {readonly content?: unknown} | undefined;
-	return typeof first?.content === 'string' ? first.content.slice(0, PREFIX_CHARACTERS) : '';
-};
-
 const isServed = (model: string, models: readonly string[], configuration: Configuration): boolean => models.includes(model)
 	|| configuration.models.some(({name, kind, base}) => kind === 'adapter' && name === model && base !== undefined && models.includes(base));
 
-type Destination = Pick<Call, 'target' | 'prefix' | 'repeatable'>;
+type Destination = Pick<Call, 'target' | 'chat' | 'prefix' | 'repeatable'>;
 
 const findDestination = ({method = 'GET'}: IncomingMessage, body: Uint8Array | undefined, route: RouteConfiguration, configuration: Configuration): Destination => {
 	if (route.target.kind === 'service') {
-		return {target: {kind: 'service', name: route.target.service}, prefix: undefined, repeatable: route.repeatableMethods.includes(method)};
+		return {
+			target: {kind: 'service', name: route.target.service}, chat: undefined, prefix: undefined, repeatable: route.repeatableMethods.includes(method),
+		};
 	}
 
 	if (method !== 'POST') {
-		throw malformed(`The route ${route.name} does not take ${method}.`);
+		throw new RequestError({kind: 'malformed', detail: `The route ${route.name} does not take ${method}.`, remedy: 'Use POST.'});
 	}
 
-	const {model, messages} = parseChat(body);
+	const chat = parseChat(body);
+	const {model} = chat;
 	if (!isServed(model, route.target.models, configuration)) {
 		throw new RequestError({kind: 'unknown-model', detail: `The route ${route.name} has no model "${model.slice(0, 100)}".`, remedy: `Use one of: ${route.target.models.join(', ')}.`});
 	}
 
 	// Generation has no side effects, so it may be repeated.
-	return {target: {kind: 'model', name: model}, prefix: promptPrefix(messages), repeatable: true};
+	return {
+		target: {kind: 'model', name: model}, chat, prefix: promptPrefix(chat), repeatable: true,
+	};
 };
 
 const readDeadline = (request: IncomingMessage, route: RouteConfiguration): number => {
--- a/packages/requests/src/caller-response.ts
+++ b/packages/requests/src/caller-response.ts
@@ -7,6 +7,9 @@
 import type {KeptAnswer} from './types.js';
 
 export class CallerResponse {
+	/** Id of the attempt that answers. */
+	requestId: string;
+
 	/** Body bytes passed on. */
 	bytesWritten = 0;
 
@@ -16,12 +19,11 @@
 	/** Called when the caller closes the connection before its answer is complete. */
 	onGone: (() => void) | undefined;
 	readonly #response: ServerResponse;
-	readonly #requestId: string;
 	#isEventStream = false;
 
 	constructor({response, requestId}: {readonly response: ServerResponse; readonly requestId: string}) {
 		this.#response = response;
-		this.#requestId = requestId;
+		this.requestId = requestId;
 		response.on('drain', () => {
 			this.onWritable?.();
 		});
@@ -42,7 +44,7 @@
 	}
 
 	begin(status: number, headers: ResponseHeaders): void {
-		const list = ['x-request-id', this.#requestId];
+		const list = ['x-request-id', this.requestId];
 		appendResponseHeaders(list, headers);
 		this.#isEventStream = single(headers['content-type'])?.startsWith('text/event-stream') ?? false;
 		this.#response.writeHead(status, list);
@@ -64,7 +66,7 @@
 	/** Writes the part of a kept answer that the caller has not received yet, and ends. */
 	finish({status, headers, body}: KeptAnswer): void {
 		if (!this.isBegun) {
-			this.#response.writeHead(status, ['x-request-id', this.#requestId, ...headers]);
+			this.#response.writeHead(status, ['x-request-id', this.requestId, ...headers]);
 		}
 
 		this.#response.end(Buffer.from(body, 'base64').subarray(this.bytesWritten));
@@ -77,6 +79,6 @@
 			return;
 		}
 
-		this.#response.end(errorEvent(error, this.#requestId));
+		this.#response.end(errorEvent(error, this.requestId));
 	}
 }
--- /dev/null
+++ b/packages/requests/src/claims.test.ts
@@ -0,0 +1,133 @@
+import {expect} from 'chai';
+import {delay} from '@yuccawood/common';
+import {HttpKeyValueService} from '@yuccawood/platform';
+import {KeyValueStandIn} from '@yuccawood/stand-ins';
+import {
+	Fleet, isLost, jsonOf, send, textOf, waitUntil, type Upstream,
+} from './fleet.test.js';
+import type {EntryServer} from './entry-server.js';
+
+describe('Claims', () => {
+	let fleet: Fleet;
+	let standIn: KeyValueStandIn;
+	let keyValue: HttpKeyValueService;
+	let upstream: Upstream;
+
+	beforeEach(async () => {
+		fleet = new Fleet();
+		standIn = new KeyValueStandIn();
+		keyValue = new HttpKeyValueService({address: await standIn.listen(), timeoutMs: 500});
+		fleet.keyValue = keyValue;
+		upstream = await fleet.upstream(async (_request, response, body) => {
+			await delay(body === 'slow' ? 300 : 0);
+			response.setHeader('x-order', '12');
+			response.end(`done ${body}`);
+		});
+	});
+
+	afterEach(async () => {
+		await fleet.close();
+		await keyValue.close();
+		await standIn.close();
+	});
+
+	const order = async (entry: EntryServer, body = 'rope', key = 'order-1'): ReturnType<typeof send> => send(entry, '/orders', {method: 'POST', body, headers: {'idempotency-key': key}});
+
+	const onlyClaim = async (): Promise<{readonly key: string; readonly value: string}> => {
+		const listed = await keyValue.list('claims/');
+		return (listed.val as ReadonlyArray<{readonly key: string; readonly value: string}>)[0];
+	};
+
+	/** Leaves the claim that an entry writes before it dies without forwarding the call. */
+	const claimWithoutForwarding = async (entry: EntryServer, vm: string): Promise<void> => {
+		await order(entry, 'rope', 'template');
+		const {key, value} = await onlyClaim();
+		await keyValue.remove(key);
+		await keyValue.write(key, JSON.stringify({
+			...JSON.parse(value) as Record<string, unknown>, nonce: 'dead-entry', requestId: 'entry-dead.1.1', vm, address: fleet.members.records.get(vm)!.address,
+		}));
+	};
+
+	it('repeats the finished answer through another entry instead of running the call again', async () => {
+		await fleet.agent('orders-1', upstream, {kind: 'service'});
+		const first = await order(await fleet.entry());
+		const second = await order(await fleet.entry());
+		expect([second.status, second.headers.get('x-order'), second.text]).to.deep.equal([200, '12', first.text]);
+		expect(upstream.seen).to.have.length(1);
+	});
+
+	it('runs a call once when its caller sends it to two entries at the same time', async () => {
+		await fleet.agent('orders-1', upstream, {kind: 'service'});
+		const [entry, other] = [await fleet.entry(), await fleet.entry()];
+		const replies = await Promise.all([entry, other, entry, other].map(async target => order(target, 'slow')));
+		expect(upstream.seen).to.have.length(1);
+		expect(replies.filter(({status}) => status === 200)).to.not.have.length(0);
+		expect(replies.every(({status}) => status === 200 || status === 409)).to.equal(true);
+	});
+
+	it('answers 409 while the call runs and repeats the answer later, although its first entry died', async () => {
+		await fleet.agent('orders-1', upstream, {kind: 'service'});
+		const [entry, other] = [await fleet.entry(), await fleet.entry()];
+		const lost = isLost(order(entry, 'slow'));
+		await waitUntil(() => upstream.seen.length === 1);
+		await entry.close();
+		expect(await lost).to.equal(true);
+		expect(await jsonOf(order(other, 'slow'))).to.include({status: 409, outcome: 'unknown'});
+		await waitUntil(() => fleet.agents.get('orders-1')!.requests.inProgress === 0);
+		expect(await textOf(order(other, 'slow'))).to.equal('done slow');
+		expect(upstream.seen).to.have.length(1);
+	});
+
+	it('takes over the claim of an entry that died before it forwarded the call', async () => {
+		await fleet.agent('orders-1', upstream, {kind: 'service'});
+		const entry = await fleet.entry();
+		await claimWithoutForwarding(entry, 'orders-1');
+		expect(await textOf(order(entry, 'rope', 'template'))).to.equal('done rope');
+		expect(upstream.seen).to.have.length(2);
+	});
+
+	it('reports unknown when the agent of the claim was restarted since', async () => {
+		await fleet.agent('orders-1', upstream, {kind: 'service'});
+		const entry = await fleet.entry();
+		await order(entry);
+		await fleet.agents.get('orders-1')!.server.close();
+		await fleet.agent('orders-2', upstream, {kind: 'service'});
+		expect(await jsonOf(order(entry))).to.include({outcome: 'unknown'});
+		expect(upstream.seen).to.have.length(1);
+	});
+
+	it('recognises its own claim when the response to the write was lost', async () => {
+		await fleet.agent('orders-1', upstream, {kind: 'service'});
+		standIn.setFaults({loseAnswers: 1});
+		expect(await textOf(order(await fleet.entry()))).to.equal('done rope');
+		expect(upstream.seen).to.have.length(1);
+	});
+
+	it('moves its claim to the next agent when the first one rejects the call', async () => {
+		const full = await fleet.agent('orders-1', upstream, {kind: 'service'});
+		full.refuseNewWork();
+		const entry = await fleet.entry();
+		expect(await jsonOf(order(entry))).to.include({outcome: 'not-run'});
+		await fleet.agent('orders-2', upstream, {kind: 'service'});
+		expect(await textOf(order(entry))).to.equal('done rope');
+		const claim = await onlyClaim();
+		expect(JSON.parse(claim.value)).to.include({vm: 'orders-2'});
+	});
+
+	it('rejects the call as not run while the key-value service is down', async () => {
+		await fleet.agent('orders-1', upstream, {kind: 'service'});
+		const entry = await fleet.entry();
+		standIn.setFaults({outage: 'refused'});
+		const reply = await order(entry);
+		expect(reply.json()).to.include({status: 503, outcome: 'not-run'});
+		expect(reply.headers.get('retry-after')).to.equal('1');
+		expect(upstream.seen).to.have.length(0);
+	});
+
+	it('rejects a key that was used for another request', async () => {
+		await fleet.agent('orders-1', upstream, {kind: 'service'});
+		const entry = await fleet.entry();
+		await order(entry);
+		expect(await jsonOf(order(entry, 'another rope'))).to.include({status: 422, outcome: 'not-run'});
+	});
+});
--- /dev/null
+++ b/packages/requests/src/claims.ts
@@ -0,0 +1,217 @@
+/** Claims on idempotency keys in the key-value service, so that a non-repeatable call runs at most once whichever entry it is sent to. */
+import {randomUUID} from 'node:crypto';
+import {
+	repeatUntilAborted, sha256, type Clock, type Log, type Result,
+} from '@yuccawood/common';
+import type {KeyValueEntry, KeyValueService, PlatformError} from '@yuccawood/platform';
+import type {Call} from './call.js';
+import {
+	CLAIM_REMOVAL_INTERVAL_MS, CLAIM_RETENTION_MS, MAX_CLAIM_WRITES, RETRY_AFTER_SECONDS,
+} from './constants.js';
+import {RequestError} from './errors.js';
+import type {Agent} from './router.js';
+import type {Settlement} from './settlement.js';
+import type {KeptAnswer} from './types.js';
+
+/** Value of a claim: which request of which agent the key stands for. */
+type ClaimValue = {
+	/** Differs for each write, so that a writer whose response was lost recognises its own value. */
+	readonly nonce: string;
+	readonly requestId: string;
+	readonly vm: string;
+	readonly address: string;
+	readonly incarnation: number;
+	readonly fingerprint: string;
+};
+
+type FoundClaim = {readonly entry: KeyValueEntry; readonly value: ClaimValue};
+
+export type ClaimsOptions = {
+	readonly keyValue: KeyValueService;
+	readonly settlement: Settlement;
+	readonly clock: Clock;
+	readonly log: Log;
+};
+
+const unavailable = (cause?: PlatformError): RequestError => new RequestError({
+	kind: 'claims-unavailable',
+	detail: `The claim on the idempotency key could not be recorded${cause ? ` (${cause.kind})` : ''}.`,
+	remedy: 'Send the request again with the same key.',
+	retryAfterSeconds: RETRY_AFTER_SECONDS,
+	cause,
+});
+
+/** Claims are not bound to leases, because a lease that lapses early would let a call run twice. The entry that wrote a claim removes it after the retention. */
+export class Claims {
+	readonly #options: ClaimsOptions;
+	readonly #stop = new AbortController();
+	readonly #written: Array<{readonly key: string; readonly version: number; readonly at: number}> = [];
+
+	constructor(options: ClaimsOptions) {
+		this.#options = options;
+	}
+
+	/** Starts to remove claims whose retention has ended. */
+	start(): void {
+		void repeatUntilAborted(async () => this.#removeOld(), {
+			signal: this.#stop.signal,
+			pauseMs: CLAIM_REMOVAL_INTERVAL_MS,
+			onError: error => {
+				this.#options.log.warn('Removal of old claims failed.', {error});
+			},
+		});
+	}
+
+	close(): void {
+		this.#stop.abort();
+	}
+
+	/** Starts the claim of one call. Nothing is written before `assign`. */
+	begin(call: Call, account: string): Claim {
+		const key = `claims/${encodeURIComponent(account)}/${sha256(call.idempotencyKey ?? '')}`;
+		return new Claim({
+			...this.#options, call, key, onWritten: version => {
+				this.#written.push({key, version, at: this.#options.clock.monotonic()});
+			},
+		});
+	}
+
+	async #removeOld(): Promise<void> {
+		const {clock, keyValue} = this.#options;
+		while (this.#written.length > 0 && clock.monotonic() - this.#written[0].at >= CLAIM_RETENTION_MS) {
+			const {key, version} = this.#written.shift()!;
+			await keyValue.remove(key, {expectedVersion: version});
+		}
+	}
+}
+
+export class Claim {
+	readonly #options: ClaimsOptions & {readonly call: Call; readonly key: string; readonly onWritten: (version: number) => void};
+	readonly #nonces = new Set<string>();
+	#version = 0;
+
+	constructor(options: ClaimsOptions & {readonly call: Call; readonly key: string; readonly onWritten: (version: number) => void}) {
+		this.#options = options;
+	}
+
+	/**
+	Records that the call is about to be forwarded to this agent.
+
+	@returns the answer of an earlier call with the same key, or `undefined` when the call may be forwarded.
+	@throws {RequestError} when the call must not be forwarded.
+	*/
+	async assign(agent: Agent, requestId: string): Promise<KeptAnswer | undefined> {
+		for (let i = 0; i < MAX_CLAIM_WRITES; i++) {
+			const result = await this.#write(agent, requestId);
+			const answer = result === 'held' ? undefined : await this.#resolve(result);
+			if (result === 'held' || answer) {
+				return answer;
+			}
+		}
+
+		throw unavailable();
+	}
+
+	/** @returns the claim found instead, if any. */
+	async #write({id, address, incarnation}: Agent, requestId: string): Promise<'held' | FoundClaim | undefined> {
+		const {call, keyValue, key} = this.#options;
+		const value: ClaimValue = {
+			nonce: randomUUID(), requestId, vm: id, address, incarnation, fingerprint: call.fingerprint,
+		};
+		this.#nonces.add(value.nonce);
+		const written = await keyValue.write(key, JSON.stringify(value), {expectedVersion: this.#version});
+		if (written.ok) {
+			this.#hold(written.val);
+			return 'held';
+		}
+
+		const found = await this.#readAfter(written);
+		if (found?.value.nonce === value.nonce) {
+			this.#hold(found.entry.version);
+			return 'held';
+		}
+
+		return found;
+	}
+
+	#hold(version: number): void {
+		this.#version = version;
+		this.#options.onWritten(version);
+	}
+
+	/** The claim as it is after a write that failed or whose response was lost. */
+	async #readAfter(written: Result<number, PlatformError>): Promise<FoundClaim | undefined> {
+		const error = written.val as PlatformError;
+		if (error.kind !== 'conflict' && error.kind !== 'unknown-outcome') {
+			throw unavailable(error);
+		}
+
+		const read = await this.#options.keyValue.read(this.#options.key);
+		if (read.err) {
+			throw unavailable(read.val);
+		}
+
+		const entry = read.val;
+		return entry && {entry, value: JSON.parse(entry.value) as ClaimValue};
+	}
+
+	/** Decides by the claim found. @returns the earlier answer; `undefined` when the claim may be taken over. */
+	async #resolve(found: FoundClaim | undefined): Promise<KeptAnswer | undefined> {
+		if (!found) {
+			this.#version = 0;
+			return undefined;
+		}
+
+		const {entry, value} = found;
+		if (value.fingerprint !== this.#options.call.fingerprint) {
+			throw new RequestError({kind: 'key-reused', detail: 'The idempotency key was used for a different request.', remedy: 'Use a new key for each request.'});
+		}
+
+		if (this.#nonces.has(value.nonce)) {
+			// An earlier write of this claim, whose request was not run.
+			this.#version = entry.version;
+			return undefined;
+		}
+
+		const settled = await this.#options.settlement.fetchAnswer(value, () => 0);
+		if ('answer' in settled && settled.answer) {
+			return settled.answer;
+		}
+
+		if (settled.state === 'not-run') {
+			this.#version = entry.version;
+			return undefined;
+		}
+
+		throw describeEarlier(settled.state, value);
+	}
+}
+
+const describeEarlier = (state: string, {vm}: ClaimValue): RequestError => {
+	switch (state) {
+		case 'running': {
+			return new RequestError({
+				kind: 'already-running',
+				detail: 'An earlier request with the same key is running.',
+				remedy: 'Send the request again later with the same key.',
+				outcome: 'unknown',
+				retryAfterSeconds: RETRY_AFTER_SECONDS,
+			});
+		}
+
+		case 'completed': {
+			return new RequestError({
+				kind: 'answer-lost', detail: 'An earlier request with the same key was completed, but its answer is not available any more.', remedy: 'Do not send it again.', outcome: 'completed',
+			});
+		}
+
+		default: {
+			return new RequestError({
+				kind: 'path-failed',
+				detail: `An earlier request with the same key was sent to ${vm}, which cannot tell what became of it.`,
+				remedy: 'Check whether it took effect before sending it with a new key.',
+				outcome: 'unknown',
+			});
+		}
+	}
+};
--- a/packages/requests/src/constants.ts
+++ b/packages/requests/src/constants.ts
@@ -19,6 +19,9 @@
 /** Time without progress after which the entry queries the agent over a new connection, in milliseconds. */
 export const SILENCE_MS = 1500;
 
+/** Longest interval between two such queries, in milliseconds. */
+export const MAX_QUERY_INTERVAL_MS = 2500;
+
 /** Time that a query about a request may take, in milliseconds. */
 export const QUERY_TIMEOUT_MS = 1000;
 
@@ -74,12 +77,23 @@
 export const POISON_DEATHS = 3;
 export const QUARANTINE_MS = 10 * 60_000;
 
+/** Fingerprints that a death report names; its headers must fit into those of a response. */
+export const MAX_REPORTED_FINGERPRINTS = 64;
+
+/** Queries without an answer after which an engine counts as silent. */
+export const MAX_SILENT_STATES = 2;
+
 /** Fingerprints under suspicion that an entry remembers. */
 export const MAX_SUSPECTS = 10_000;
 
-/** Life of the leases that bind claims, and the age at which an entry starts a new one, in milliseconds. */
-export const CLAIM_LEASE_MS = 60 * 60_000;
-export const CLAIM_LEASE_REUSE_MS = 10 * 60_000;
+/** Time after which an entry removes a claim that it wrote, in milliseconds. A call that is sent again later runs again. */
+export const CLAIM_RETENTION_MS = 60 * 60_000;
+
+/** Interval at which an entry removes its old claims, in milliseconds. */
+export const CLAIM_REMOVAL_INTERVAL_MS = 10_000;
+
+/** Writes of one claim that are tried when claims of other entries or lost responses interfere. */
+export const MAX_CLAIM_WRITES = 4;
 
 /** Suggested wait after a rejection that is due to load or an outage, in seconds. */
 export const RETRY_AFTER_SECONDS = 1;
--- /dev/null
+++ b/packages/requests/src/death-reports.ts
@@ -0,0 +1,60 @@
+/** Tells the other entries about deaths of upstreams, so that a poison request is rejected by all of them. */
+import type {
+	Log, Metrics, PeerClient, PeerServer,
+} from '@yuccawood/common';
+import type {MemberTable} from '@yuccawood/membership';
+import type {Quarantine} from './quarantine.js';
+import type {DeathReport} from './types.js';
+
+export const POISON_REPORT = 'poison.report';
+
+export class DeathReports {
+	readonly #members: MemberTable;
+	readonly #client: PeerClient;
+	readonly #quarantine: Quarantine;
+	readonly #log: Log;
+	readonly #metrics: Metrics;
+
+	constructor({members, client, server, quarantine, log, metrics}: {
+		readonly members: MemberTable;
+		readonly client: PeerClient;
+		readonly server: PeerServer;
+		readonly quarantine: Quarantine;
+		readonly log: Log;
+		readonly metrics: Metrics;
+	}) {
+		this.#members = members;
+		this.#client = client;
+		this.#quarantine = quarantine;
+		this.#log = log;
+		this.#metrics = metrics;
+		server.method(POISON_REPORT, (report: DeathReport) => {
+			quarantine.record(report);
+			return true;
+		});
+	}
+
+	/** Records a death that this entry noticed and tells the other entries if it is news. */
+	report(report: DeathReport): void {
+		if (!this.#quarantine.record(report)) {
+			return;
+		}
+
+		this.#log.warn('Upstream died with requests in progress.', {vm: report.vm, deathId: report.deathId, requests: report.fingerprints.length});
+		this.#metrics.count('requests.upstream_deaths');
+		const {self, members} = this.#members;
+		for (const {id, role, address} of members) {
+			if (role === 'entry' && id !== self.id) {
+				void this.#send(address, report);
+			}
+		}
+	}
+
+	async #send(address: string, report: DeathReport): Promise<void> {
+		try {
+			await this.#client.call(address, POISON_REPORT, report);
+		} catch (error) {
+			this.#log.debug('An entry did not take a death report.', {address, error});
+		}
+	}
+}
--- /dev/null
+++ b/packages/requests/src/engine-response.ts
@@ -0,0 +1,42 @@
+/** Checks of an engine's response before any of it is passed on. */
+import type {ServedVersion} from '@yuccawood/membership';
+import {RequestError, type RequestErrorKind} from './errors.js';
+import {single, type ResponseHeaders} from './headers.js';
+
+/** Header in which an engine names the manifest hash of the version that answers. */
+export const MODEL_VERSION = 'x-model-version';
+
+/** Statuses with which an engine rejects a request without running it: model not active, and queue full. */
+const REJECTIONS: ReadonlyMap<number, RequestErrorKind> = new Map([[404, 'wrong-version'], [409, 'wrong-version'], [503, 'overloaded']]);
+
+export const upstreamFailed = (detail: string): RequestError => new RequestError({
+	kind: 'upstream-failed', detail, remedy: 'Check whether the request took effect before sending it again.', outcome: 'unknown',
+});
+
+/** @returns why the response must not be passed on, or `undefined` when it may. Errors that the caller has to correct carry no version and are passed on. */
+export const checkEngineResponse = (status: number, headers: ResponseHeaders, {model, serving}: {
+	readonly model: string | undefined;
+	readonly serving: readonly ServedVersion[];
+}): RequestError | undefined => {
+	const rejection = REJECTIONS.get(status);
+	if (rejection) {
+		return new RequestError({kind: rejection, detail: `The engine rejected the request with status ${status}.`, remedy: 'Send the request again.'});
+	}
+
+	if (status >= 500) {
+		return upstreamFailed(`The engine failed with status ${status}.`);
+	}
+
+	if (status >= 300) {
+		return undefined;
+	}
+
+	const version = single(headers[MODEL_VERSION]);
+	if (serving.some(({name, manifest}) => manifest === version && name === model)) {
+		return undefined;
+	}
+
+	return new RequestError({
+		kind: 'unverified', detail: 'The engine answered with a version that was not verified.', remedy: 'Send the request again.', outcome: 'unknown',
+	});
+};
--- a/packages/requests/src/entry-context.ts
+++ b/packages/requests/src/entry-context.ts
@@ -1,17 +1,23 @@
 /** What the parts of an entry share. */
 import type {Clock, Log, Metrics} from '@yuccawood/common';
 import type {ConnectionPools} from './connection-pools.js';
+import type {RequestIds} from './request-ids.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {Router} from './router.js';
+import type {DeathReports} from './death-reports.js';
+import type {Quarantine} from './quarantine.js';
 import type {Settlement} from './settlement.js';
 import type {Supervisor} from './supervisor.js';
 
 export type EntryContext = {
+	readonly ids: RequestIds;
 	readonly router: Router;
 	readonly pools: ConnectionPools;
 	readonly settlement: Settlement;
 	readonly supervisor: Supervisor;
 	readonly budget: RetryBudget;
+	readonly quarantine: Quarantine;
+	readonly deaths: DeathReports;
 	readonly clock: Clock;
 	readonly log: Log;
 	readonly metrics: Metrics;
--- a/packages/requests/src/entry-server.ts
+++ b/packages/requests/src/entry-server.ts
@@ -9,15 +9,18 @@
 import type {KeyValueService} from '@yuccawood/platform';
 import {readCall, type Call} from './call.js';
 import {CallerResponse} from './caller-response.js';
+import {Claims, type Claim} from './claims.js';
 import {answerClientError} from './client-errors.js';
 import {ConnectionPools} from './connection-pools.js';
 import {
 	BODY_TIMEOUT_MS, DRAIN_GRACE_MS, HEADERS_TIMEOUT_MS, MAX_HEADER_BYTES, RETRY_AFTER_SECONDS,
 } from './constants.js';
+import {DeathReports} from './death-reports.js';
 import type {EntryContext} from './entry-context.js';
 import {RequestError} from './errors.js';
 import {Forwarding} from './forwarding.js';
 import {sendProblem, toRequestError} from './problem.js';
+import {Quarantine} from './quarantine.js';
 import {RequestIds} from './request-ids.js';
 import {RetryBudget} from './retry-budget.js';
 import {Router} from './router.js';
@@ -48,6 +51,7 @@
 	readonly #options: EntryServerOptions;
 	readonly #clock: Clock;
 	readonly #context: EntryContext;
+	readonly #claims: Claims;
 	readonly #ids: RequestIds;
 	readonly #server: http.Server;
 	#address = '';
@@ -56,20 +60,32 @@
 	#onIdle: (() => void) | undefined;
 
 	constructor(options: EntryServerOptions) {
-		const {selfId, members, peerClient, log, metrics, clock = new SystemClock(), random = systemRandom()} = options;
+		const {
+			selfId, members, peerClient, peerServer, keyValue, log, metrics, clock = new SystemClock(), random = systemRandom(),
+		} = options;
+		const quarantine = new Quarantine({clock});
+		const settlement = new Settlement({client: peerClient});
 		this.#options = options;
 		this.#clock = clock;
 		this.#ids = new RequestIds({selfId, incarnation: members.self.incarnation});
 		this.#context = {
+			ids: this.#ids,
 			router: new Router({members, random, clock}),
 			pools: new ConnectionPools(),
-			settlement: new Settlement({client: peerClient}),
+			settlement,
 			supervisor: new Supervisor({clock, log}),
 			budget: new RetryBudget(),
+			quarantine,
+			deaths: new DeathReports({
+				members, client: peerClient, server: peerServer, quarantine, log, metrics,
+			}),
 			clock,
 			log,
 			metrics,
 		};
+		this.#claims = new Claims({
+			keyValue, settlement, clock, log,
+		});
 		this.#server = http.createServer({
 			maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: BODY_TIMEOUT_MS, noDelay: true,
 		}, (request, response) => {
@@ -100,6 +116,7 @@
 		const bound = this.#server.address();
 		this.#address = `${host}:${typeof bound === 'object' && bound ? bound.port : 0}`;
 		this.#context.supervisor.start();
+		this.#claims.start();
 	}
 
 	/** Reports unhealthy, accepts requests for a grace period, closes the listener and resolves when nothing is in progress. */
@@ -120,6 +137,7 @@
 		this.#server.close();
 		this.#server.closeAllConnections();
 		this.#context.supervisor.close();
+		this.#claims.close();
 		this.#context.router.close();
 		await this.#context.pools.close();
 	}
@@ -144,7 +162,7 @@
 		} catch (error) {
 			const failure = toRequestError(error);
 			result = failure.kind;
-			this.#reject(response, callerResponse, {failure, requestId});
+			this.#reject(response, callerResponse, failure);
 		} finally {
 			this.#inProgress--;
 			this.#options.metrics.count('requests.finished', {result});
@@ -172,13 +190,17 @@
 		const permit = await this.#admit(call);
 		try {
 			await new Forwarding({
-				context: this.#context, call, permit, response,
+				context: this.#context, call, permit, response, claim: this.#claim(call, permit),
 			}).run();
 		} finally {
 			permit.release();
 		}
 	}
 
+	#claim(call: Call, {account}: Permit): Claim | undefined {
+		return call.repeatable || call.idempotencyKey === undefined ? undefined : this.#claims.begin(call, account);
+	}
+
 	async #admit({bearer, deadlineAt}: Call): Promise<Permit> {
 		const admitted = await this.#options.admission.admit({bearer, deadlineMs: deadlineAt - this.#clock.monotonic()});
 		if (admitted.ok) {
@@ -196,7 +218,8 @@
 		});
 	}
 
-	#reject(response: ServerResponse, callerResponse: CallerResponse, {failure, requestId}: {readonly failure: RequestError; readonly requestId: string}): void {
+	#reject(response: ServerResponse, callerResponse: CallerResponse, failure: RequestError): void {
+		const {requestId} = callerResponse;
 		if (failure.outcome !== 'not-run') {
 			this.#options.log.warn('Request failed.', {
 				requestId, kind: failure.kind, outcome: failure.outcome, detail: failure.detail,
--- a/packages/requests/src/exchange.ts
+++ b/packages/requests/src/exchange.ts
@@ -21,7 +21,7 @@
 	readonly body: Uint8Array | undefined;
 };
 
-type ExchangeOptions = ExchangeRequest & {
+export type ExchangeOptions = ExchangeRequest & {
 	readonly dispatcher: Dispatcher;
 	readonly sink: ResponseSink;
 
--- a/packages/requests/src/fleet.test.ts
+++ b/packages/requests/src/fleet.test.ts
@@ -3,7 +3,7 @@
 import type {AddressInfo} from 'node:net';
 import type {Admission} from '@yuccawood/accounts';
 import {
-	Ok, PeerClient, PeerServer, Publisher, SILENT_LOG, MemoryMetrics, seededRandom,
+	delay, Ok, PeerClient, PeerServer, Publisher, SILENT_LOG, MemoryMetrics, seededRandom,
 } from '@yuccawood/common';
 import type {ConfigurationInForce, ConfigurationSource} from '@yuccawood/configuration';
 import type {MemberRecord, MemberTable, ServedVersion} from '@yuccawood/membership';
@@ -88,7 +88,7 @@
 	readonly server: http.Server;
 };
 
-type Handler = (request: IncomingMessage, response: ServerResponse, body: string) => void;
+type Handler = (request: IncomingMessage, response: ServerResponse, body: string) => void | Promise<void>;
 
 export const answerChat: Handler = (_request, response, body) => {
 	response.writeHead(200, {'content-type': 'application/json', 'x-model-version': MODEL_HASH});
@@ -100,6 +100,7 @@
 	readonly metrics = new MemoryMetrics();
 	readonly entries: EntryServer[] = [];
 	readonly agents = new Map<string, {readonly requests: AgentRequests; readonly server: PeerServer}>();
+	keyValue: KeyValueService | undefined;
 	readonly #closers: Array<() => Promise<void> | void> = [];
 
 	async upstream(handler: Handler): Promise<Upstream> {
@@ -111,7 +112,7 @@
 			});
 			request.on('end', () => {
 				seen.push(String(request.headers['x-request-id']));
-				handler(request, response, body);
+				void handler(request, response, body);
 			});
 		});
 		await new Promise<void>(resolve => {
@@ -153,7 +154,7 @@
 		const peerClient = new PeerClient();
 		const configuration: ConfigurationSource = {current: CONFIGURATION, changes: from<ConfigurationInForce>([])};
 		const entry = new EntryServer({
-			selfId: `entry-${this.entries.length + 1}`, listen: '127.0.0.1:0', members: this.members, configuration, admission: ADMISSION, keyValue: undefined as unknown as KeyValueService,
+			selfId: `entry-${this.entries.length + 1}`, listen: '127.0.0.1:0', members: this.members, configuration, admission: ADMISSION, keyValue: this.keyValue!,
 			peerServer, peerClient, log: SILENT_LOG, metrics: this.metrics, random: seededRandom(1), drainGraceMs: 50, ...options,
 		});
 		await entry.start();
@@ -189,3 +190,35 @@
 export const chat = async (entry: EntryServer, content: string, more: Readonly<Record<string, unknown>> = {}): Promise<Reply> => send(entry, '/v1/chat/completions', {
 	method: 'POST', body: chatBody(content, more), headers: {'content-type': 'application/json'},
 });
+
+/** Waits for a condition that other tasks bring about; the time limit of the test ends a wait in vain. */
+export const waitUntil = async (condition: () => boolean): Promise<void> => {
+	while (!condition()) {
+		await delay(5);
+	}
+};
+
+export const textOf = async (pending: Promise<Reply>): Promise<string> => {
+	const {text} = await pending;
+	return text;
+};
+
+export const jsonOf = async (pending: Promise<Reply>): Promise<Readonly<Record<string, unknown>>> => {
+	const {json} = await pending;
+	return json();
+};
+
+export const statusOf = async (pending: Promise<Reply>): Promise<number> => {
+	const {status} = await pending;
+	return status;
+};
+
+/** Whether the connection broke before the answer was complete. */
+export const isLost = async (pending: Promise<Reply>): Promise<boolean> => {
+	try {
+		await pending;
+		return false;
+	} catch {
+		return true;
+	}
+};
--- a/packages/requests/src/forwarding.ts
+++ b/packages/requests/src/forwarding.ts
@@ -2,43 +2,50 @@
 import type {Permit} from '@yuccawood/accounts';
 import {Attempt, type AttemptEnd, type AttemptFailure} from './attempt.js';
 import type {Call} from './call.js';
+import type {Claim} from './claims.js';
 import type {CallerResponse} from './caller-response.js';
-import {
-	AVOID_FAILED_MS, AVOID_LEAVING_MS, MAX_ATTEMPTS, RETRY_AFTER_SECONDS,
-} from './constants.js';
+import {AVOID_FAILED_MS, AVOID_LEAVING_MS, MAX_ATTEMPTS} from './constants.js';
 import type {EntryContext} from './entry-context.js';
-import {RequestError, type ExecutionOutcome, type RequestErrorKind} from './errors.js';
-import type {ExchangeRequest} from './exchange.js';
-import {
-	ACCOUNT, DEADLINE_MS, FINGERPRINT, INCARNATION, MODEL, PRIORITY, REPEATABLE, REQUEST_ID, VERSION, VM, appendRequestHeaders,
-} from './headers.js';
+import type {ExecutionOutcome, RequestError, RequestErrorKind} from './errors.js';
+import {createFailure, createQuarantineFailure} from './failures.js';
+import {createForwardedRequest, prepareBody} from './forwarded-request.js';
+import {attributeDeath, replacePath} from './path-repair.js';
 import type {Agent} from './router.js';
 
+type Rejection = Extract<AttemptFailure, {readonly kind: 'rejected'}>;
+type BrokenPath = Extract<AttemptFailure, {readonly kind: 'failed'}>;
+
 type ForwardingOptions = {
 	readonly context: EntryContext;
 	readonly call: Call;
 	readonly permit: Permit;
 	readonly response: CallerResponse;
 
-	/** Records the assignment before the call is forwarded, for calls with an idempotency key. */
-	readonly onAssign?: (agent: Agent) => Promise<void>;
+	/** Claim on the idempotency key of a non-repeatable call. */
+	readonly claim?: Claim;
 };
 
 export class Forwarding {
 	readonly #context: EntryContext;
-	readonly #call: Call;
+	#call: Call;
 	readonly #permit: Permit;
 	readonly #response: CallerResponse;
-	readonly #onAssign: ((agent: Agent) => Promise<void>) | undefined;
+	readonly #claim: Claim | undefined;
+	readonly #body: Uint8Array | undefined;
 	readonly #excluded = new Set<string>();
 	#mayHaveRun = false;
 
-	constructor({context, call, permit, response, onAssign}: ForwardingOptions) {
+	constructor({context, call, permit, response, claim}: ForwardingOptions) {
 		this.#context = context;
 		this.#call = call;
 		this.#permit = permit;
 		this.#response = response;
-		this.#onAssign = onAssign;
+		this.#claim = claim;
+		this.#body = prepareBody(call, permit);
+	}
+
+	get #outcome(): ExecutionOutcome {
+		return this.#mayHaveRun ? 'unknown' : 'not-run';
 	}
 
 	/** Resolves when the caller has its answer or is gone. @throws {RequestError} when there is none. */
@@ -47,13 +54,25 @@
 		let lastFailure: RequestError | undefined;
 		for (let attempt = 1; !this.#response.isGone; attempt++) {
 			const agent = this.#choose(attempt, lastFailure);
-			await this.#onAssign?.(agent);
+			if (attempt > 1) {
+				this.#renewId();
+			}
+
+			const earlier = await this.#claim?.assign(agent, this.#call.requestId);
+			if (earlier) {
+				this.#response.finish(earlier);
+				return;
+			}
+
 			const end = await this.#attempt(agent);
 			if (end.kind === 'answered' || end.kind === 'gone') {
 				return;
 			}
 
-			this.#excluded.add(agent.id);
+			if (end.kind !== 'settled-not-run') {
+				this.#excluded.add(agent.id);
+			}
+
 			lastFailure = await this.#handleFailure(agent, end);
 			if (!lastFailure) {
 				return;
@@ -62,16 +81,18 @@
 	}
 
 	#choose(attempt: number, lastFailure: RequestError | undefined): Agent {
-		const {router, budget, clock, metrics} = this.#context;
+		const {router, budget, clock, metrics, quarantine} = this.#context;
+		if (quarantine.isQuarantined(this.#call.fingerprint)) {
+			throw createQuarantineFailure(this.#outcome);
+		}
+
 		if (lastFailure && (attempt > MAX_ATTEMPTS || clock.monotonic() >= this.#call.deadlineAt || !budget.withdraw())) {
 			throw lastFailure;
 		}
 
 		const agent = router.choose(this.#call.target, {excluded: this.#excluded, prefix: this.#call.prefix});
 		if (!agent) {
-			throw lastFailure ?? new RequestError({
-				kind: 'no-agent', detail: `No agent of ${this.#call.target.name} takes work.`, remedy: 'Try again later.', retryAfterSeconds: RETRY_AFTER_SECONDS,
-			});
+			throw lastFailure ?? this.#failure('no-agent', `No agent of ${this.#call.target.name} takes work.`);
 		}
 
 		if (lastFailure) {
@@ -81,98 +102,75 @@
 		return agent;
 	}
 
+	/** Each attempt has its own id, because an agent never runs an id that it settled as not run. */
+	#renewId(): void {
+		const requestId = this.#context.ids.next();
+		this.#call = {...this.#call, requestId};
+		this.#response.requestId = requestId;
+	}
+
 	async #attempt(agent: Agent): Promise<AttemptEnd> {
-		const {pools, supervisor, settlement, clock} = this.#context;
+		const {pools, supervisor, settlement, clock, quarantine} = this.#context;
+		const call = this.#call;
 		const attempt = new Attempt({
-			call: this.#call,
+			call,
 			agent,
 			dispatcher: pools.get(agent.address),
-			request: this.#request(agent),
+			request: createForwardedRequest({
+				call, agent, permit: this.#permit, body: this.#body, isSuspect: quarantine.isSuspect(call.fingerprint), now: clock.monotonic(),
+			}),
 			response: this.#response,
 			now: clock.monotonic,
 			sleep: clock.sleep,
-			query: async () => settlement.query({requestId: this.#call.requestId, address: agent.address, incarnation: agent.incarnation}),
+			query: async () => settlement.query({requestId: call.requestId, address: agent.address, incarnation: agent.incarnation}),
 		});
 		agent.load.own++;
 		supervisor.add(attempt);
 		try {
-			return await attempt.start();
+			const end = await attempt.start();
+			if (end.kind === 'answered') {
+				quarantine.clear(this.#call.fingerprint);
+			}
+
+			return end;
 		} finally {
 			supervisor.remove(attempt);
 			agent.load.own--;
 		}
 	}
 
-	#request(agent: Agent): ExchangeRequest {
-		const {
-			method, path, body, requestId, deadlineAt, fingerprint, repeatable, target, pinnedVersion, rawHeaders, connection,
-		} = this.#call;
-		const headers = [
-			REQUEST_ID,
-			requestId,
-			VM,
-			agent.id,
-			INCARNATION,
-			String(agent.incarnation),
-			DEADLINE_MS,
-			String(Math.max(0, Math.ceil(deadlineAt - this.#context.clock.monotonic()))),
-			ACCOUNT,
-			this.#permit.account,
-			PRIORITY,
-			String(this.#permit.priority),
-			FINGERPRINT,
-			fingerprint,
-			REPEATABLE,
-			repeatable ? 'yes' : 'no',
-		];
-		if (target.kind === 'model') {
-			headers.push(MODEL, encodeURIComponent(target.name));
-		}
-
-		if (pinnedVersion !== undefined) {
-			headers.push(VERSION, pinnedVersion);
-		}
-
-		appendRequestHeaders(headers, rawHeaders, connection);
-		return {
-			method, path: `/requests${path}`, headers, body,
-		};
-	}
-
 	/** @returns the failure to report if no other attempt is made, or `undefined` when the caller has an answer after all. */
 	async #handleFailure(agent: Agent, end: AttemptFailure): Promise<RequestError | undefined> {
+		const {router} = this.#context;
 		switch (end.kind) {
 			case 'rejected': {
-				return this.#handleRejection(agent, end.reason, end.outcome);
+				return this.#handleRejection(agent, end);
 			}
 
 			case 'not-sent': {
-				this.#context.router.avoid(agent, AVOID_FAILED_MS);
+				router.avoid(agent, AVOID_FAILED_MS);
 				return this.#failure('no-agent', 'The agent could not be reached.');
 			}
 
 			case 'settled-not-run': {
-				this.#replacePath(agent, 'silent');
+				replacePath(this.#context, {agent, call: this.#call}, 'silent');
 				return this.#failure('path-failed', 'The request did not reach the agent.');
 			}
 
 			case 'unverified': {
-				this.#replacePath(agent, 'unverified');
+				replacePath(this.#context, {agent, call: this.#call}, 'unverified');
+				router.avoid(agent, AVOID_FAILED_MS);
 				return this.#settle(agent, 'unverified', 'The response belonged to another request, VM or version.');
 			}
 
 			case 'failed': {
-				if (end.cause !== 'deadline') {
-					this.#replacePath(agent, end.cause);
-				}
-
-				return this.#settle(agent, end.cause === 'deadline' ? 'deadline' : 'path-failed', end.detail);
+				return this.#handleBrokenPath(agent, end);
 			}
 		}
 	}
 
-	async #handleRejection(agent: Agent, reason: string, outcome: ExecutionOutcome): Promise<RequestError> {
-		const {router, metrics} = this.#context;
+	#handleRejection(agent: Agent, {reason, outcome, death}: Rejection): RequestError {
+		const {router, metrics, deaths} = this.#context;
 		metrics.count('requests.rejected', {reason});
 		if (outcome === 'not-run') {
 			if (reason !== 'overloaded' && reason !== 'suspect-running') {
@@ -183,6 +181,11 @@
 		}
 
 		this.#mayHaveRun = true;
+		if (death) {
+			router.avoid(agent, AVOID_FAILED_MS);
+			deaths.report(death);
+		}
+
 		const failure = this.#failure('upstream-failed', `The upstream failed: ${reason}.`);
 		if (!this.#call.repeatable) {
 			throw failure;
@@ -191,6 +194,25 @@
 		return failure;
 	}
 
+	async #handleBrokenPath(agent: Agent, {cause, detail}: BrokenPath): Promise<RequestError | undefined> {
+		if (cause === 'deadline') {
+			return this.#settle(agent, 'deadline', detail);
+		}
+
+		replacePath(this.#context, {agent, call: this.#call}, cause);
+		this.#context.router.avoid(agent, AVOID_FAILED_MS);
+		if (cause === 'broken') {
+			await attributeDeath(this.#context, {agent, call: this.#call});
+		}
+
+		if (cause === 'agent-silent' && !this.#call.repeatable) {
+			this.#mayHaveRun = true;
+			throw this.#failure('path-failed', detail);
+		}
+
+		return this.#settle(agent, 'path-failed', detail);
+	}
+
 	/** Decides about a call that may have been run. */
 	async #settle(agent: Agent, kind: 'path-failed' | 'deadline' | 'unverified', detail: string): Promise<RequestError | undefined> {
 		const {settlement, clock} = this.#context;
@@ -219,18 +241,7 @@
 		throw settled.state === 'completed' ? this.#failure('answer-lost', 'The request was completed, but its answer is not available any more.', 'completed') : this.#failure(kind, detail);
 	}
 
-	#replacePath(agent: Agent, cause: string): void {
-		const {pools, router, metrics, log} = this.#context;
-		pools.replace(agent.address);
-		router.avoid(agent, AVOID_FAILED_MS);
-		metrics.count('requests.paths_replaced', {cause});
-		log.warn('Replaced the connections to an agent.', {vm: agent.id, cause, requestId: this.#call.requestId});
-	}
-
-	#failure(kind: RequestErrorKind, detail: string, outcome: ExecutionOutcome = this.#mayHaveRun ? 'unknown' : 'not-run'): RequestError {
-		const remedy = outcome === 'not-run' ? 'Send the request again.' : 'Check whether the request took effect before sending it again.';
-		return new RequestError({
-			kind, detail, remedy, outcome, ...(outcome === 'not-run' && {retryAfterSeconds: RETRY_AFTER_SECONDS}),
-		});
+	#failure(kind: RequestErrorKind, detail: string, outcome: ExecutionOutcome = this.#outcome): RequestError {
+		return createFailure(kind, detail, outcome);
 	}
 }
--- a/packages/requests/src/headers.ts
+++ b/packages/requests/src/headers.ts
@@ -13,6 +13,8 @@
 export const LOAD = 'yuccawood-load';
 export const OUTCOME = 'yuccawood-outcome';
 export const REASON = 'yuccawood-reason';
+export const DEATH = 'yuccawood-death';
+export const DEATH_FINGERPRINTS = 'yuccawood-death-fingerprints';
 
 const OWN_PREFIX = 'yuccawood-';
 
--- /dev/null
+++ b/packages/requests/src/hedged-exchange.ts
@@ -0,0 +1,96 @@
+/** An exchange that can be sent a second time over another connection; the first response wins. */
+import type {Dispatcher} from 'undici';
+import {Exchange, type ExchangeOptions, type ResponseSink} from './exchange.js';
+
+export class HedgedExchange {
+	/** Whether any of the connections was handed the request. While false, it cannot have been run. */
+	wasSent = false;
+
+	readonly #options: ExchangeOptions;
+	readonly #exchanges = new Set<Exchange>();
+	#winner: Exchange | undefined;
+	#isHedged = false;
+
+	constructor(options: ExchangeOptions) {
+		this.#options = options;
+	}
+
+	get isHedged(): boolean {
+		return this.#isHedged;
+	}
+
+	get headReceived(): boolean {
+		return this.#winner !== undefined;
+	}
+
+	/** Monotonic time of the last sign of life, in milliseconds. */
+	get progressAt(): number {
+		let latest = 0;
+		for (const {progressAt} of this.#exchanges) {
+			latest = Math.max(latest, progressAt);
+		}
+
+		return latest;
+	}
+
+	start(): void {
+		this.#launch(this.#options.dispatcher);
+	}
+
+	/** Sends the request again, once, over connections of this dispatcher. */
+	hedge(dispatcher: Dispatcher): void {
+		if (this.#isHedged || this.#winner) {
+			return;
+		}
+
+		this.#isHedged = true;
+		this.#launch(dispatcher);
+	}
+
+	resume(): void {
+		this.#winner?.resume();
+	}
+
+	/** Ends all exchanges; the sink gets the reason as a failure unless the response has ended. */
+	abort(reason: Error): void {
+		for (const exchange of this.#exchanges) {
+			exchange.abort(reason);
+		}
+	}
+
+	#launch(dispatcher: Dispatcher): void {
+		const {sink} = this.#options;
+		const ownSink: ResponseSink = {
+			onHead: (status, headers) => {
+				this.#win(exchange);
+				sink.onHead(status, headers);
+			},
+			onData: sink.onData.bind(sink),
+			onEnd: sink.onEnd.bind(sink),
+			onFailure: error => {
+				this.#lose(exchange, error);
+			},
+		};
+		const exchange = new Exchange({...this.#options, dispatcher, sink: ownSink});
+		this.#exchanges.add(exchange);
+		exchange.start();
+	}
+
+	#win(winner: Exchange): void {
+		this.#winner = winner;
+		this.wasSent = true;
+		for (const other of this.#exchanges) {
+			if (other !== winner) {
+				other.abort(new Error('Another connection was faster.'));
+			}
+		}
+	}
+
+	#lose(exchange: Exchange, error: Error): void {
+		this.wasSent ||= exchange.sent;
+		this.#exchanges.delete(exchange);
+		if (this.#winner === exchange || (this.#winner === undefined && this.#exchanges.size === 0)) {
+			this.#options.sink.onFailure(error);
+		}
+	}
+}
--- /dev/null
+++ b/packages/requests/src/quarantine.test.ts
@@ -0,0 +1,132 @@
+import type {ServerResponse} from 'node:http';
+import {expect} from 'chai';
+import {PeerServer, SystemClock, delay} from '@yuccawood/common';
+import {
+	answerChat, chat, Fleet, jsonOf, statusOf, waitUntil, type Upstream,
+} from './fleet.test.js';
+import {Quarantine} from './quarantine.js';
+
+const report = (deathId: string, ...fingerprints: readonly string[]) => ({deathId, vm: 'engine-1', fingerprints});
+
+describe('Quarantine', () => {
+	let quarantine: Quarantine;
+
+	beforeEach(() => {
+		quarantine = new Quarantine({clock: new SystemClock()});
+	});
+
+	it('attributes a death to earlier suspects only, so that neighbours of a poison request are not rejected', () => {
+		quarantine.record(report('1', 'poison', 'a'));
+		quarantine.record(report('2', 'poison', 'b'));
+		quarantine.record(report('3', 'poison', 'c'));
+		expect(['poison', 'a', 'b', 'c'].map(item => quarantine.isQuarantined(item))).to.deep.equal([true, false, false, false]);
+		expect(['a', 'b', 'c'].map(item => quarantine.isSuspect(item))).to.deep.equal([true, false, false]);
+	});
+
+	it('counts a death once when several entries report it in parts', () => {
+		quarantine.record(report('1', 'a'));
+		quarantine.record(report('1', 'a', 'b'));
+		expect(quarantine.record(report('1', 'b'))).to.equal(false);
+		quarantine.record(report('2', 'a'));
+		expect(quarantine.isQuarantined('a')).to.equal(false);
+	});
+
+	it('withdraws the blame of a neighbour when a later part of the report names an earlier suspect', () => {
+		quarantine.record(report('1', 'poison'));
+		quarantine.record(report('2', 'neighbour'));
+		quarantine.record(report('2', 'poison'));
+		expect(quarantine.isSuspect('neighbour')).to.equal(false);
+	});
+});
+
+describe('poison requests', () => {
+	let fleet: Fleet;
+
+	beforeEach(() => {
+		fleet = new Fleet();
+	});
+
+	afterEach(async () => {
+		await fleet.close();
+	});
+
+	/** An upstream that dies for good when it runs a message with the word "poison", and answers others after a while. */
+	const mortal = async (deaths: string[]): Promise<Upstream> => {
+		const upstream: Upstream = await fleet.upstream(async (request, response, body) => {
+			if (body.includes('poison')) {
+				deaths.push(body);
+				upstream.server.close();
+				upstream.server.closeAllConnections();
+				return;
+			}
+
+			await delay(20);
+			answerIfOpen(response, () => {
+				void answerChat(request, response, body);
+			});
+		});
+		return upstream;
+	};
+
+	const answerIfOpen = (response: ServerResponse, answer: () => void): void => {
+		if (!response.destroyed) {
+			answer();
+		}
+	};
+
+	it('stops after three deaths although it is sent many times to two entries, and its healthy neighbours are answered', async () => {
+		const deaths: string[] = [];
+		for (let i = 1; i <= 8; i++) {
+			await fleet.agent(`engine-${i}`, await mortal(deaths));
+		}
+
+		const peerServer = new PeerServer();
+		const address = `127.0.0.1:${await peerServer.listen('127.0.0.1', 0)}`;
+		const entry = await fleet.entry();
+		const other = await fleet.entry({peerServer});
+		fleet.members.put({...fleet.members.self, id: 'entry-2', address});
+		for (let i = 0; i < 10; i++) {
+			const [, neighbour] = await Promise.all([chat(i % 2 === 0 ? entry : other, 'poison'), chat(entry, `healthy ${i}`)]);
+			expect(neighbour.status).to.equal(200);
+		}
+
+		expect(deaths).to.have.length(3);
+		expect(await jsonOf(chat(other, 'poison'))).to.include({status: 422, outcome: 'not-run'});
+	});
+
+	it('is not suspected when only its connection breaks', async () => {
+		let breaks = 1;
+		const upstream = await fleet.upstream((request, response, body) => {
+			if (breaks-- > 0) {
+				response.destroy();
+				return;
+			}
+
+			void answerChat(request, response, body);
+		});
+		await fleet.agent('engine-1', upstream);
+		await fleet.agent('engine-2', upstream);
+		expect(await statusOf(chat(await fleet.entry(), 'hello'))).to.equal(200);
+		expect(fleet.metrics.counters.get('requests.upstream_deaths')).to.equal(undefined);
+	});
+
+	it('does not run next to another suspect', async () => {
+		const upstream = await fleet.upstream(async (...call) => {
+			await delay(100);
+			void answerChat(...call);
+		});
+		await fleet.agent('engine-1', upstream);
+		const {address} = fleet.members.records.get('engine-1')!;
+		const forward = async (id: string): Promise<Response> => fetch(`http://${address}/requests/v1/chat/completions`, {
+			method: 'POST', body: '{}', headers: {
+				'yuccawood-request-id': id, 'yuccawood-vm': 'engine-1', 'yuccawood-incarnation': '7', 'yuccawood-deadline-ms': '5000', 'yuccawood-model': 'kit', 'yuccawood-suspect': 'yes',
+			},
+		});
+		const first = forward('entry-9.1.1');
+		await waitUntil(() => upstream.seen.length === 1);
+		const second = await forward('entry-9.1.2');
+		expect(second.headers.get('yuccawood-reason')).to.equal('suspect-running');
+		const {status} = await first;
+		expect(status).to.equal(200);
+	});
+});
--- /dev/null
+++ b/packages/requests/src/quarantine.ts
@@ -0,0 +1,107 @@
+/** Attributes deaths of upstreams to requests, and rejects requests that have brought down several. */
+import type {Clock} from '@yuccawood/common';
+import {MAX_SUSPECTS, POISON_DEATHS, QUARANTINE_MS} from './constants.js';
+import type {DeathReport} from './types.js';
+
+type Death = {
+	/** Requests in progress at the upstream when it died. */
+	readonly fingerprints: ReadonlySet<string>;
+	readonly blamed: readonly string[];
+	readonly at: number;
+};
+
+type Suspicion = {
+	/** Ids of the deaths that are attributed to the fingerprint. */
+	readonly deaths: Set<string>;
+	until: number;
+};
+
+export class Quarantine {
+	readonly #clock: Clock;
+	readonly #deaths = new Map<string, Death>();
+	readonly #suspicions = new Map<string, Suspicion>();
+
+	constructor({clock}: {readonly clock: Clock}) {
+		this.#clock = clock;
+	}
+
+	/** @returns whether the report says something new, so that it should be passed on. */
+	record({deathId, fingerprints}: DeathReport): boolean {
+		this.#removeExpired();
+		const known = this.#deaths.get(deathId);
+		if (known && fingerprints.every(item => known.fingerprints.has(item))) {
+			return false;
+		}
+
+		const at = known?.at ?? this.#clock.monotonic();
+		const all = new Set([...known?.fingerprints ?? [], ...fingerprints]);
+		this.#withdraw(deathId, known);
+		const blamed = this.#attribute(all);
+		this.#deaths.set(deathId, {fingerprints: all, blamed, at});
+		for (const item of blamed) {
+			this.#accuse(item, deathId);
+		}
+
+		return true;
+	}
+
+	/** Whether the request was in progress at a death that is attributed to it. */
+	isSuspect(fingerprint: string): boolean {
+		return this.#suspicions.size > 0 && this.#find(fingerprint) !== undefined;
+	}
+
+	isQuarantined(fingerprint: string): boolean {
+		return this.#suspicions.size > 0 && (this.#find(fingerprint)?.deaths.size ?? 0) >= POISON_DEATHS;
+	}
+
+	/** Ends the suspicion of a request that was answered in full. */
+	clear(fingerprint: string): void {
+		if (this.#suspicions.size > 0) {
+			this.#suspicions.delete(fingerprint);
+		}
+	}
+
+	/** Blames only those that were suspects before; with none, all are blamed. */
+	#attribute(fingerprints: ReadonlySet<string>): readonly string[] {
+		const earlier = [...fingerprints].filter(item => this.#find(item) !== undefined);
+		return earlier.length > 0 ? earlier : [...fingerprints];
+	}
+
+	#find(fingerprint: string): Suspicion | undefined {
+		const suspicion = this.#suspicions.get(fingerprint);
+		return suspicion && suspicion.until > this.#clock.monotonic() ? suspicion : undefined;
+	}
+
+	#accuse(fingerprint: string, deathId: string): void {
+		const suspicion = this.#find(fingerprint) ?? {deaths: new Set<string>(), until: 0};
+		suspicion.deaths.add(deathId);
+		suspicion.until = this.#clock.monotonic() + QUARANTINE_MS;
+		this.#suspicions.set(fingerprint, suspicion);
+	}
+
+	/** Takes back the attribution of a death before it is made anew with more fingerprints. */
+	#withdraw(deathId: string, death: Death | undefined): void {
+		for (const item of death?.blamed ?? []) {
+			const suspicion = this.#suspicions.get(item);
+			suspicion?.deaths.delete(deathId);
+			if (suspicion?.deaths.size === 0) {
+				this.#suspicions.delete(item);
+			}
+		}
+	}
+
+	#removeExpired(): void {
+		const now = this.#clock.monotonic();
+		for (const [id, {at}] of this.#deaths) {
+			if (now - at > QUARANTINE_MS || this.#deaths.size > MAX_SUSPECTS) {
+				this.#deaths.delete(id);
+			}
+		}
+
+		for (const [fingerprint, {until}] of this.#suspicions) {
+			if (until <= now || this.#suspicions.size > MAX_SUSPECTS) {
+				this.#suspicions.delete(fingerprint);
+			}
+		}
+	}
+}
--- a/packages/requests/src/request-records.ts
+++ b/packages/requests/src/request-records.ts
@@ -1,7 +1,7 @@
 /** What an agent remembers about requests, so that it can settle them. */
 import {MAX_KEPT_ANSWER_BYTES, MAX_RECORDS} from './constants.js';
 import {parseRequestId} from './request-ids.js';
-import type {KeptAnswer, SettleAnswer} from './types.js';
+import type {DeathReport, KeptAnswer, SettleAnswer} from './types.js';
 
 /**
 State of one request at this agent.
@@ -21,6 +21,9 @@
 	headSent = false;
 	bytesSent = 0;
 	answer: KeptAnswer | undefined;
+
+	/** Death of the upstream that ended the request. */
+	death: DeathReport | undefined;
 	#waiting: Array<() => void> = [];
 
 	constructor({id, repeatable}: {readonly id: string; readonly repeatable: boolean}) {
@@ -54,7 +57,7 @@
 	describe(): SettleAnswer {
 		const state = this.state === 'failed' ? 'unknown' : this.state;
 		return {
-			state: state === 'receiving' ? 'not-run' : state, headSent: this.headSent, bytesSent: this.bytesSent, kept: this.answer !== undefined,
+			state: state === 'receiving' ? 'not-run' : state, headSent: this.headSent, bytesSent: this.bytesSent, kept: this.answer !== undefined, death: this.death,
 		};
 	}
 }
--- a/packages/requests/src/types.ts
+++ b/packages/requests/src/types.ts
@@ -19,6 +19,9 @@
 	readonly headSent: boolean;
 	readonly bytesSent: number;
 	readonly kept: boolean;
+
+	/** Death of the upstream that ended the request. */
+	readonly death?: DeathReport;
 };
 
 export type AnswerQuestion = SettleQuestion & {
--- /dev/null
+++ b/packages/requests/src/upstream-monitor.ts
@@ -0,0 +1,139 @@
+/** Tells deaths of the upstream from broken connections, and notices when it is back. */
+import {connect} from 'node:net';
+import type {Clock, Log, Metrics} from '@yuccawood/common';
+import {CONNECT_TIMEOUT_MS, MAX_REPORTED_FINGERPRINTS, UPSTREAM_PROBE_INTERVAL_MS} from './constants.js';
+import type {DeathReport} from './types.js';
+
+export type UpstreamMonitorOptions = {
+	readonly selfId: string;
+	readonly incarnation: number;
+
+	/** `IP:port` of the upstream. */
+	readonly address: string;
+
+	/** Fingerprints of the requests that the upstream runs now. */
+	readonly running: () => readonly string[];
+
+	/** Identifies the start of the upstream process; `undefined` when it cannot be told. */
+	readonly upstreamIncarnation: () => Promise<string | undefined>;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly metrics: Metrics;
+};
+
+const canConnect = async (address: string): Promise<boolean> => {
+	const separator = address.lastIndexOf(':');
+	return new Promise(resolve => {
+		const socket = connect({host: address.slice(0, separator), port: Number(address.slice(separator + 1)), timeout: CONNECT_TIMEOUT_MS});
+		const finish = (result: boolean): void => {
+			socket.destroy();
+			resolve(result);
+		};
+
+		socket.on('connect', () => {
+			finish(true);
+		});
+		socket.on('timeout', () => {
+			finish(false);
+		});
+		socket.on('error', () => {
+			finish(false);
+		});
+	});
+};
+
+export class UpstreamMonitor {
+	readonly #options: UpstreamMonitorOptions;
+	readonly #stop = new AbortController();
+	#isDown = false;
+	#deaths = 0;
+	#knownIncarnation: string | undefined;
+	#inspection: Promise<DeathReport | undefined> | undefined;
+	#lastDeath: DeathReport | undefined;
+
+	constructor(options: UpstreamMonitorOptions) {
+		this.#options = options;
+	}
+
+	/** Whether the upstream takes no connections. */
+	get isDown(): boolean {
+		return this.#isDown;
+	}
+
+	/** Learns the incarnation of the upstream, so that a fast restart can be told from a broken connection. */
+	async start(): Promise<void> {
+		this.#knownIncarnation = await this.#options.upstreamIncarnation();
+	}
+
+	close(): void {
+		this.#stop.abort();
+	}
+
+	/** Finds out whether a broken connection means that the upstream died. @returns the report of the death, the same for all requests that it hit. */
+	async inspect(): Promise<DeathReport | undefined> {
+		if (this.#isDown) {
+			return this.#lastDeath;
+		}
+
+		this.#inspection ??= this.#inspect();
+		return this.#inspection;
+	}
+
+	/** Resolves when no inspection is under way. */
+	async settled(): Promise<void> {
+		await this.#inspection;
+	}
+
+	async #inspect(): Promise<DeathReport | undefined> {
+		const fingerprints = [...new Set(this.#options.running())].slice(0, MAX_REPORTED_FINGERPRINTS);
+		try {
+			const isUp = await canConnect(this.#options.address);
+			const isReplaced = isUp && await this.#isReplaced();
+			if (!isUp) {
+				this.#watchReturn();
+			}
+
+			return isUp && !isReplaced ? undefined : this.#reportDeath(fingerprints);
+		} finally {
+			this.#inspection = undefined;
+		}
+	}
+
+	async #isReplaced(): Promise<boolean> {
+		const known = this.#knownIncarnation;
+		this.#knownIncarnation = await this.#options.upstreamIncarnation() ?? known;
+		return known !== undefined && known !== this.#knownIncarnation;
+	}
+
+	#reportDeath(fingerprints: readonly string[]): DeathReport {
+		const {selfId, incarnation, log, metrics} = this.#options;
+		this.#deaths++;
+		log.error('The upstream died.', {requests: fingerprints.length});
+		metrics.count('requests.upstream_deaths');
+		this.#lastDeath = {deathId: `${selfId}:${incarnation}:${this.#deaths}`, vm: selfId, fingerprints};
+		return this.#lastDeath;
+	}
+
+	#watchReturn(): void {
+		if (this.#isDown) {
+			return;
+		}
+
+		this.#isDown = true;
+		void this.#waitForReturn();
+	}
+
+	async #waitForReturn(): Promise<void> {
+		const {clock, address, log} = this.#options;
+		while (!this.#stop.signal.aborted) {
+			await clock.sleep(UPSTREAM_PROBE_INTERVAL_MS, this.#stop.signal);
+			if (await canConnect(address)) {
+				break;
+			}
+		}
+
+		this.#knownIncarnation = await this.#options.upstreamIncarnation() ?? this.#knownIncarnation;
+		this.#isDown = false;
+		log.info('The upstream takes connections again.');
+	}
+}
--- a/packages/requests/src/upstream-run.ts
+++ b/packages/requests/src/upstream-run.ts
@@ -1,12 +1,16 @@
 /** One request at the upstream, its response passed on to the entry as it arrives. */
-import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {ServedVersion} from '@yuccawood/membership';
 import type {Dispatcher} from 'undici';
-import {ABANDON_MS, MAX_ANSWER_BYTES} from './constants.js';
+import {AnswerCapture} from './answer-capture.js';
+import {
+	ABANDON_MS, MAX_ANSWER_BYTES, MAX_QUERY_INTERVAL_MS, SILENCE_MS,
+} from './constants.js';
+import {MODEL_VERSION, checkEngineResponse, upstreamFailed} from './engine-response.js';
 import {RequestError} from './errors.js';
-import {Exchange, type ExchangeRequest, type ResponseSink} from './exchange.js';
+import type {ExchangeRequest, ResponseSink} from './exchange.js';
 import type {ForwardedHead} from './forwarded-head.js';
+import {HedgedExchange} from './hedged-exchange.js';
 import {
 	VERSION, appendResponseHeaders, single, type ResponseHeaders,
 } from './headers.js';
@@ -14,12 +18,6 @@
 import {StreamEnd} from './stream-end.js';
 import type {Supervised} from './supervisor.js';
 
-/** Header in which an engine names the manifest hash of the version that answers. */
-const MODEL_VERSION = 'x-model-version';
-
-/** Statuses with which an engine refuses a request without running it: model not active, and queue full. */
-const ENGINE_REFUSALS: ReadonlyMap<number, 'wrong-version' | 'overloaded'> = new Map([[404, 'wrong-version'], [409, 'wrong-version'], [503, 'overloaded']]);
-
 export type UpstreamRunOptions = {
 	readonly head: ForwardedHead;
 	readonly kind: 'engine' | 'service';
@@ -36,31 +34,42 @@
 	readonly deadlineAt: number;
 	readonly onFirstByte: (milliseconds: number) => void;
 	readonly onBytes: (bytes: number) => void;
+
+	/** Finds out why the connection carries no data. */
+	readonly judgeSilence: (hasHead: boolean) => Promise<SilenceVerdict>;
+
+	/** Starts new connections to the upstream. */
+	readonly replaceConnections: () => Dispatcher;
 };
 
+/** Whether to wait for a slow upstream, to send the request again over a new connection, or to give it up. */
+export type SilenceVerdict = 'wait' | 'hedge' | 'fail';
+
 /** How a run ended: the answer was passed on or kept, the caller gave up, or it failed. */
-export type RunEnd = {readonly kind: 'completed' | 'cancelled'} | {readonly kind: 'failed'; readonly error: RequestError; readonly wasSent: boolean};
+export type RunEnd = {readonly kind: 'completed' | 'cancelled'} | {readonly kind: 'failed'; readonly error: RequestError; readonly isConnectionBroken: boolean};
 
 export class UpstreamRun implements ResponseSink, Supervised {
 	readonly #options: UpstreamRunOptions;
-	readonly #exchange: Exchange;
+	readonly #exchange: HedgedExchange;
 	readonly #startedAt: number;
 	readonly #end = new StreamEnd();
+	readonly #capture: AnswerCapture | undefined;
 	#resolve!: (end: RunEnd) => void;
 	#isFinished = false;
 	#entryIsGone = false;
 	#refusal: RequestError | undefined;
+	#isPaused = false;
+	#isJudging = false;
+	#nextJudgementAt = 0;
 	#mustEndWithDone = false;
 	#status = 0;
 	readonly #headers: string[] = [];
-	#captured: Uint8Array[] | undefined;
-	#capturedBytes = 0;
 
 	constructor(options: UpstreamRunOptions) {
 		this.#options = options;
 		this.#startedAt = options.now();
-		this.#captured = options.head.repeatable ? undefined : [];
-		this.#exchange = new Exchange({
+		this.#capture = options.head.repeatable ? undefined : new AnswerCapture();
+		this.#exchange = new HedgedExchange({
 			...options.request, dispatcher: options.dispatcher, sink: this, now: options.now,
 		});
 	}
@@ -74,6 +83,7 @@
 			this.#onEntryGone();
 		});
 		response.on('drain', () => {
+			this.#isPaused = false;
 			this.#exchange.resume();
 		});
 		this.#exchange.start();
@@ -81,9 +91,11 @@
 	}
 
 	onHead(status: number, headers: ResponseHeaders): void {
-		const {kind, response, record, identity, now, onFirstByte} = this.#options;
+		const {
+			kind, head, serving, response, record, identity, now, onFirstByte,
+		} = this.#options;
 		onFirstByte(now() - this.#startedAt);
-		this.#refusal = kind === 'engine' ? this.#refuse(status, headers) : undefined;
+		this.#refusal = kind === 'engine' ? checkEngineResponse(status, headers, {model: head.model, serving: serving()}) : undefined;
 		if (this.#refusal) {
 			return;
 		}
@@ -110,7 +122,7 @@
 
 		const {response, record, onBytes} = this.#options;
 		onBytes(chunk.byteLength);
-		this.#capture(chunk);
+		this.#capture?.push(chunk);
 		if (this.#mustEndWithDone) {
 			this.#end.push(chunk);
 		}
@@ -120,7 +132,8 @@
 		}
 
 		record.bytesSent += chunk.byteLength;
-		return response.write(chunk);
+		this.#isPaused = !response.write(chunk);
+		return !this.#isPaused;
 	}
 
 	onEnd(): void {
@@ -134,8 +147,13 @@
 			return;
 		}
 
-		this.#keepAnswer();
-		this.#options.record.finish('completed');
+		const {record, records} = this.#options;
+		const answer = this.#capture?.finish(this.#status, this.#headers);
+		if (answer) {
+			records.keep(record, answer);
+		}
+
+		record.finish('completed');
 		this.#options.response.end();
 		this.#finish({kind: 'completed'});
 	}
@@ -145,9 +163,9 @@
 			return;
 		}
 
-		this.#fail(this.#exchange.sent
+		this.#fail(this.#exchange.wasSent
 			? upstreamFailed(`The connection to the upstream failed: ${error.message}.`)
-			: new RequestError({kind: 'upstream-down', detail: `The upstream could not be reached: ${error.message}.`, remedy: 'Send the request again.'}));
+			: new RequestError({kind: 'upstream-down', detail: `The upstream could not be reached: ${error.message}.`, remedy: 'Send the request again.'}), true);
 	}
 
 	check(now: number): void {
@@ -157,52 +175,31 @@
 			this.#fail(new RequestError({
 				kind: 'deadline', detail: 'The deadline passed.', remedy: 'Allow more time.', outcome: 'unknown',
 			}));
-		}
-	}
-
-	#refuse(status: number, headers: ResponseHeaders): RequestError | undefined {
-		const refusal = ENGINE_REFUSALS.get(status);
-		if (refusal) {
-			return new RequestError({kind: refusal, detail: `The engine rejected the request with status ${status}.`, remedy: 'Send the request again.'});
-		}
-
-		if (status >= 500) {
-			return upstreamFailed(`The engine failed with status ${status}.`);
-		}
-
-		if (status >= 300) {
-			return undefined;
+			return;
 		}
 
-		const {serving, head} = this.#options;
-		const version = single(headers[MODEL_VERSION]);
-		if (serving().some(({name, manifest}) => manifest === version && name === head.model)) {
-			return undefined;
+		if (!this.#isPaused && !this.#isJudging && now - this.#exchange.progressAt >= SILENCE_MS && now >= this.#nextJudgementAt) {
+			void this.#judge();
 		}
-
-		return new RequestError({
-			kind: 'unverified', detail: 'The engine answered with a version that was not verified.', remedy: 'Send the request again.', outcome: 'unknown',
-		});
 	}
 
-	#capture(chunk: Uint8Array): void {
-		if (!this.#captured) {
+	async #judge(): Promise<void> {
+		this.#isJudging = true;
+		const {progressAt} = this.#exchange;
+		const verdict = await this.#options.judgeSilence(this.#exchange.headReceived);
+		this.#isJudging = false;
+		this.#nextJudgementAt = this.#options.now() + MAX_QUERY_INTERVAL_MS;
+		if (this.#isFinished || verdict === 'wait' || progressAt !== this.#exchange.progressAt) {
 			return;
 		}
 
-		this.#capturedBytes += chunk.byteLength;
-		if (this.#capturedBytes > MAX_ANSWER_BYTES) {
-			this.#captured = undefined;
+		if (verdict === 'hedge' && !this.#exchange.isHedged) {
+			this.#exchange.hedge(this.#options.replaceConnections());
 			return;
 		}
 
-		this.#captured.push(chunk);
-	}
-
-	#keepAnswer(): void {
-		const {record, records} = this.#options;
-		if (this.#captured) {
-			records.keep(record, {status: this.#status, headers: this.#headers, body: Buffer.concat(this.#captured).toString('base64')});
+		if (verdict === 'fail') {
+			this.#fail(upstreamFailed('The connection to the upstream carries no data.'));
 		}
 	}
 
@@ -219,17 +216,19 @@
 			return;
 		}
 
+		this.#isPaused = false;
+
 		// A response that was paused for a slow entry must continue, so that its end is recorded.
 		this.#exchange.resume();
 	}
 
-	#fail(error: RequestError): void {
+	#fail(error: RequestError, isConnectionBroken = false): void {
 		if (this.#isFinished) {
 			return;
 		}
 
 		this.#options.record.finish(error.outcome === 'not-run' ? 'not-run' : 'failed');
-		this.#finish({kind: 'failed', error, wasSent: this.#exchange.sent});
+		this.#finish({kind: 'failed', error, isConnectionBroken});
 		this.#exchange.abort(error);
 	}
 
@@ -242,7 +241,3 @@
 		this.#resolve(end);
 	}
 }
-
-const upstreamFailed = (detail: string): RequestError => new RequestError({
-	kind: 'upstream-failed', detail, remedy: 'Check whether the request took effect before sending it again.', outcome: 'unknown',
-});
--- /dev/null
+++ b/packages/requests/src/upstream.ts
@@ -0,0 +1,178 @@
+/** The upstream of a VM as the agent uses it: its connections, the requests that it runs, and its deaths. */
+import type {ServerResponse} from 'node:http';
+import {
+	withTimeout, type Clock, type Log, type Metrics,
+} from '@yuccawood/common';
+import type {ServedVersion} from '@yuccawood/membership';
+import type {EngineState, ModelEngine} from '@yuccawood/platform';
+import {ConnectionPools} from './connection-pools.js';
+import {MAX_SILENT_STATES, QUERY_TIMEOUT_MS, SILENCE_MS} from './constants.js';
+import type {ExchangeRequest} from './exchange.js';
+import type {ForwardedHead} from './forwarded-head.js';
+import type {RequestRecord, RequestRecords} from './request-records.js';
+import {Supervisor} from './supervisor.js';
+import {UpstreamMonitor} from './upstream-monitor.js';
+import {UpstreamRun, type RunEnd, type SilenceVerdict} from './upstream-run.js';
+
+export type UpstreamOptions = {
+	readonly selfId: string;
+	readonly incarnation: number;
+	readonly address: string;
+	readonly kind: 'engine' | 'service';
+	readonly serving: () => readonly ServedVersion[];
+	readonly engine: Pick<ModelEngine, 'state'> | undefined;
+	readonly records: RequestRecords;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly onLiveLatency: (milliseconds: number) => void;
+	readonly onLiveBytes: (bytes: number) => void;
+};
+
+export type Job = {
+	readonly head: ForwardedHead;
+	readonly request: ExchangeRequest;
+	readonly response: ServerResponse;
+	readonly record: RequestRecord;
+
+	/** Monotonic time in milliseconds. */
+	readonly deadlineAt: number;
+	readonly identity: () => readonly string[];
+};
+
+type Running = {readonly head: ForwardedHead; readonly startedAt: number};
+
+export class Upstream {
+	readonly #options: UpstreamOptions;
+	readonly #pools = new ConnectionPools();
+	readonly #supervisor: Supervisor;
+	readonly #monitor: UpstreamMonitor;
+	readonly #running = new Map<string, Running>();
+	#suspects = 0;
+	#silentStates = 0;
+
+	constructor(options: UpstreamOptions) {
+		this.#options = options;
+		const {clock, log, address, selfId, incarnation, metrics} = options;
+		this.#supervisor = new Supervisor({clock, log});
+		this.#monitor = new UpstreamMonitor({
+			address, selfId, incarnation, clock, log, metrics,
+			running: () => [...this.#running.values()].map(({head}) => head.fingerprint),
+			upstreamIncarnation: async () => {
+				const state = await this.#state();
+				return state?.incarnation;
+			},
+		});
+		this.#supervisor.start();
+		void this.#monitor.start();
+	}
+
+	get isDown(): boolean {
+		return this.#monitor.isDown;
+	}
+
+	/** Whether a request runs that was in progress at an earlier death. */
+	get runsSuspect(): boolean {
+		return this.#suspects > 0;
+	}
+
+	/** Resolves when no broken connection is being looked into, so that a record names the death it belongs to. */
+	async inspected(): Promise<void> {
+		await this.#monitor.settled();
+	}
+
+	/** Runs one request. Resolves when its answer was passed on or kept, or it failed. */
+	async run(job: Job): Promise<RunEnd> {
+		const {head, record} = job;
+		const own = head.repeatable ? undefined : this.#pools.createSingle(this.#options.address);
+		const run = this.#createRun(job, own ?? this.#pools.get(this.#options.address));
+		this.#running.set(head.requestId, {head, startedAt: this.#options.clock.monotonic()});
+		this.#suspects += head.suspect ? 1 : 0;
+		this.#supervisor.add(run);
+		try {
+			const end = await run.run();
+			if (end.kind === 'failed' && end.isConnectionBroken) {
+				record.death = await this.#monitor.inspect();
+			}
+
+			return end;
+		} finally {
+			this.#supervisor.remove(run);
+			this.#running.delete(head.requestId);
+			this.#suspects -= head.suspect ? 1 : 0;
+			void own?.close();
+		}
+	}
+
+	async close(): Promise<void> {
+		this.#supervisor.close();
+		this.#monitor.close();
+		await this.#pools.close();
+	}
+
+	#createRun(job: Job, dispatcher: ReturnType<ConnectionPools['get']>): UpstreamRun {
+		const {kind, records, serving, clock, onLiveLatency, onLiveBytes} = this.#options;
+		return new UpstreamRun({
+			...job, kind, records, serving, dispatcher,
+			now: clock.monotonic,
+			onFirstByte: onLiveLatency,
+			onBytes: onLiveBytes,
+			judgeSilence: async hasHead => this.#judgeSilence(job.head, hasHead),
+			replaceConnections: () => this.#replaceConnections(),
+		});
+	}
+
+	/**
+	Decides about a request whose connection carries no data.
+
+	An engine is asked how many requests it has. Fewer than this agent is waiting for means that connections are silent; as many mean that it is slow.
+	A plain service cannot be asked, so a repeatable call is sent again over a new connection and the first response wins.
+	*/
+	async #judgeSilence({repeatable}: ForwardedHead, hasHead: boolean): Promise<SilenceVerdict> {
+		const {kind, engine} = this.#options;
+		if (kind === 'service' || !engine) {
+			return kind === 'service' && repeatable && !hasHead ? 'hedge' : 'wait';
+		}
+
+		const state = await this.#state();
+		if (!state) {
+			this.#silentStates++;
+			return this.#silentStates >= MAX_SILENT_STATES ? 'fail' : 'wait';
+		}
+
+		this.#silentStates = 0;
+		if (state.running + state.waiting >= this.#countOlder()) {
+			return 'wait';
+		}
+
+		return hasHead ? 'fail' : 'hedge';
+	}
+
+	/** Requests that began before the engine's lagging report. */
+	#countOlder(): number {
+		const before = this.#options.clock.monotonic() - SILENCE_MS;
+		return [...this.#running.values()].filter(({startedAt}) => startedAt <= before).length;
+	}
+
+	async #state(): Promise<EngineState | undefined> {
+		const {engine} = this.#options;
+		if (!engine) {
+			return undefined;
+		}
+
+		try {
+			const state = await withTimeout(engine.state(), QUERY_TIMEOUT_MS, 'State of the engine');
+			return state.ok ? state.val : undefined;
+		} catch {
+			return undefined;
+		}
+	}
+
+	#replaceConnections(): ReturnType<ConnectionPools['get']> {
+		const {address, metrics, log} = this.#options;
+		this.#pools.replace(address);
+		metrics.count('requests.paths_replaced', {cause: 'upstream-silent'});
+		log.warn('Replaced the connections to the upstream.');
+		return this.#pools.get(address);
+	}
+}
