Spread membership changes as versions and pull records

Ruled out: a larger byte rate, which would exceed 9 KB/s for each node.

Changes now travel as versions of about 48 bytes, and a peer asks for the records that it lacks. Records missed are asked for again. A checksum of the table widens the comparison while two tables differ. Pages read at the start are no longer spread as news, a starting process tells all entries directly, and news is spread early while the byte budget allows it.

A leaving member that a stale VM list names is spared for 30 s if it was started after the listing.

--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -11,25 +11,43 @@
 export const INDIRECT_PINGS = 2;
 
 /** Periods for which a member stays suspect in a cluster of up to ten; more members add to it by their logarithm. */
-export const SUSPICION_PERIODS = 4;
+export const SUSPICION_PERIODS = 3;
 
 /** Bytes of records and claims in one message; a single record above it still goes out alone. */
-export const MESSAGE_BYTES = 1200;
+export const MESSAGE_BYTES = 8192;
 
 /** Bytes of member records that a process sends per second on average. Keeps control traffic below 9 KB/s. */
-export const RECORD_BYTES_PER_SECOND = 2400;
+export const RECORD_BYTES_PER_SECOND = 1600;
 
-/** Bytes of records that may go out at once after a quiet time. */
-export const RECORD_BURST_BYTES = 4800;
+/** Bytes of records that may go out at once after a quiet time, so that many processes that start together find each other quickly. */
+export const RECORD_BURST_BYTES = 64 * 1024;
 
 /** Versions of known members compared with the peer in each message. */
-export const CLAIMS_PER_MESSAGE = 8;
+export const CLAIMS_PER_MESSAGE = 4;
 
-/** Claims in one message at most, replies to stale records included. */
-export const MAX_CLAIMS_PER_MESSAGE = 16;
+/** The same while the tables of the two processes differ; the surplus is charged to the byte budget. */
+export const CLAIMS_WHILE_DIFFERENT = 32;
+
+/** Versions of changed members in one message at most. */
+export const MAX_CHANGES_PER_MESSAGE = 32;
+
+/** Records that one message asks for at most. */
+export const MAX_WANTS_PER_MESSAGE = 20;
+
+/** Records that a process may miss at once; further ones are noticed again later. */
+export const MAX_WANTED_RECORDS = 2000;
+
+/** Time for which a process asks for a record after the last mention of its member. */
+export const WANTED_RETENTION_MS = 30_000;
+
+/** Part of the byte budget that is kept for records that peers ask for; early exchanges and wider comparisons stop at it. */
+export const RESERVE_BYTES = 16 * 1024;
+
+/** Part of the period after which a process with unsent changes contacts another member. */
+export const HURRY_FACTOR = 0.25;
 
 /** Times that a change is sent, for each decimal digit of the number of members. */
-export const TRANSMITS_PER_DIGIT = 4;
+export const TRANSMITS_PER_DIGIT = 2;
 
 /** Bytes of records in one page of the table that a starting process reads. */
 export const PAGE_BYTES = 16_384;
@@ -51,14 +69,17 @@
 /** Time between two attempts to reach a seed or a lost member that is not in the table. */
 export const RECONNECT_PERIOD_MS = 10_000;
 
-/** Calls in progress at once while a leaving process tells all entries. */
-export const LEAVE_CALLS_AT_ONCE = 64;
+/** Calls in progress at once while a starting or leaving process tells all entries. */
+export const NOTICE_CALLS_AT_ONCE = 64;
 
-export const LEAVE_TIMEOUT_MS = 1000;
+export const NOTICE_TIMEOUT_MS = 1000;
 
 /** Time between two reads of the platform's VM list. */
 export const VM_LIST_PERIOD_MS = 1000;
 
+/** Time for which the VM list may still describe an earlier process of a VM as leaving. */
+export const VM_LIST_LAG_MS = 30_000;
+
 /** Members of each region that read the VM list. */
 export const VM_LIST_READERS_PER_REGION = 2;
 
@@ -87,3 +108,6 @@
 
 /** Members told directly that a process has ended; they spread it by gossip. */
 export const DEPARTURE_NOTICES = 3;
+
+/** Bytes that an early exchange costs without its changes; charged to the byte budget. */
+export const EXCHANGE_OVERHEAD_BYTES = 800;
--- a/packages/membership/src/exchange-client.ts
+++ b/packages/membership/src/exchange-client.ts
@@ -1,7 +1,9 @@
 import type {PeerClient} from '@yuccawood/common';
+import {NOTICE_TIMEOUT_MS} from './constants.js';
 import type {Followup} from './exchange-handler.js';
+import type {LeaveNotice} from './leave-notice.js';
 import type {MessageComposer} from './message-composer.js';
-import type {ExchangeMessage, PingAnswer} from './messages.js';
+import {claimOf, type ExchangeMessage, type PingAnswer} from './messages.js';
 import type {PagedAnswer, TablePage} from './table-pages.js';
 import type {MemberRecord} from './types.js';
 
@@ -55,10 +57,23 @@
 	async readPage(address: string, {after, selfId}: {readonly after: string; readonly selfId: string}): Promise<TablePage> {
 		const message = {...this.#composer.compose({owed: [selfId]}), pageAfter: after};
 		const {page = [], next, isBusy, ...answer} = await this.#call(address, message, this.#pageTimeoutMs);
-		this.#apply({...answer, records: [...answer.records, ...page]});
+		this.#apply(answer);
 		return {page, next, isBusy};
 	}
 
+	/** Tells a member the record of this process. */
+	async introduce(address: string, record: MemberRecord): Promise<void> {
+		const message: ExchangeMessage = {
+			from: claimOf(record), highest: record.revision, checksum: this.#composer.checksum, records: [record], claims: [], wants: [], isBrief: true,
+		};
+		this.#apply(await this.#call(address, message, this.#pingTimeoutMs));
+	}
+
+	/** Sends a notice that a member is leaving or has ended. */
+	async notify(address: string, notice: LeaveNotice): Promise<void> {
+		await this.#peerClient.call(address, 'membership.leave', notice, {timeoutMs: NOTICE_TIMEOUT_MS});
+	}
+
 	/** Asks a helper to ping a member. */
 	readonly pingVia = async (helper: MemberRecord, {id, address}: MemberRecord): Promise<boolean> => {
 		try {
--- a/packages/membership/src/exchange-handler.ts
+++ b/packages/membership/src/exchange-handler.ts
@@ -3,6 +3,7 @@
 import type {Defence, OwnRecord} from './own-record.js';
 import type {MemberRecord} from './types.js';
 import type {UpdateQueue} from './update-queue.js';
+import type {WantedRecords} from './wanted-records.js';
 
 /** What the peer should get in return. */
 export type Followup = {
@@ -15,12 +16,14 @@
 	readonly #own: OwnRecord;
 	readonly #directory: MemberDirectory;
 	readonly #queue: UpdateQueue;
+	readonly #wanted: WantedRecords;
 	readonly #onDefence: (defence: Defence, claim: Claim, record: MemberRecord | undefined) => void;
 
-	constructor({own, directory, queue, onDefence}: {
+	constructor({own, directory, queue, wanted, onDefence}: {
 		readonly own: OwnRecord;
 		readonly directory: MemberDirectory;
 		readonly queue: UpdateQueue;
+		readonly wanted: WantedRecords;
 
 		/** Called for each claim about this process that is newer than its own record. */
 		readonly onDefence: (defence: Defence, claim: Claim, record: MemberRecord | undefined) => void;
@@ -28,13 +31,15 @@
 		this.#own = own;
 		this.#directory = directory;
 		this.#queue = queue;
+		this.#wanted = wanted;
 		this.#onDefence = onDefence;
 	}
 
-	apply(message: ExchangeMessage): Followup {
+	apply(message: Pick<ExchangeMessage, 'from' | 'records' | 'claims' | 'wants'>): Followup {
 		const owed = new Set(message.wants);
 		const wants = new Set<string>();
 		for (const record of message.records) {
+			this.#wanted.remove(record.id);
 			if (this.#applyRecord(record) === 'stale') {
 				owed.add(record.id);
 			}
@@ -46,12 +51,25 @@
 				owed.add(claim[0]);
 			} else if (outcome === 'unknown') {
 				wants.add(claim[0]);
+				this.#wanted.add(claim[0]);
 			}
 		}
 
 		return {owed: [...owed], wants: [...wants]};
 	}
 
+	/** Applies records that the others know already, so that they are not sent on as news. */
+	load(records: readonly MemberRecord[]): void {
+		for (const record of records) {
+			this.#wanted.remove(record.id);
+			if (record.id === this.#own.record.id) {
+				this.#defend(claimOf(record), record);
+			} else {
+				this.#directory.apply(record);
+			}
+		}
+	}
+
 	/** Applies one record, own ones included. */
 	#applyRecord(record: MemberRecord): 'changed' | 'same' | 'stale' | 'unknown' {
 		if (record.id === this.#own.record.id) {
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -6,7 +6,7 @@
 import {ExchangeHandler, type Followup} from './exchange-handler.js';
 import {FailureDetector} from './failure-detector.js';
 import {withDefaults, type CompleteGossipOptions, type GossipOptions} from './gossip-options.js';
-import {sendLeaveNotice, type LeaveNotice} from './leave-notice.js';
+import {callEach, type LeaveNotice} from './leave-notice.js';
 import {MemberDirectory} from './member-directory.js';
 import {MessageComposer} from './message-composer.js';
 import {
@@ -15,9 +15,11 @@
 import {OwnIdContest} from './own-id-contest.js';
 import {OwnRecord, type Defence} from './own-record.js';
 import {reconnectUntilAborted} from './reconnection.js';
+import {hurryUntilAborted, pingUntilAborted} from './rounds.js';
 import {readTable, TablePages, type PagedAnswer} from './table-pages.js';
 import type {MemberPatch, MemberRecord, MemberTable} from './types.js';
 import {UpdateQueue} from './update-queue.js';
+import {WantedRecords} from './wanted-records.js';
 import {runVmListWatch, VmListWatch} from './vm-list-watch.js';
 
 /** Member table kept by heartbeats over partial views. Message size and rate do not depend on the number of members. */
@@ -26,6 +28,7 @@
 	readonly #own: OwnRecord;
 	readonly #directory: MemberDirectory;
 	readonly #queue = new UpdateQueue();
+	readonly #budget: ByteBudget;
 	readonly #handler: ExchangeHandler;
 	readonly #composer: MessageComposer;
 	readonly #client: ExchangeClient;
@@ -43,11 +46,14 @@
 			...self, incarnation: self.incarnation ?? clock.now(), sequence: 1, status: 'alive', revision: 0,
 		});
 		this.#directory = new MemberDirectory({...complete, maxTombstones: MAX_TOMBSTONES});
-		const parts = {own: this.#own, directory: this.#directory, queue: this.#queue};
+		this.#budget = new ByteBudget({clock, bytesPerSecond: recordBytesPerSecond, burstBytes: recordBurstBytes});
+		const parts = {
+			own: this.#own, directory: this.#directory, queue: this.#queue, wanted: new WantedRecords({clock}),
+		};
 		this.#handler = new ExchangeHandler({...parts, onDefence: this.#onDefence});
 		this.#composer = new MessageComposer({
 			...complete, ...parts, highest: () => this.highestRevision,
-			budget: new ByteBudget({clock, bytesPerSecond: recordBytesPerSecond, burstBytes: recordBurstBytes}),
+			budget: this.#budget,
 		});
 		this.#client = new ExchangeClient({
 			...complete, composer: this.#composer, apply: this.#apply, pageTimeoutMs: PAGE_TIMEOUT_MS,
@@ -100,16 +106,22 @@
 
 	/** Joins through the seeds, then keeps the table until the signal aborts. Resolves when the table has been read or no seed answers. */
 	async start(signal: AbortSignal): Promise<void> {
-		const options = {...this.#options, ownAddress: this.self.address, signal};
+		const exchange = async (address: string): Promise<unknown> => this.#client.exchange(address);
+		const options = {
+			...this.#options, directory: this.#directory, queue: this.#queue, budget: this.#budget, ownAddress: this.self.address, signal, exchange,
+		};
 		await readTable({
 			...options, members: () => this.#directory.live,
 			readPage: async (address, after) => this.#client.readPage(address, {after, selfId: this.self.id}),
+			load: records => {
+				this.#handler.load(records);
+			},
 		});
 		this.#isStarting = false;
-		void this.#run(signal);
-		void reconnectUntilAborted({
-			...options, directory: this.#directory, exchange: async address => this.#client.exchange(address),
-		});
+		await this.#introduce();
+		void pingUntilAborted({...options, detector: this.#detector});
+		void hurryUntilAborted(options);
+		void reconnectUntilAborted(options);
 		const {vmList, clock, vmListPeriodMs} = this.#options;
 		if (vmList) {
 			const watch = new VmListWatch({
@@ -144,38 +156,11 @@
 		return periodMs * suspicionPeriods * Math.max(1, Math.log10(this.#directory.live.length + 1));
 	}
 
-	async #run(signal: AbortSignal): Promise<void> {
-		const {clock, periodMs, pingTimeoutMs, indirectPingTimeoutMs, log, metrics} = this.#options;
-		// A round that took longer than all its time limits together was interrupted by a pause of the process.
-		const pauseMs = (2 * periodMs) + (2 * pingTimeoutMs) + indirectPingTimeoutMs;
-		while (!signal.aborted) {
-			const before = clock.monotonic();
-			try {
-				await this.#detector.probe();
-			} catch (error) {
-				log.error('Ping failed.', {error: describeError(error)});
-			}
-
-			await clock.sleep(Math.max(0, periodMs - (clock.monotonic() - before)), signal);
-			const tookMs = clock.monotonic() - before;
-			if (tookMs > pauseMs) {
-				log.warn('Process was paused.', {milliseconds: Math.round(tookMs)});
-				metrics.count('membership.pauses');
-				this.#detector.restartSuspicions();
-			}
-
-			this.#detector.expireSuspicions();
-			for (const id of this.#directory.expire()) {
-				this.#queue.remove(id);
-			}
-
-			metrics.gauge('membership.members', this.members.length);
-		}
-	}
-
 	readonly #apply = (message: ExchangeMessage): Followup => {
 		this.#highest = Math.max(this.#highest, message.highest);
-		return this.#handler.apply(message);
+		const followup = this.#handler.apply(message);
+		this.#composer.compare(message.checksum);
+		return followup;
 	};
 
 	readonly #spread = (id: string): void => {
@@ -207,20 +192,37 @@
 		const [id, incarnation, sequence, , revision] = claimOf(member);
 		const claim: Claim = [id, incarnation, sequence, 'leaving', revision];
 		this.#handler.apply({
-			from: claim, highest: 0, records: [], claims: [], wants: [],
+			from: claim, records: [], claims: [], wants: [],
 		});
 		await this.#tell({claim}, [...new Set([member, ...this.#entries])].filter(target => target.id !== this.self.id));
 	};
 
 	async #tell(notice: LeaveNotice, members: readonly MemberRecord[]): Promise<void> {
-		await sendLeaveNotice(notice, {...this.#options, members});
+		await callEach(members, async ({id, address}) => {
+			try {
+				await this.#client.notify(address, notice);
+			} catch (error) {
+				this.#options.log.warn('Leave notice got no answer; gossip tells the member later.', {member: id, error: describeError(error)});
+			}
+		});
+	}
+
+	/** Makes this process known to all entries at once, so that they need not wait for gossip to send it work. */
+	async #introduce(): Promise<void> {
+		await callEach(this.#entries, async ({address}) => {
+			try {
+				await this.#client.introduce(address, this.self);
+			} catch {
+				// Gossip tells the entry later.
+			}
+		});
 	}
 
 	#serve(): void {
 		const {peerServer, clock} = this.#options;
 		const pages = new TablePages({directory: this.#directory, clock});
 		peerServer.method('membership.exchange', (message: ExchangeMessage): PagedAnswer => {
-			const answer = this.#composer.compose(this.#apply(message));
+			const answer = this.#composer.compose({...this.#apply(message), isBrief: message.isBrief});
 			return message.pageAfter === undefined ? answer : {...answer, ...pages.page(message.pageAfter)};
 		});
 		peerServer.method('membership.ping', (): PingAnswer => ({id: this.self.id, incarnation: this.self.incarnation}));
@@ -230,7 +232,7 @@
 		});
 		peerServer.method('membership.leave', ({claim, record}: LeaveNotice): boolean => {
 			this.#handler.apply({
-				from: claim, highest: 0, records: record ? [record] : [], claims: [], wants: [],
+				from: claim, records: record ? [record] : [], claims: [], wants: [],
 			});
 			return true;
 		});
--- a/packages/membership/src/leave-notice.ts
+++ b/packages/membership/src/leave-notice.ts
@@ -1,5 +1,4 @@
-import {describeError, type Log, type PeerClient} from '@yuccawood/common';
-import {LEAVE_CALLS_AT_ONCE, LEAVE_TIMEOUT_MS} from './constants.js';
+import {NOTICE_CALLS_AT_ONCE} from './constants.js';
 import type {Claim} from './messages.js';
 import type {MemberRecord} from './types.js';
 
@@ -9,22 +8,14 @@
 	readonly record?: MemberRecord;
 };
 
-/** Sends a notice to the members in parallel, with a bounded number of calls at once. Members that give no answer learn it by gossip. */
-export const sendLeaveNotice = async (notice: LeaveNotice, {members, peerClient, log}: {
-	readonly members: readonly MemberRecord[];
-	readonly peerClient: Pick<PeerClient, 'call'>;
-	readonly log: Log;
-}): Promise<void> => {
+/** Runs the call for each member in parallel, with a bounded number of calls at once. */
+export const callEach = async (members: readonly MemberRecord[], call: (member: MemberRecord) => Promise<void>): Promise<void> => {
 	const waiting = [...members];
-	const sendNext = async (): Promise<void> => {
+	const callNext = async (): Promise<void> => {
 		for (let member = waiting.pop(); member; member = waiting.pop()) {
-			try {
-				await peerClient.call(member.address, 'membership.leave', notice, {timeoutMs: LEAVE_TIMEOUT_MS});
-			} catch (error) {
-				log.warn('Leave notice got no answer.', {member: member.id, error: describeError(error)});
-			}
+			await call(member);
 		}
 	};
 
-	await Promise.all(Array.from({length: LEAVE_CALLS_AT_ONCE}, sendNext));
+	await Promise.all(Array.from({length: NOTICE_CALLS_AT_ONCE}, callNext));
 };
--- a/packages/membership/src/member-directory.ts
+++ b/packages/membership/src/member-directory.ts
@@ -1,5 +1,5 @@
 import {Publisher, type Clock} from '@yuccawood/common';
-import {compareVersions, mergeRecords} from './record-order.js';
+import {checksumOf, compareVersions, mergeRecords} from './record-order.js';
 import {versionOf, type Claim} from './messages.js';
 import {Tombstones} from './tombstones.js';
 import type {MemberRecord} from './types.js';
@@ -14,6 +14,7 @@
 	readonly #changedAt = new Map<string, number>();
 	#live: readonly MemberRecord[] | undefined;
 	#highestRevision = 0;
+	#checksum = 0;
 
 	constructor({clock, deadRetentionMs, tombstoneRetentionMs, maxTombstones}: {
 		readonly clock: Clock;
@@ -37,6 +38,11 @@
 		return this.#highestRevision;
 	}
 
+	/** Sum over the records of the other members. */
+	get checksum(): number {
+		return this.#checksum;
+	}
+
 	get tombstoneCount(): number {
 		return this.#tombstones.size;
 	}
@@ -154,6 +160,8 @@
 	}
 
 	#store(record: MemberRecord, isStatusChange: boolean): void {
+		const known = this.#records.get(record.id);
+		this.#checksum += checksumOf(record) - (known ? checksumOf(known) : 0);
 		this.#records.set(record.id, record);
 		this.#live = undefined;
 		this.#highestRevision = Math.max(this.#highestRevision, record.revision);
--- a/packages/membership/src/message-composer.ts
+++ b/packages/membership/src/message-composer.ts
@@ -1,8 +1,9 @@
 import type {Random} from '@yuccawood/common';
 import type {ByteBudget} from './byte-budget.js';
 import {
-	CLAIMS_PER_MESSAGE, MAX_CLAIMS_PER_MESSAGE, MESSAGE_BYTES, TRANSMITS_PER_DIGIT,
+	CLAIMS_PER_MESSAGE, CLAIMS_WHILE_DIFFERENT, MAX_CHANGES_PER_MESSAGE, MAX_WANTS_PER_MESSAGE, MESSAGE_BYTES, RESERVE_BYTES, TRANSMITS_PER_DIGIT,
 } from './constants.js';
+import {checksumOf} from './record-order.js';
 import type {MemberDirectory} from './member-directory.js';
 import {
 	claimOf, recordBytes, type Claim, type ExchangeMessage,
@@ -10,85 +11,122 @@
 import type {OwnRecord} from './own-record.js';
 import type {MemberRecord} from './types.js';
 import type {UpdateQueue} from './update-queue.js';
+import type {WantedRecords} from './wanted-records.js';
 
 export type MessageComposerOptions = {
 	readonly own: OwnRecord;
 	readonly directory: MemberDirectory;
 	readonly queue: UpdateQueue;
+	readonly wanted: WantedRecords;
 	readonly budget: ByteBudget;
 	readonly random: Random;
 	readonly highest: () => number;
 	readonly messageBytes?: number;
 };
 
+/** Typical size of a claim in a message. */
+const CLAIM_BYTES = 48;
+
 /**
-Builds messages of bounded size: records and claims that the peer asked for, then recent changes, then a few versions for comparison.
+Builds messages of bounded size: records that the peer lacks, then versions of recent changes, then a few versions for comparison.
 
-The versions run through the whole table, so that a change that the recent changes missed is found later.
+A peer asks for the records of versions that it does not know, so a description is sent to each member about once, however often
+its version is repeated. The versions for comparison run through the whole table and find what the recent changes missed.
 */
 export class MessageComposer {
 	readonly #options: Required<MessageComposerOptions>;
-	#sweep: MemberRecord[] = [];
+	#sweep: string[] = [];
+	#isDifferent = false;
 
 	constructor(options: MessageComposerOptions) {
 		this.#options = {messageBytes: MESSAGE_BYTES, ...options};
 	}
 
 	/** @param owed members whose newer version the peer lacks. */
-	compose({owed = [], wants = []}: {readonly owed?: readonly string[]; readonly wants?: readonly string[]} = {}): ExchangeMessage {
-		const {own, directory, queue, budget, highest, messageBytes} = this.#options;
+	compose({owed = [], wants = [], isBrief = false}: {
+		readonly owed?: readonly string[];
+		readonly wants?: readonly string[];
+		readonly isBrief?: boolean;
+	} = {}): ExchangeMessage {
+		const {own, highest, wanted} = this.#options;
+		const {records, claims} = this.#owed(owed);
+		const extra = isBrief ? [] : [...this.#changes(new Set(owed)), ...this.#nextOfSweep()];
+		return {
+			from: claimOf(own.record),
+			highest: highest(),
+			checksum: this.checksum,
+			records,
+			claims: [...claims, ...extra],
+			wants: [...new Set([...wants, ...wanted.next(MAX_WANTS_PER_MESSAGE)])].slice(0, MAX_WANTS_PER_MESSAGE),
+		};
+	}
+
+	/** Checksum of the whole table. */
+	get checksum(): number {
+		return this.#options.directory.checksum + checksumOf(this.#options.own.record);
+	}
+
+	/** Notes whether the peer's table differs, which makes the next messages compare more versions. */
+	compare(checksum: number): void {
+		this.#isDifferent = checksum !== this.checksum;
+	}
+
+	/** Suspicions and deaths travel as claims, because the peer knows the description already. */
+	#owed(ids: readonly string[]): {readonly records: readonly MemberRecord[]; readonly claims: readonly Claim[]} {
+		const {own, directory, queue, budget, messageBytes} = this.#options;
 		const records: MemberRecord[] = [];
 		const claims: Claim[] = [];
-		const limit = this.#transmitLimit;
 		let room = Math.min(messageBytes, budget.available);
-		for (const id of new Set([...owed, ...queue.pending()])) {
-			if (room <= 0 || claims.length >= MAX_CLAIMS_PER_MESSAGE) {
+		for (const id of ids) {
+			if (room <= 0) {
 				break;
 			}
 
 			const record = id === own.record.id ? own.record : directory.get(id);
-			const bytes = this.#append(id, record, {records, claims});
+			const claim = directory.versionOf(id);
+			let bytes = CLAIM_BYTES;
+			if (record && (record.status === 'alive' || record.status === 'leaving')) {
+				records.push(record);
+				bytes = recordBytes(record);
+			} else if (claim) {
+				claims.push(claim);
+			}
+
 			room -= bytes;
 			budget.spend(bytes);
-			queue.sent(id, limit);
+			queue.sent(id, this.#transmitLimit);
 		}
 
-		for (const record of this.#nextOfSweep(Math.min(CLAIMS_PER_MESSAGE, MAX_CLAIMS_PER_MESSAGE - claims.length))) {
-			claims.push(claimOf(record));
+		return {records, claims};
+	}
+
+	#changes(without: ReadonlySet<string>): readonly Claim[] {
+		const {own, directory, queue, budget} = this.#options;
+		const count = Math.min(MAX_CHANGES_PER_MESSAGE, Math.floor(budget.available / CLAIM_BYTES));
+		const ids = queue.pending().filter(id => !without.has(id)).slice(0, Math.max(0, count));
+		for (const id of ids) {
+			queue.sent(id, this.#transmitLimit);
 		}
 
-		return {
-			from: claimOf(own.record), highest: highest(), records, claims, wants: wants.slice(0, MAX_CLAIMS_PER_MESSAGE),
-		};
+		// The own version stands in every message as its sender.
+		const claims = ids.filter(id => id !== own.record.id).map(id => directory.versionOf(id)).filter(claim => claim !== undefined);
+		budget.spend(claims.length * CLAIM_BYTES);
+		return claims;
 	}
 
 	get #transmitLimit(): number {
 		return TRANSMITS_PER_DIGIT * Math.ceil(Math.log10(this.#options.directory.live.length + 2));
 	}
 
-	/** Suspicions and deaths travel as claims, because the peer knows the description already. */
-	#append(id: string, record: MemberRecord | undefined, {records, claims}: {readonly records: MemberRecord[]; readonly claims: Claim[]}): number {
-		if (record && (record.status === 'alive' || record.status === 'leaving')) {
-			records.push(record);
-			return recordBytes(record);
-		}
-
-		const claim = this.#options.directory.versionOf(id);
-		if (!claim) {
-			return 0;
-		}
-
-		claims.push(claim);
-		return JSON.stringify(claim).length;
-	}
-
-	#nextOfSweep(count: number): readonly MemberRecord[] {
-		const {directory, random} = this.#options;
+	#nextOfSweep(): readonly Claim[] {
+		const {directory, random, budget} = this.#options;
 		if (this.#sweep.length === 0) {
-			this.#sweep = [...random.sample(directory.live, directory.live.length)];
+			this.#sweep = random.sample(directory.live, directory.live.length).map(({id}) => id);
 		}
 
-		const taken = this.#sweep.splice(-count, count);
-		return taken.map(({id}) => directory.get(id)).filter(record => record !== undefined);
+		const count = this.#isDifferent && budget.available > RESERVE_BYTES ? CLAIMS_WHILE_DIFFERENT : CLAIMS_PER_MESSAGE;
+		const claims = this.#sweep.splice(-count, count).map(id => directory.versionOf(id)).filter(claim => claim !== undefined);
+		budget.spend(Math.max(0, claims.length - CLAIMS_PER_MESSAGE) * CLAIM_BYTES);
+		return claims;
 	}
 }
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -11,12 +11,18 @@
 
 	/** Highest configuration revision that the sender knows of. */
 	readonly highest: number;
+
+	/** Checksum of the sender's table; equal tables have equal checksums. */
+	readonly checksum: number;
 	readonly records: readonly MemberRecord[];
 	readonly claims: readonly Claim[];
 
 	/** Members whose records the sender lacks or has in an older version. */
 	readonly wants: readonly string[];
 
+	/** Asks for an answer without changes and comparisons. */
+	readonly isBrief?: boolean;
+
 	/** Asks for the records with ids after this one; the empty text asks for the first page. */
 	readonly pageAfter?: string;
 };
--- a/packages/membership/src/record-order.ts
+++ b/packages/membership/src/record-order.ts
@@ -1,4 +1,5 @@
 /** Order and merge of member records. The merge is commutative, associative and idempotent, so any order of arrival gives the same table. */
+import {score} from '@yuccawood/common';
 import type {MemberRecord, MemberStatus} from './types.js';
 
 /** The part of a record that orders it against others of the same member. */
@@ -26,3 +27,9 @@
 	const revision = Math.max(known.revision, incoming.revision);
 	return revision === winner.revision ? winner : {...winner, revision};
 };
+
+/** Part of a record in the checksum of a table, below 2^31. Dead members count as absent. */
+export const checksumOf = ({id, incarnation, sequence, status}: RecordVersion & Pick<MemberRecord, 'id'>): number =>
+	status === 'dead' ? 0 : score(id, `${incarnation} ${sequence} ${status}`) % CHECKSUM_LIMIT;
+
+const CHECKSUM_LIMIT = 2 ** 31;
--- a/packages/membership/src/table-pages.ts
+++ b/packages/membership/src/table-pages.ts
@@ -57,13 +57,14 @@
 
 @returns false if nobody answered.
 */
-export const readTable = async ({seeds, ownAddress, members, readPage, clock, random, log, signal}: {
+export const readTable = async ({seeds, ownAddress, members, readPage, load, clock, random, log, signal}: {
 	readonly seeds: readonly string[];
 	readonly ownAddress: string;
 	readonly members: () => readonly MemberRecord[];
 
-	/** Asks the process at the address and applies its answer. */
+	/** Asks the process at the address and applies its answer, without the page. */
 	readonly readPage: (address: string, after: string) => Promise<TablePage>;
+	readonly load: (page: readonly MemberRecord[]) => void;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Log;
@@ -81,7 +82,8 @@
 		}
 
 		try {
-			const {next, isBusy = false} = await readPage(address, after);
+			const {page, next, isBusy = false} = await readPage(address, after);
+			load(page);
 			hasAnswer = true;
 			after = next;
 			failures += isBusy ? 1 : 0;
--- a/packages/membership/src/update-queue.ts
+++ b/packages/membership/src/update-queue.ts
@@ -12,6 +12,11 @@
 		this.#transmits.set(id, 0);
 	}
 
+	/** True if a change was not sent to anybody yet. */
+	get hasUnsent(): boolean {
+		return [...this.#transmits.values()].includes(0);
+	}
+
 	/** Ids in the order in which they should be sent. */
 	pending(): readonly string[] {
 		return [...this.#transmits.entries()].sort((a, b) => a[1] - b[1]).map(([id]) => id);
--- a/packages/membership/src/vm-list-watch.ts
+++ b/packages/membership/src/vm-list-watch.ts
@@ -2,9 +2,18 @@
 	topRanked, type Clock, type Log, type Metrics,
 } from '@yuccawood/common';
 import type {VmList} from '@yuccawood/platform';
-import {VM_LIST_READERS_PER_REGION} from './constants.js';
+import {VM_LIST_LAG_MS, VM_LIST_READERS_PER_REGION} from './constants.js';
 import type {MemberRecord, MemberTable} from './types.js';
 
+type Listing = {
+	/** Incarnation that ran when the VM was first listed as leaving; absent if that was before this process started. */
+	readonly incarnation?: number;
+
+	/** Newest incarnation known, and the monotonic time since which it is known. */
+	readonly seen: number;
+	readonly since: number;
+};
+
 /**
 Reads the platform's VM list and reports the members that it marks as leaving.
 
@@ -17,19 +26,22 @@
 	readonly #log: Log;
 	readonly #metrics: Metrics;
 
-	/** Incarnation for which a VM was first listed as leaving; a process started later is not meant by that listing. */
-	readonly #listed = new Map<string, number>();
+	readonly #clock: Clock;
+	readonly #listed = new Map<string, Listing>();
+	#hasRead = false;
 
-	constructor({vmList, table, onLeaving, log, metrics}: {
+	constructor({vmList, table, onLeaving, clock, log, metrics}: {
 		readonly vmList: VmList;
 		readonly table: Pick<MemberTable, 'self' | 'members' | 'find'>;
 		readonly onLeaving: (member: MemberRecord) => Promise<void>;
+		readonly clock: Clock;
 		readonly log: Log;
 		readonly metrics: Metrics;
 	}) {
 		this.#vmList = vmList;
 		this.#table = table;
 		this.#onLeaving = onLeaving;
+		this.#clock = clock;
 		this.#log = log;
 		this.#metrics = metrics;
 	}
@@ -56,6 +68,7 @@
 		}
 
 		await Promise.all([...leaving].map(async id => this.#report(id)));
+		this.#hasRead = true;
 	}
 
 	async #report(id: string): Promise<void> {
@@ -65,15 +78,24 @@
 			return;
 		}
 
-		const incarnation = this.#listed.get(id) ?? member.incarnation;
-		this.#listed.set(id, incarnation);
-		if (incarnation !== member.incarnation || member.status === 'leaving' || member.status === 'dead') {
+		const isMeant = this.#isMeant(member);
+		if (!isMeant || member.status === 'leaving' || member.status === 'dead') {
 			return;
 		}
 
 		this.#log.info('VM list marks member as leaving.', {member: id});
 		await this.#onLeaving(member);
 	}
+
+	/** A process that was started after its VM was listed is meant only if the listing outlasts the lag of the list. */
+	#isMeant({id, incarnation}: MemberRecord): boolean {
+		const now = this.#clock.monotonic();
+		const isOlderThanThisProcess = !this.#hasRead && id === this.#table.self.id;
+		const first = this.#listed.get(id) ?? {incarnation: isOlderThanThisProcess ? undefined : incarnation, seen: incarnation, since: now};
+		const listing = first.seen === incarnation ? first : {...first, seen: incarnation, since: now};
+		this.#listed.set(id, listing);
+		return listing.incarnation === incarnation || now - listing.since >= VM_LIST_LAG_MS;
+	}
 }
 
 /** Runs the watch until the signal aborts. */
