--- a/packages/stand-ins/src/answer-text.ts
+++ b/packages/stand-ins/src/answer-text.ts
@@ -11,6 +11,9 @@
 	readonly messages: readonly Message[];
 };
 
+/** Identifies the messages of a request in the log, whatever id it was forwarded under. */
+export const contentHash = (messages: readonly Message[]): string => createHash('sha256').update(JSON.stringify(messages)).digest('hex');
+
 /** Generator of the tokens of one answer, by position. */
 export const tokenSource = ({manifest, model, messages}: AnswerSubject): (index: number) => string => {
 	const prefix = createHash('sha256').update(JSON.stringify([manifest, model, messages])).digest('hex');
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -12,5 +12,7 @@
 export {
 	createWeights, manifestText, type ManifestFields, type Weights, type WeightsOptions,
 } from './create-weights.js';
-export {expectedAnswer, type AnswerSubject, type Message} from './answer-text.js';
+export {
+	contentHash, expectedAnswer, type AnswerSubject, type Message,
+} from './answer-text.js';
 export type {CacheEvent} from './prefix-cache.js';
