Let one process run several engine or service stand-ins

A rollout over 64 replicas would need 64 engine processes beside the agents on one machine.

An answer to a read that is not JSON is now rejected instead of unknown-outcome, as reads have no effect.

--- a/packages/platform/src/http-caller.ts
+++ b/packages/platform/src/http-caller.ts
@@ -78,7 +78,7 @@
 	async json<Value>(path: string, options?: CallOptions & {readonly value?: unknown}): Outcome<Value> {
 		const body = options?.value === undefined ? options?.body : JSON.stringify(options.value);
 		const answer = await this.call(path, {...options, body});
-		return answer.andThen(bytes => parse<Value>(bytes, path));
+		return answer.andThen(bytes => parse<Value>(bytes, path, options?.method ?? 'GET'));
 	}
 
 	/** Ends all calls; those in progress fail. */
@@ -87,12 +87,12 @@
 	}
 }
 
-const parse = <Value>(bytes: Uint8Array | undefined, path: string) => {
+const parse = <Value>(bytes: Uint8Array | undefined, path: string, method: string) => {
 	try {
 		return Ok((bytes === undefined ? undefined : JSON.parse(new TextDecoder().decode(bytes))) as Value);
 	} catch (error) {
 		return Err(new PlatformError({
-			kind: 'unknown-outcome', detail: `The answer to ${path} is not JSON.`, remedy: 'Check that the address belongs to this service.', cause: error,
+			kind: method === 'GET' ? 'rejected' : 'unknown-outcome', detail: `The answer to ${path} is not JSON.`, remedy: 'Check that the address belongs to this service.', cause: error,
 		}));
 	}
 };
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -1,5 +1,10 @@
 #!/usr/bin/env node
-/** Runs one stand-in as a process. The first line of standard output is `{"address": "IP:port"}`. */
+/**
+Runs stand-ins as a process.
+
+The first line of standard output is `{"address": "IP:port", "addresses": [...]}`. With `--count`, one process runs several
+engines or services, which need less memory than processes of their own.
+*/
 import process from 'node:process';
 import {Command} from 'commander';
 import {seededRandom} from '@yuccawood/common';
@@ -13,12 +18,17 @@
 
 type Listener = {readonly listen: (host: string, port: number) => Promise<string>};
 
-const run = async (standIn: Listener, listen: string): Promise<void> => {
+/** The first stand-in takes the port; the others take free ones. */
+const run = async (standIns: readonly Listener[], listen: string): Promise<void> => {
 	const separator = listen.lastIndexOf(':');
-	const address = await standIn.listen(listen.slice(0, separator), Number(listen.slice(separator + 1)));
-	process.stdout.write(`${JSON.stringify({address})}\n`);
+	const host = listen.slice(0, separator);
+	const port = Number(listen.slice(separator + 1));
+	const addresses = await Promise.all(standIns.map(async (standIn, index) => standIn.listen(host, index === 0 ? port : 0)));
+	process.stdout.write(`${JSON.stringify({address: addresses[0], addresses})}\n`);
 };
 
+const several = (count: number, create: (index: number) => Listener): readonly Listener[] => Array.from({length: count}, (_, index) => create(index));
+
 const collect = (value: string, earlier: readonly string[] = []): readonly string[] => [...earlier, value];
 
 /** Reads `seed:name:version:kind:size:chunk[:base[:shared chunks]]`. */
@@ -42,20 +52,20 @@
 subcommand('key-value', 'Key-value service')
 	.option('--writes-per-second <number>', 'limit of writes', Number, 400)
 	.option('--reads-per-second <number>', 'limit of reads', Number, 2000)
-	.action(async (options: {listen: string; writesPerSecond: number; readsPerSecond: number}) => run(new KeyValueStandIn(options), options.listen));
+	.action(async (options: {listen: string; writesPerSecond: number; readsPerSecond: number}) => run([new KeyValueStandIn(options)], options.listen));
 
 subcommand('origin', 'Origin of weights')
 	.option('--weights <text>', 'seed:name:version:kind:size:chunk[:base[:shared chunks]], repeatable', collect, [])
 	.option('--link-bytes-per-second <number>', 'bandwidth of the link', Number, Number.POSITIVE_INFINITY)
 	.option('--seed <text>', 'seed of the faults', 'origin')
-	.action(async ({listen, weights, linkBytesPerSecond, seed}: {listen: string; weights: string[]; linkBytesPerSecond: number; seed: string}) => run(new OriginStandIn({
+	.action(async ({listen, weights, linkBytesPerSecond, seed}: {listen: string; weights: string[]; linkBytesPerSecond: number; seed: string}) => run([new OriginStandIn({
 		linkBytesPerSecond, random: seededRandom(seed), weights: weights.map(text => createWeights(parseWeights(text))),
-	}), listen));
+	})], listen));
 
 subcommand('vm-list', 'List of VMs')
 	.option('--vm <text>', 'id[:live|leaving], repeatable', collect, [])
 	.option('--lag-ms <number>', 'time until a change shows', Number, 0)
-	.action(async ({listen, vm, lagMs}: {listen: string; vm: string[]; lagMs: number}) => run(new VmListStandIn({lagMs, vms: vm.map(text => parseVm(text))}), listen));
+	.action(async ({listen, vm, lagMs}: {listen: string; vm: string[]; lagMs: number}) => run([new VmListStandIn({lagMs, vms: vm.map(text => parseVm(text))})], listen));
 
 subcommand('engine', 'Model engine')
 	.option('--capacity <number>', 'requests that run at the same time', Number, 16)
@@ -67,13 +77,15 @@
 	.option('--ignore-fencing', 'accept orders with stale fencing numbers')
 	.option('--cache-blocks <number>', 'size of the prefix cache in blocks of 64 characters', Number, 4096)
 	.option('--crash-down-ms <number>', 'time down after a crash', Number, 500)
+	.option('--count <number>', 'engines in this process', Number, 1)
 	.option('--exit-on-crash', 'exit the process on a crash')
 	.option('--active <text>', 'name:version:manifest that is active from the start, repeatable', collect, [])
-	.action(async ({listen, ignoreFencing = false, exitOnCrash = false, active, ...options}: {
-		listen: string; ignoreFencing?: boolean; exitOnCrash?: boolean; active: string[]; capacity: number; queueLimit: number;
+	.action(async ({listen, ignoreFencing = false, exitOnCrash = false, active, count, ...options}: {
+		listen: string; count: number; ignoreFencing?: boolean; exitOnCrash?: boolean; active: string[]; capacity: number; queueLimit: number;
 		tokenIntervalMs: number; prefillBlockMs: number; loadMs: number; loadReportLagMs: number; cacheBlocks: number; crashDownMs: number;
-	}) => run(new EngineStandIn({
+	}) => run(several(count, index => new EngineStandIn({
 		...options,
+		random: seededRandom(`engine-${index}`),
 		checksFencing: !ignoreFencing,
 		versions: active.map(text => {
 			const [name, version, manifest] = text.split(':');
@@ -86,11 +98,12 @@
 				process.exit(1);
 			}
 			: undefined,
-	}), listen));
+	})), listen));
 
 subcommand('service', 'Plain service')
+	.option('--count <number>', 'services in this process', Number, 1)
 	.option('--name <text>', 'name in the answers', 'service')
 	.option('--work-ms <number>', 'time that a call takes', Number, 0)
-	.action(async (options: {listen: string; name: string; workMs: number}) => run(new ServiceStandIn(options), options.listen));
+	.action(async (options: {listen: string; count: number; name: string; workMs: number}) => run(several(options.count, () => new ServiceStandIn(options)), options.listen));
 
 await program.parseAsync();
--- a/packages/stand-ins/src/service-stand-in.test.ts
+++ b/packages/stand-ins/src/service-stand-in.test.ts
@@ -60,15 +60,18 @@
 
 describe('main.js', () => {
 	it('runs a stand-in as a process that names its address', async () => {
-		const child = spawn(process.execPath, [fileURLToPath(new URL('main.js', import.meta.url)), 'service', '--name', 'x'], {stdio: ['ignore', 'pipe', 'inherit']});
+		const child = spawn(process.execPath, [fileURLToPath(new URL('main.js', import.meta.url)), 'service', '--name', 'x', '--count', '2'], {stdio: ['ignore', 'pipe', 'inherit']});
 		try {
 			const line = await new Promise<string>(resolve => {
 				child.stdout.once('data', data => {
 					resolve(String(data));
 				});
 			});
-			const {address} = JSON.parse(line) as {readonly address: string};
-			expect(await call(address, 'r')).to.include({service: 'x'});
+			const {address, addresses} = JSON.parse(line) as {readonly address: string; readonly addresses: readonly string[]};
+			expect(addresses[0]).to.equal(address);
+			for (const one of addresses) {
+				expect(await call(one, 'r')).to.include({service: 'x', sequence: 0});
+			}
 		} finally {
 			child.kill();
 		}
