--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -45,6 +45,9 @@
 	readonly leaseTtlMs?: number;
 	readonly vmListLagMs?: number;
 	readonly logLevel?: string;
+
+	/** Address under which the daemon of a VM reaches a part of the platform or its upstream, for example that of a relay. */
+	readonly route?: (vm: string, part: keyof PlatformAddresses | 'upstream', address: string) => Promise<string>;
 };
 
 const MAX_SEEDS = 3;
@@ -102,7 +105,8 @@
 	async addEntry(id: string, {region = 'western', failureDomain = `${region}-a`}: {readonly region?: string; readonly failureDomain?: string} = {}): Promise<FleetVm> {
 		const [peer, callers] = await freeAddresses(2);
 		const place = {id, region, failureDomain};
-		await this.#writeSettings(id, entrySettingsText({...this.#shared(place, peer), callers}));
+		const platform = await this.#platformOf(id);
+		await this.#writeSettings(id, entrySettingsText({...this.#shared(place, peer), platform, callers}));
 		const vm: FleetVm = {
 			...place, role: 'entry', peer, callers, upstreamAddress: undefined, daemon: this.#daemon(id), upstream: undefined,
 		};
@@ -118,7 +122,7 @@
 		const upstream = this.#standIn(`${id}-upstream`, [kind, '--listen', upstreamAddress, ...upstreamArgs(options, capacity, checksFencing), ...standInArgs]);
 		await waitForAddress(upstream);
 		await this.#writeSettings(id, agentSettingsText({
-			...this.#shared(place, peer), kind, service, upstream: upstreamAddress, capacity, checksFencing, orderLock,
+			...this.#shared(place, peer), platform: await this.#platformOf(id), kind, service, upstream: await this.#route(id, 'upstream', upstreamAddress), capacity, checksFencing, orderLock,
 			storeRegion: this.#options.storeRegion ?? 'western',
 			linkBytesPerSecond: options.linkBytesPerSecond, crossRegionBytesPerSecond: options.crossRegionBytesPerSecond,
 		}));
@@ -212,6 +216,19 @@
 		};
 	}
 
+	async #route(vm: string, part: keyof PlatformAddresses | 'upstream', address: string): Promise<string> {
+		return await this.#options.route?.(vm, part, address) ?? address;
+	}
+
+	async #platformOf(vm: string): Promise<PlatformAddresses> {
+		const {keyValue, origin, vmList} = this.platform;
+		return {
+			keyValue: await this.#route(vm, 'keyValue', keyValue),
+			origin: await this.#route(vm, 'origin', origin),
+			vmList: await this.#route(vm, 'vmList', vmList),
+		};
+	}
+
 	#settingsFile(id: string): string {
 		return path.join(this.#directory, `${id}.ini`);
 	}
