--- a/packages/bench/src/soak/evidence.ts
+++ b/packages/bench/src/soak/evidence.ts
@@ -1,6 +1,9 @@
 /** What a soak run records: the callers' side, the stand-ins' logs, and what was done to the system. */
 import type {LogEntry, Message} from '@yuccawood/stand-ins';
 
+/** Undisturbed time before a planned stop. Attempts that began earlier may suffer from earlier faults. */
+export const QUIET_BEFORE_STOP_MS = 2000;
+
 /** One HTTP exchange of a caller. Times are milliseconds since the epoch. */
 export type Attempt = {
 	readonly entry: string;
--- a/packages/bench/src/soak/fault-injector.ts
+++ b/packages/bench/src/soak/fault-injector.ts
@@ -2,7 +2,7 @@
 import {delay} from '@yuccawood/common';
 import type {FleetVm} from '../fleet/fleet.js';
 import type {Callers} from './callers.js';
-import type {Interference, PlannedStop} from './evidence.js';
+import {QUIET_BEFORE_STOP_MS, type Interference, type PlannedStop} from './evidence.js';
 import type {Operators} from './operators.js';
 import type {Fault, FaultKind} from './schedule.js';
 import {setFaults} from './stand-in-control.js';
@@ -159,7 +159,9 @@
 
 	/** A planned stop in otherwise healthy conditions; the VM is replaced afterwards. */
 	async #stop({target}: Fault): Promise<string> {
+		this.#system.cutSilent();
 		await this.#system.waitUntilReady(READY_LIMIT_MS);
+		await delay(QUIET_BEFORE_STOP_MS);
 		const vm = pick([...this.#system.fleet.vms.values()], target);
 		const startedAt = Date.now();
 		const exitCode = await vm.daemon.stop(STOP_LIMIT_MS);
--- a/packages/bench/src/soak/system.ts
+++ b/packages/bench/src/soak/system.ts
@@ -81,6 +81,13 @@
 		return relay;
 	}
 
+	/** Breaks all silent connections, so that earlier faults have no further effect. */
+	cutSilent(): void {
+		for (const relay of this.#relays.values()) {
+			relay.cutSilent();
+		}
+	}
+
 	async showAllLive(leaving?: string): Promise<void> {
 		await setVms(this.fleet.platform.vmList, [...this.fleet.vms.keys()].map(id => ({id, state: id === leaving ? 'leaving' : 'live'})));
 	}
--- a/packages/bench/src/soak/tcp-relay.ts
+++ b/packages/bench/src/soak/tcp-relay.ts
@@ -4,6 +4,7 @@
 export class TcpRelay {
 	readonly #target: {readonly host: string; readonly port: number};
 	readonly #sockets = new Set<Socket>();
+	readonly #silent = new Set<Socket>();
 	readonly #server: net.Server;
 
 	/** `target` is `IP:port`. */
@@ -36,11 +37,19 @@
 			socket.unpipe();
 			socket.pause();
 			socket.removeAllListeners('end');
+			this.#silent.add(socket);
 		}
 
 		return count;
 	}
 
+	/** Breaks the connections that have gone silent. */
+	cutSilent(): void {
+		for (const socket of this.#silent) {
+			socket.resetAndDestroy();
+		}
+	}
+
 	/** Breaks the present connections. */
 	cut(): void {
 		for (const socket of this.#sockets) {
@@ -67,6 +76,7 @@
 			});
 			one.on('close', () => {
 				this.#sockets.delete(one);
+				this.#silent.delete(one);
 				other.destroy();
 			});
 			one.pipe(other);
