Use the fleet's document and balancer in the soak run

The launcher now has a document, a balancer and control of the stand-ins; the soak run's own copies are gone.

--- a/packages/bench/src/soak/callers.ts
+++ b/packages/bench/src/soak/callers.ts
@@ -4,14 +4,15 @@
 	delay, seededRandom, sha256, type Random,
 } from '@yuccawood/common';
 import {contentHash, type Message} from '@yuccawood/stand-ins';
-import type {Balancer} from './balancer.js';
 import type {Attempt, CallRecord} from './evidence.js';
 import {exchange} from './exchange.js';
 
 export type CallersOptions = {
 	readonly seed: string;
 	readonly count: number;
-	readonly balancer: Balancer;
+
+	/** Address of the entry for the next exchange. */
+	readonly choose: () => string;
 
 	/** Bearer keys of the accounts. */
 	readonly keys: readonly string[];
@@ -116,7 +117,7 @@
 		const attempts: Attempt[] = [];
 		while (attempts.length < maxAttempts) {
 			const attempt = await exchange({
-				entry: this.#options.balancer.choose(), method: call.method, path: call.path, body, headers, dispatcher: this.#dispatcher, timeoutMs: EXCHANGE_TIMEOUT_MS,
+				entry: this.#options.choose(), method: call.method, path: call.path, body, headers, dispatcher: this.#dispatcher, timeoutMs: EXCHANGE_TIMEOUT_MS,
 			});
 			attempts.push(attempt);
 			if (!mayResend(call, attempt)) {
--- a/packages/bench/src/soak/fault-injector.ts
+++ b/packages/bench/src/soak/fault-injector.ts
@@ -1,11 +1,11 @@
 /** Carries out the faults of a schedule and records when they may have had an effect. */
 import {delay} from '@yuccawood/common';
 import type {FleetVm} from '../fleet/fleet.js';
+import {setFaults} from '../fleet/stand-in-control.js';
 import type {Callers} from './callers.js';
 import {QUIET_BEFORE_STOP_MS, type Interference, type PlannedStop} from './evidence.js';
 import type {Operators} from './operators.js';
 import type {Fault, FaultKind} from './schedule.js';
-import {setFaults} from './stand-in-control.js';
 import type {SoakSystem} from './system.js';
 
 export type FaultInjectorOptions = {
--- a/packages/bench/src/soak/operators.ts
+++ b/packages/bench/src/soak/operators.ts
@@ -1,6 +1,7 @@
 /** Operators of a soak run, who edit the document with the command line. */
 import type {Random} from '@yuccawood/common';
-import {modelSection, routeSection, firstDocument} from './plan.js';
+import {modelSection} from '../fleet/document.js';
+import {firstDocument, MODEL, routeSection} from './plan.js';
 import type {SoakSystem} from './system.js';
 
 export type EditCounts = {readonly accepted: number; readonly refused: number};
@@ -26,7 +27,7 @@
 
 	/** Writes the first document. */
 	async begin(): Promise<void> {
-		const {exitCode, output} = await this.#system.fleet.operate(['apply', 'FILE'], {team: 'platform', file: firstDocument(this.#system.versions[0])});
+		const {exitCode, output} = await this.#system.fleet.operate(['init', 'FILE'], {team: 'platform', file: firstDocument(this.#system.versions[0])});
 		if (exitCode !== 0) {
 			throw new Error(`The first document was refused: ${output}`);
 		}
@@ -35,7 +36,7 @@
 	/** Rolls out the next version of the model. */
 	async changeVersion(): Promise<void> {
 		this.#version = (this.#version + 1) % this.#system.versions.length;
-		await this.#edit(`model.${this.#system.plan.engines.length > 0 ? 'kit-assistant' : ''}`, modelSection(this.#system.versions[this.#version]), 'models');
+		await this.#edit(`model.${MODEL}`, modelSection(this.#system.versions[this.#version]), 'models');
 	}
 
 	/** Several teams edit at once, two of them the same section. */
@@ -44,12 +45,12 @@
 		await Promise.all([
 			this.#edit('route.orders', routeSection(deadline()), 'routing'),
 			this.#edit('route.orders', routeSection(deadline()), 'routing'),
-			this.#edit('rollout', `[rollout]\nbalance = ${this.#random.next().toFixed(2)}\n`, 'models'),
+			this.#edit('rollout', `balance = ${this.#random.next().toFixed(2)}\n`, 'models'),
 		]);
 	}
 
 	async #edit(section: string, text: string, team: string): Promise<void> {
-		const {exitCode} = await this.#system.fleet.operate(['edit', section, '--file', 'FILE'], {team, author: `soak-${team}`, file: text});
+		const {exitCode} = await this.#system.fleet.operate(['apply', 'FILE', '--section', section], {team, author: `soak-${team}`, file: text});
 		if (exitCode === 0) {
 			this.#accepted++;
 			return;
--- a/packages/bench/src/soak/plan.ts
+++ b/packages/bench/src/soak/plan.ts
@@ -1,6 +1,7 @@
 /** Sizes and contents of the system under a soak run. */
-import {createHash} from 'node:crypto';
+import {sha256} from '@yuccawood/common';
 import {createWeights} from '@yuccawood/stand-ins';
+import {documentText} from '../fleet/document.js';
 
 export type SoakSize = 'small' | 'normal';
 
@@ -61,24 +62,12 @@
 	return {version, manifest: hash, argument: [seed, MODEL, version, 'model', sizeBytes, chunkBytes, '', 2].join(':')};
 });
 
-/** Section of the model in the configuration document. */
-export const modelSection = ({version, manifest}: SoakVersion): string =>
-	`[model.${MODEL}]\nversion = ${version}\nmanifest = sha256:${manifest}\nmax_switching_share = 0.5\n`;
-
+/** Body of the route to the plain service. */
 export const routeSection = (deadlineMs: number): string =>
-	`[route.${SERVICE}]\npath = /orders\nkind = service\nservice = ${SERVICE}\nrepeatable_methods = GET, HEAD\ndeadline_ms = ${deadlineMs}\n`;
+	`path = /orders\nkind = service\nservice = ${SERVICE}\nrepeatable_methods = GET, HEAD\ndeadline_ms = ${deadlineMs}\n`;
 
-const accountSections = ACCOUNT_KEYS.map((key, index) => {
-	const hash = createHash('sha256').update(key).digest('hex');
-	return `[account.caller-${index + 1}]\nkey = sha256:${hash}\nrequests_per_second = 2000\nconcurrent = 500\npriority = 5\n`;
-});
+const accounts = ACCOUNT_KEYS.map((key, index) =>
+	`[account.caller-${index + 1}]\nkey = sha256:${sha256(key)}\nrequests_per_second = 2000\nconcurrent = 500\npriority = 5\n`).join('\n');
 
 /** The whole document at the start of a run. */
-export const firstDocument = (version: SoakVersion): string => [
-	'[owners]\nmodel.* = models\nroute.* = routing\naccount.* = accounts\nvm.* = platform\nrollout = models\n',
-	modelSection(version),
-	`[route.chat]\npath = /v1/chat/completions\nkind = model\nmodels = ${MODEL}\ndeadline_ms = 15000\n`,
-	routeSection(8000),
-	...accountSections,
-	'[rollout]\nbalance = 0.5\n',
-].join('\n');
+export const firstDocument = ({version, manifest}: SoakVersion): string => documentText({model: {name: MODEL, version, manifest}, accounts});
--- a/packages/bench/src/soak/run-soak.ts
+++ b/packages/bench/src/soak/run-soak.ts
@@ -1,6 +1,6 @@
 /** One soak run: starts the system, injects faults from the seed, and checks what the callers saw. */
 import {delay, describeError, seededRandom} from '@yuccawood/common';
-import {Balancer} from './balancer.js';
+import {Balancer} from '../callers/balancer.js';
 import {Callers} from './callers.js';
 import {check} from './checks.js';
 import type {Evidence, Violation} from './evidence.js';
@@ -41,24 +41,25 @@
 	const ended = new AbortController();
 	try {
 		const operators = new Operators({system, random: seededRandom(`${seed}/operators`)});
-		await system.start();
-		await operators.begin();
+		await system.start(async () => operators.begin());
 		await system.waitUntilReady();
 		progress(`The system serves: ${system.fleet.vms.size} VMs.`);
-		const balancer = new Balancer({entries: system.entryAddresses, random: seededRandom(`${seed}/balancer`)});
+		const balancer = new Balancer({addresses: () => system.entryAddresses});
+		await balancer.start();
 		const callers = new Callers({
-			seed, count: system.plan.callers, balancer, keys: ACCOUNT_KEYS, model: MODEL, signal: ended.signal,
+			seed, count: system.plan.callers, choose: () => balancer.pick() ?? system.entryAddresses[0], keys: ACCOUNT_KEYS, model: MODEL, signal: ended.signal,
 		});
 		const observer = new Observer({system});
 		const injector = new FaultInjector({system, operators, callers});
-		const watching = [balancer.run(ended.signal), observer.run(ended.signal)];
+		const watching = observer.run(ended.signal);
 		callers.start();
 		await injectFaults({
 			seed, seconds, injector, progress,
 		});
 		const recovery = await recover(system);
 		ended.abort();
-		await Promise.all([...watching, callers.finished()]);
+		await Promise.all([watching, callers.finished()]);
+		balancer.close();
 		const evidence: Evidence = {
 			calls: callers.records,
 			logs: await system.logs(),
--- a/packages/bench/src/soak/system.ts
+++ b/packages/bench/src/soak/system.ts
@@ -1,10 +1,12 @@
 /** The system under a soak run: a fleet of processes, and relays on the paths that can go silent. */
+import type {LogEntry} from '@yuccawood/stand-ins';
+import {request} from 'undici';
 import {Fleet, type FleetVm} from '../fleet/fleet.js';
+import {readLog} from '../fleet/stand-in-control.js';
 import type {StandInLog} from './evidence.js';
 import {
 	MODEL, PLANS, SERVICE, STORE_REGION, versionsOf, type SoakPlan, type SoakSize, type SoakVersion,
 } from './plan.js';
-import {readLog, setVms} from './stand-in-control.js';
 import {TcpRelay} from './tcp-relay.js';
 
 /** Short, so that leases lapse within the time that a process is frozen. */
@@ -38,9 +40,10 @@
 		return [...this.#entryAddresses.values()];
 	}
 
-	/** Starts all processes. The caller applies the first document while they wait for it. */
-	async start(): Promise<void> {
+	/** Starts all processes. `prepare` runs once the platform is there. */
+	async start(prepare: () => Promise<void>): Promise<void> {
 		await this.fleet.start();
+		await prepare();
 		for (const {id, region} of this.plan.entries) {
 			const {callers} = await this.fleet.addEntry(id, {region});
 			this.#entryAddresses.set(id, await this.#relayTo(`callers/${id}`, callers!));
@@ -89,12 +92,14 @@
 	}
 
 	async showAllLive(leaving?: string): Promise<void> {
-		await setVms(this.fleet.platform.vmList, [...this.fleet.vms.keys()].map(id => ({id, state: id === leaving ? 'leaving' : 'live'})));
+		const vms = [...this.fleet.vms.keys()].map(id => ({id, state: id === leaving ? 'leaving' : 'live'}));
+		const {body} = await request(`http://${this.fleet.platform.vmList}/vms`, {method: 'PUT', body: JSON.stringify(vms)});
+		await body.dump();
 	}
 
 	async logs(): Promise<readonly StandInLog[]> {
 		return Promise.all(this.fleet.agents.map(async ({id, upstreamAddress}) => ({
-			name: id, kind: id.startsWith('engine') ? 'engine' as const : 'service' as const, entries: await readLog(upstreamAddress!),
+			name: id, kind: id.startsWith('engine') ? 'engine' as const : 'service' as const, entries: await readLog<LogEntry>(upstreamAddress!),
 		})));
 	}
 
