Add the command line for operators

Teams need to check, read, edit, compare and revert their sections and to follow an edit into force, from scripts as well as by hand.

get prints a section below a comment with its revision; apply and edit take that revision as the base, so that a text read earlier meets a conflict instead of replacing a newer one.

status.report is answered by the daemon, so the configuration package no longer registers it.

--- /dev/null
+++ b/packages/cli/src/apply-section.ts
@@ -0,0 +1,33 @@
+import {applyEdit, readHead} from '@yuccawood/configuration';
+import {valueOf, type Context} from './context.js';
+import {parseSectionFile} from './section-file.js';
+
+export type SectionInput = {
+	readonly section: string;
+
+	/** New text; absent to remove the section. */
+	readonly input?: string;
+
+	/** Revision that the text is based on; without it, the one that the text names, or the current one. */
+	readonly baseRevision?: number;
+};
+
+const currentRevision = async (context: Context, section: string): Promise<number> => {
+	const {head} = valueOf(await readHead({keyValue: context.keyValue, limit: context.limit()}));
+	return Object.hasOwn(head.sections, section) ? head.sections[section].revision : 0;
+};
+
+/** Replaces one section and prints the new revision. */
+export const applySection = async (context: Context, {section, input, baseRevision}: SectionInput): Promise<void> => {
+	const {editOptions} = context;
+	const file = input === undefined ? undefined : parseSectionFile(input);
+	const base = baseRevision ?? file?.baseRevision ?? await currentRevision(context, section);
+	const {author, team, editId, ...options} = editOptions;
+	const {text: _text, ...entry} = valueOf(await applyEdit({
+		...options,
+		edit: {
+			editId, author, team, section, baseRevision: base, ...(file && {text: file.text}),
+		},
+	}));
+	context.print(entry, `[${section}] is in revision ${entry.revision}. Follow it with: yuccawood status --wait --revision ${entry.revision}\n`);
+};
--- /dev/null
+++ b/packages/cli/src/get-document.ts
@@ -0,0 +1,23 @@
+import {
+	readHead, renderDocument, ConfigurationError, sectionNames,
+} from '@yuccawood/configuration';
+import {valueOf, type Context} from './context.js';
+import {formatSection} from './section-file.js';
+
+/** `get [SECTION]`: prints the document, or one section with the revision to base an edit on. */
+export const getDocument = async (context: Context, section?: string): Promise<void> => {
+	const {head} = valueOf(await readHead({keyValue: context.keyValue, limit: context.limit()}));
+	if (section === undefined) {
+		context.print({revision: head.revision, sections: head.sections}, renderDocument(head.sections));
+		return;
+	}
+
+	if (!Object.hasOwn(head.sections, section)) {
+		throw new ConfigurationError({
+			kind: 'not-found', detail: `[${section}] does not exist.`, remedy: `Use one of: ${sectionNames(head.sections).slice(0, 20).join(', ')}.`,
+		});
+	}
+
+	const {text, revision} = head.sections[section];
+	context.print({section, revision, text}, formatSection(section, text, revision));
+};
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -15,4 +15,3 @@
 export {listHistory} from './list-history.js';
 export {readSectionAt, revertSection} from './revert-section.js';
 export {ConfigurationDistributor, type DistributorOptions} from './distributor.js';
-export {serveStatus, type StatusReport} from './serve-status.js';
