--- a/packages/common/src/ini-document.ts
+++ b/packages/common/src/ini-document.ts
@@ -33,6 +33,7 @@
 /** Parses INI text. Faults are collected, not thrown, so that one check reports them all. */
 export const parseIni = (text: string): IniDocument => {
 	const sections: Array<{name: string; line: number; entries: IniEntry[]}> = [];
+	const names = new Set<string>();
 	const faults: Array<{line: number; section: string; detail: string; remedy: string}> = [];
 
 	for (const [index, rawLine] of text.split(/\r?\n/).entries()) {
@@ -46,12 +47,13 @@
 		const header = SECTION_PATTERN.exec(content);
 		if (header) {
 			const name = header[1].trim();
-			if (sections.some(section => section.name === name)) {
+			if (names.has(name)) {
 				faults.push({
 					line, section: name, detail: `section [${name}] stands twice`, remedy: 'Merge the two sections.',
 				});
 			}
 
+			names.add(name);
 			sections.push({name, line, entries: []});
 			continue;
 		}
--- a/packages/configuration/src/distributor.test.ts
+++ b/packages/configuration/src/distributor.test.ts
@@ -6,7 +6,7 @@
 import type {KeyValueService} from '@yuccawood/platform';
 import {applyEdit} from './apply-edit.js';
 import {HEAD_KEY} from './constants.js';
-import {ConfigurationDistributor} from './distributor.js';
+import {ConfigurationDistributor, type DistributorOptions} from './distributor.js';
 import {initialiseDocument} from './initialise-document.js';
 import {DOCUMENT, MemoryKeyValue, rolloutEdit} from './support.test.js';
 import type {Head} from './types.js';
@@ -55,18 +55,20 @@
 	readonly stop: () => Promise<void>;
 };
 
+type StartOptions = Partial<Pick<DistributorOptions, 'keyValue' | 'announces' | 'watchTimeoutMs'>> & {readonly records?: Map<string, MemberRecord>};
+
 /** Processes on loopback ports with one key-value service. */
 class Fleet {
 	readonly keyValue = new MemoryKeyValue();
 	readonly records = new Map<string, MemberRecord>();
 	readonly processes = new Map<string, Process>();
 
-	async start(id: string, {keyValue = this.keyValue, records = this.records}: {readonly keyValue?: KeyValueService; readonly records?: Map<string, MemberRecord>} = {}): Promise<Process> {
+	async start(id: string, {keyValue = this.keyValue, records = this.records, ...options}: StartOptions = {}): Promise<Process> {
 		const peerServer = new PeerServer();
 		const peerClient = new PeerClient();
 		const members = new SharedTable(id, records);
 		const distributor = new ConfigurationDistributor({
-			selfId: id, members, peerServer, peerClient, keyValue, clock, random: seededRandom(id), metrics: new MemoryMetrics(),
+			selfId: id, members, peerServer, peerClient, keyValue, clock, random: seededRandom(id), metrics: new MemoryMetrics(), ...options,
 		});
 		const port = await peerServer.listen('127.0.0.1', 0);
 		records.set(id, {
@@ -89,13 +91,13 @@
 		return process;
 	}
 
-	async startAll(count: number): Promise<readonly Process[]> {
+	async startAll(count: number, options: StartOptions = {}): Promise<readonly Process[]> {
 		await initialiseDocument({
 			keyValue: this.keyValue, text: DOCUMENT, author: 'ops', team: 'platform', editId: 'init', random,
 		});
 		const processes: Process[] = [];
 		for (let i = 0; i < count; i++) {
-			processes.push(await this.start(`agent-${i}`));
+			processes.push(await this.start(`agent-${i}`, options));
 		}
 
 		await Promise.all(processes.map(async ({distributor}) => distributor.ready));
@@ -236,4 +238,42 @@
 		await fleet.edit(1);
 		await until(allHave([...processes, lonely], 2));
 	});
+
+	it('reaches everyone by comparing revisions when no process announces', async () => {
+		const processes = await fleet.startAll(8, {announces: false});
+		await fleet.edit(1);
+		await until(allHave(processes, 2));
+	});
+
+	it('replaces a watch whose connection has gone silent', async () => {
+		let watches = 0;
+		const silent: KeyValueService = {
+			...fleet.keyValue,
+			async watch(...parameters) {
+				watches++;
+				if (watches === 2) {
+					await new Promise(() => undefined);
+				}
+
+				return fleet.keyValue.watch(...parameters);
+			},
+		};
+
+		const processes = await fleet.startAll(1, {keyValue: silent, watchTimeoutMs: 100});
+		await until(() => watches === 2);
+		await fleet.edit(1);
+		await until(allHave(processes, 2));
+		expect(watches).to.be.above(2);
+	});
+
+	it('removes a section on processes that fetch only what changed', async () => {
+		const processes = await fleet.startAll(6);
+		const {text: _text, ...removal} = rolloutEdit({section: 'account.matara', team: 'accounts', baseRevision: 1});
+		const result = await applyEdit({keyValue: fleet.keyValue, edit: removal, random});
+		expect(result.ok).to.equal(true);
+		await until(allHave(processes, 2));
+		for (const {distributor} of processes) {
+			expect(distributor.current?.configuration.accounts).to.deep.equal([]);
+		}
+	});
 });
--- a/packages/configuration/src/distributor.ts
+++ b/packages/configuration/src/distributor.ts
@@ -5,7 +5,7 @@
 import type {KeyValueService} from '@yuccawood/platform';
 import type {Stream} from 'most';
 import {
-	ANNOUNCE_FANOUT, CATCH_UP_PERIOD_MS, MAX_CONCURRENT_FETCHES, PEER_CALL_TIMEOUT_MS,
+	ANNOUNCE_FANOUT, CATCH_UP_PERIOD_MS, MAX_CONCURRENT_FETCHES, PEER_CALL_TIMEOUT_MS, WATCH_TIMEOUT_MS,
 } from './constants.js';
 import {DocumentInForce} from './document-in-force.js';
 import {HeadWatcher} from './head-watcher.js';
@@ -23,6 +23,12 @@
 	readonly clock?: Clock;
 	readonly random?: Random;
 	readonly log?: Log;
+
+	/** Time that one watch of the head waits, in milliseconds. */
+	readonly watchTimeoutMs?: number;
+
+	/** Whether peers are told of a new revision at once. Without it they learn of it from their member tables. */
+	readonly announces?: boolean;
 };
 
 type Announcement = {
@@ -46,9 +52,11 @@
 	#known = 0;
 
 	/** Registers `configuration.fetch` and `configuration.announce`, so it must precede the server's `listen`. */
-	constructor({clock = new SystemClock(), random = systemRandom(), log = SILENT_LOG, ...options}: DistributorOptions) {
+	constructor({
+		clock = new SystemClock(), random = systemRandom(), log = SILENT_LOG, watchTimeoutMs = WATCH_TIMEOUT_MS, announces = true, ...options
+	}: DistributorOptions) {
 		this.#options = {
-			...options, clock, random, log,
+			...options, clock, random, log, watchTimeoutMs, announces,
 		};
 		const {members, peerServer, metrics} = options;
 		this.#document = new DocumentInForce({log, metrics});
@@ -138,7 +146,10 @@
 		}
 
 		this.#options.members.updateSelf({revision});
-		void this.#announce(revision);
+		if (this.#options.announces) {
+			void this.#announce(revision);
+		}
+
 		return true;
 	}
 
@@ -162,7 +173,7 @@
 		this.#known = Math.max(this.#known, revision);
 		const held = this.#document.revision || (this.#start.candidate?.revision ?? 0);
 		const isOwn = address === this.#options.members.self.address;
-		if (revision <= held || isOwn || this.#fetching.has(address) || this.#fetching.size >= fetchLimit) {
+		if (revision <= Math.max(held, this.#document.faultyRevision) || isOwn || this.#fetching.has(address) || this.#fetching.size >= fetchLimit) {
 			return;
 		}
 
--- a/packages/configuration/src/document-in-force.ts
+++ b/packages/configuration/src/document-in-force.ts
@@ -32,12 +32,13 @@
 		return this.#current?.revision ?? 0;
 	}
 
-	get changes(): Stream<ConfigurationInForce> {
-		return this.#publisher.changes;
+	/** Highest revision that had faults here; fetching it again would not help. */
+	get faultyRevision(): number {
+		return this.#faultyRevision;
 	}
 
-	subscribe(listener: (configuration: ConfigurationInForce) => void): () => void {
-		return this.#publisher.subscribe(listener);
+	get changes(): Stream<ConfigurationInForce> {
+		return this.#publisher.changes;
 	}
 
 	/** Brings a document into force if it is newer and has no faults. @returns whether it did. */
@@ -62,7 +63,7 @@
 
 	#reportFaults(revision: number, count: number): void {
 		this.#metrics.count('configuration.faulty');
-		if (revision === this.#faultyRevision) {
+		if (revision <= this.#faultyRevision) {
 			return;
 		}
 
--- a/packages/configuration/src/head-watcher.ts
+++ b/packages/configuration/src/head-watcher.ts
@@ -4,7 +4,7 @@
 import type {MemberTable} from '@yuccawood/membership';
 import type {KeyValueEntry, KeyValueService} from '@yuccawood/platform';
 import {
-	CATCH_UP_PERIOD_MS, HEAD_KEY, WATCHERS_PER_REGION, WATCH_MARGIN_MS, WATCH_TIMEOUT_MS,
+	CATCH_UP_PERIOD_MS, HEAD_KEY, WATCHERS_PER_REGION, WATCH_MARGIN_MS,
 } from './constants.js';
 import {decodeHead} from './head.js';
 import {boundedCall} from './key-value-calls.js';
@@ -17,6 +17,7 @@
 	readonly random: Random;
 	readonly log: Log;
 	readonly metrics: Metrics;
+	readonly watchTimeoutMs: number;
 	readonly onSnapshot: (snapshot: Snapshot) => void;
 };
 
@@ -75,11 +76,12 @@
 	}
 
 	async #watchOnce(signal: AbortSignal): Promise<boolean> {
-		const {keyValue} = this.#options;
+		const {keyValue, watchTimeoutMs} = this.#options;
+		const limitMs = watchTimeoutMs + WATCH_MARGIN_MS;
 
 		// A watch whose connection has gone silent never ends by itself.
-		const limited = AbortSignal.any([signal, AbortSignal.timeout(WATCH_TIMEOUT_MS + WATCH_MARGIN_MS)]);
-		const outcome = await boundedCall(async () => keyValue.watch(HEAD_KEY, this.#version, WATCH_TIMEOUT_MS, limited), WATCH_TIMEOUT_MS + WATCH_MARGIN_MS);
+		const limited = AbortSignal.any([signal, AbortSignal.timeout(limitMs)]);
+		const outcome = await boundedCall(async () => keyValue.watch(HEAD_KEY, this.#version, watchTimeoutMs, limited), limitMs);
 		if (signal.aborted) {
 			return true;
 		}
