--- a/packages/configuration/src/distributor.test.ts
+++ b/packages/configuration/src/distributor.test.ts
@@ -247,12 +247,15 @@
 
 	it('replaces a watch whose connection has gone silent', async () => {
 		let watches = 0;
+		let release: (() => void) | undefined;
 		const silent: KeyValueService = {
 			...fleet.keyValue,
 			async watch(...parameters) {
 				watches++;
 				if (watches === 2) {
-					await new Promise(() => undefined);
+					await new Promise<void>(resolve => {
+						release = resolve;
+					});
 				}
 
 				return fleet.keyValue.watch(...parameters);
@@ -264,6 +267,7 @@
 		await fleet.edit(1);
 		await until(allHave(processes, 2));
 		expect(watches).to.be.above(2);
+		release?.();
 	});
 
 	it('removes a section on processes that fetch only what changed', async () => {
