Test rollouts by failure and pass over stalled peers

Origin reads have no total time limit any more: the adapter limits idle time, and a chunk on a slow shared link is no failure. A refused unload command is repeated after another grace period only.

--- /dev/null
+++ b/packages/weights/src/chunk-exchange.test.ts
@@ -0,0 +1,142 @@
+import {
+	MemoryMetrics, PeerServer, sha256, SystemClock,
+} from '@yuccawood/common';
+import {createWeights} from '@yuccawood/stand-ins';
+import {expect} from 'chai';
+import {ChunkServer} from './chunk-server.js';
+import {ChunkStore} from './chunk-store.js';
+import {ManifestLibrary} from './manifest-library.js';
+import {checkSubject, parseManifest, type Manifest} from './manifest.js';
+import {PeerChunkClient} from './peer-chunk-client.js';
+import {TokenBucket} from './token-bucket.js';
+import {UploadQueue} from './upload-queue.js';
+import {verifyChunk, type VerifiedChunk} from './verified-chunk.js';
+
+const clock = new SystemClock();
+const unlimited = () => new TokenBucket({clock, bytesPerSecond: () => Number.POSITIVE_INFINITY});
+const weights = createWeights({
+	seed: 1, name: 'kit', version: 'v1', sizeBytes: 2500, chunkBytes: 1000,
+});
+const manifest = parseManifest(weights.manifest, weights.hash).unwrap();
+
+const verified = async (index: number): Promise<VerifiedChunk> => {
+	const {hash, data} = weights.chunks[index];
+	const result = await verifyChunk(hash, data.byteLength, data);
+	return result.unwrap();
+};
+
+const kindOf = (fields: Record<string, unknown>): string => {
+	const bytes = new TextEncoder().encode(JSON.stringify(fields));
+	const result = parseManifest(bytes, sha256(bytes));
+	return result.ok ? 'ok' : `${result.val.kind}: ${result.val.message}`;
+};
+
+describe('parseManifest', () => {
+	it('refuses truncated bytes and names the remedy', () => {
+		const result = parseManifest(weights.manifest.subarray(0, 40), weights.hash);
+		expect(result.err && result.val.kind).to.equal('hash-mismatch');
+		expect(result.err && result.val.message).to.include('Upload the manifest again');
+	});
+
+	it('names each field that is wrong', () => {
+		const fields: Manifest = {...manifest};
+		for (const [name, value] of [['name', ''], ['kind', 'other'], ['base', 'x'], ['sizeBytes', 9000], ['chunkBytes', 0], ['chunks', ['x']], ['more', 1]] as const) {
+			expect(kindOf({...fields, [name]: value}), name).to.match(/^invalid-field/);
+		}
+
+		expect(kindOf(fields)).to.equal('ok');
+	});
+
+	it('refuses a manifest of another version than the configuration names', () => {
+		const result = checkSubject(manifest, {name: 'kit', version: 'v2', kind: 'model'});
+		expect(result.err && result.val.kind).to.equal('wrong-version');
+	});
+});
+
+describe('ChunkStore', () => {
+	it('keeps shared chunks until the last version that names them is released', async () => {
+		const store = new ChunkStore();
+		store.retain('a', manifest);
+		store.retain('b', {...manifest, chunks: manifest.chunks.slice(0, 1), sizeBytes: 1000});
+		store.put(await verified(0));
+		store.put(await verified(1));
+		store.release('a');
+		expect([store.has(manifest.chunks[0]), store.has(manifest.chunks[1]), store.reservedBytes]).to.deep.equal([true, false, 1000]);
+		expect(store.complete).to.deep.equal(['b']);
+	});
+
+	it('refuses a version beyond its limit as a whole and says how to make room', () => {
+		const store = new ChunkStore({limitBytes: 2499});
+		const result = store.retain('a', manifest);
+		expect(result.err && result.val.message).to.include('Raise the limit');
+		expect(store.reservedBytes).to.equal(0);
+	});
+});
+
+describe('exchange between peers', () => {
+	let server: PeerServer;
+	let client: PeerChunkClient;
+
+	const fetchFirst = async (port: number) => client.fetchChunk(`127.0.0.1:${port}`, {
+		hash: manifest.chunks[0], sizeBytes: 1000, buckets: [unlimited()], signal: new AbortController().signal,
+	});
+
+	const serve = async (store: ChunkStore): Promise<number> => {
+		new ChunkServer({
+			store, manifests: new ManifestLibrary(), uploads: new UploadQueue({clock}), bucket: unlimited(), metrics: new MemoryMetrics(),
+		}).register(server);
+		return server.listen('127.0.0.1', 0);
+	};
+
+	beforeEach(() => {
+		server = new PeerServer();
+		client = new PeerChunkClient({selfId: 'a', heldWaitMs: 1200, stallWindowMs: 800});
+	});
+
+	afterEach(async () => {
+		await client.close();
+		await server.close();
+	});
+
+	it('holds a request beyond the stall window while heartbeats show that the peer lives', async () => {
+		const store = new ChunkStore();
+		store.retain(weights.hash, manifest);
+		const port = await serve(store);
+		expect(await fetchFirst(port)).to.deep.equal({kind: 'pending'});
+		const answer = fetchFirst(port);
+		store.put(await verified(0));
+		const {kind} = await answer;
+		expect(kind).to.equal('chunk');
+	});
+
+	it('tells a chunk that is on its way from one that never comes', async () => {
+		const port = await serve(new ChunkStore());
+		expect(await fetchFirst(port)).to.deep.equal({kind: 'absent'});
+	});
+
+	const answerOf = async (body: Uint8Array | undefined): Promise<string> => {
+		server.handle('/chunks/', (_request, response) => {
+			if (body) {
+				response.end(body);
+			}
+		});
+		const {kind} = await fetchFirst(await server.listen('127.0.0.1', 0));
+		return kind;
+	};
+
+	it('refuses a chunk with a wrong byte', async () => {
+		expect(await answerOf(new Uint8Array(1000))).to.equal('corrupt');
+	});
+
+	it('refuses a chunk with too few bytes', async () => {
+		expect(await answerOf(new Uint8Array(999))).to.equal('corrupt');
+	});
+
+	it('refuses a chunk with too many bytes', async () => {
+		expect(await answerOf(new Uint8Array(1001))).to.equal('corrupt');
+	});
+
+	it('gives up on a peer that accepts the request and sends nothing', async () => {
+		expect(await answerOf(undefined)).to.equal('failed');
+	});
+});
--- a/packages/weights/src/chunk-fetcher.ts
+++ b/packages/weights/src/chunk-fetcher.ts
@@ -6,7 +6,7 @@
 import type {WeightOrigin} from '@yuccawood/platform';
 import {
 	ABSENT_PATIENCE_MS, AVOID_ABSENT_MS, AVOID_CORRUPT_MS, AVOID_STALLED_MS, MAX_ORIGIN_RETRY_MS, ORIGIN_READERS_AT_BALANCE_1, ORIGIN_RETRY_MS,
-	ORIGIN_TIMEOUT_MS, PATIENCE_AT_BALANCE_0_MS, PATIENCE_AT_BALANCE_1_MS,
+	PATIENCE_AT_BALANCE_0_MS, PATIENCE_AT_BALANCE_1_MS,
 } from './constants.js';
 import type {Avoidance} from './avoidance.js';
 import {
@@ -109,7 +109,7 @@
 			return undefined;
 		}
 
-		const result = await origin.chunk(hash, AbortSignal.any([signal, AbortSignal.timeout(ORIGIN_TIMEOUT_MS)]));
+		const result = await origin.chunk(hash, signal);
 		if (signal.aborted) {
 			return undefined;
 		}
--- a/packages/weights/src/constants.ts
+++ b/packages/weights/src/constants.ts
@@ -39,9 +39,6 @@
 export const ORIGIN_RETRY_MS = 200;
 export const MAX_ORIGIN_RETRY_MS = 5000;
 
-/** Time that one read from the origin may take at the least; long reads on a shared link get more. */
-export const ORIGIN_TIMEOUT_MS = 15_000;
-
 /** Uploads that send at the same time. Few at a time let chunks arrive early and be passed on. */
 export const UPLOAD_SLOTS = 3;
 
--- /dev/null
+++ b/packages/weights/src/link-limits.test.ts
@@ -0,0 +1,90 @@
+import type {Clock} from '@yuccawood/common';
+import {expect} from 'chai';
+import {LinkBudget} from './link-budget.js';
+import {TokenBucket} from './token-bucket.js';
+import {UploadQueue} from './upload-queue.js';
+
+/** A clock that a sleep moves forward. */
+class ManualClock implements Clock {
+	time = 1000;
+	readonly now = (): number => this.time;
+	readonly monotonic = (): number => this.time;
+	readonly sleep = async (milliseconds: number): Promise<void> => {
+		this.time += milliseconds;
+	};
+}
+
+describe('TokenBucket', () => {
+	it('holds its rate and makes up for late timers, but not for idle time beyond the burst', async () => {
+		const clock = new ManualClock();
+		const bucket = new TokenBucket({clock, bytesPerSecond: () => 1000, burstMs: 50});
+		clock.time += 10_000;
+		const start = clock.time;
+		for (let i = 0; i < 20; i++) {
+			await bucket.take(100);
+			clock.time += 3; // Late timer.
+		}
+
+		expect(clock.time - start).to.be.within(1950, 1960);
+	});
+});
+
+describe('LinkBudget', () => {
+	it('leaves live requests their bytes and halves the rate while they are slower than usual', () => {
+		const clock = new ManualClock();
+		const budget = new LinkBudget({clock, bytesPerSecond: 1000});
+		budget.reportBytes(400);
+		clock.time += 1000;
+		expect(budget.bytesPerSecond).to.equal(600);
+		clock.time += 1000;
+		expect(budget.bytesPerSecond).to.equal(1000);
+		for (let i = 0; i < 50; i++) {
+			budget.reportLatency(20);
+		}
+
+		clock.time += 600;
+		for (let i = 0; i < 20; i++) {
+			budget.reportLatency(100);
+		}
+
+		expect(budget.bytesPerSecond).to.be.at.most(500);
+		for (let i = 0; i < 50; i++) {
+			clock.time += 600;
+			budget.reportLatency(20);
+		}
+
+		expect(budget.bytesPerSecond).to.equal(1000);
+	});
+});
+
+describe('UploadQueue', () => {
+	it('gives the next slot to the peer that has received least, so that one peer cannot take the whole link', async () => {
+		const queue = new UploadQueue({clock: new ManualClock(), slots: 1});
+		const {signal} = new AbortController();
+		const order: string[] = [];
+		const free = await queue.acquire('greedy', signal);
+		queue.record('greedy', 1000);
+		const upload = async (peer: string): Promise<void> => {
+			const done = await queue.acquire(peer, signal);
+			order.push(peer);
+			queue.record(peer, 1000);
+			done!();
+		};
+
+		const uploads = ['greedy', 'greedy', 'modest'].map(async peer => upload(peer));
+		free!();
+		await Promise.all(uploads);
+		expect(order).to.deep.equal(['modest', 'greedy', 'greedy']);
+	});
+
+	it('frees the place of a peer that has left the queue', async () => {
+		const queue = new UploadQueue({clock: new ManualClock(), slots: 1});
+		const free = await queue.acquire('a', new AbortController().signal);
+		const left = new AbortController();
+		const waiting = queue.acquire('b', left.signal);
+		left.abort();
+		expect(await waiting).to.equal(undefined);
+		free!();
+		expect(await queue.acquire('c', new AbortController().signal)).to.be.a('function');
+	});
+});
--- a/packages/weights/src/manifest-fetcher.ts
+++ b/packages/weights/src/manifest-fetcher.ts
@@ -1,8 +1,6 @@
 /** Fetches manifests along the same trees as chunks, so that the origin sends each one once. */
 import type {ChunkFetcherOptions} from './chunk-fetcher.js';
-import {
-	MAX_ORIGIN_RETRY_MS, ORIGIN_RETRY_MS, ORIGIN_TIMEOUT_MS,
-} from './constants.js';
+import {MAX_ORIGIN_RETRY_MS, ORIGIN_RETRY_MS} from './constants.js';
 import {listParticipants, planSource, type Source} from './fetch-plan.js';
 import {checkSubject, parseManifest, type ManifestSubject} from './manifest.js';
 import type {KnownManifest, ManifestLibrary} from './manifest-library.js';
@@ -73,7 +71,7 @@
 		const sender = source.kind === 'origin' ? 'origin' : source.id;
 		let bytes: Uint8Array | undefined;
 		if (source.kind === 'origin') {
-			const result = await origin.manifest(hash, AbortSignal.any([signal, AbortSignal.timeout(ORIGIN_TIMEOUT_MS)]));
+			const result = await origin.manifest(hash, signal);
 			bytes = result.ok ? result.val : undefined;
 			if (result.err && !signal.aborted) {
 				log.warn('The origin did not return a manifest; trying again.', {manifest: hash, error: result.val.message});
--- a/packages/weights/src/retirement.ts
+++ b/packages/weights/src/retirement.ts
@@ -45,6 +45,8 @@
 			const since = this.#unusedSince.get(manifest) ?? clock.monotonic();
 			this.#unusedSince.set(manifest, since);
 			if (clock.monotonic() - since >= releaseAfterMs) {
+				// A refused command is repeated after another period, not with each step.
+				this.#unusedSince.delete(manifest);
 				await this.#retire(manifest);
 			}
 		}
--- /dev/null
+++ b/packages/weights/src/switch-turn.test.ts
@@ -0,0 +1,39 @@
+import type {MemberRecord} from '@yuccawood/membership';
+import {expect} from 'chai';
+import {maySwitch} from './switch-turn.js';
+
+const recordOf = (id: string, manifests: readonly string[]): MemberRecord => ({
+	id, role: 'agent', address: id, region: 'west', failureDomain: 'west', incarnation: 1, sequence: 1, status: 'alive', revision: 1,
+	upstream: {
+		kind: 'engine', service: 'kit', ready: true, capacity: 1, held: [], served: manifests.map(manifest => ({
+			name: 'kit', version: manifest, manifest, kind: 'model',
+		})),
+	},
+});
+
+const turns = (members: readonly MemberRecord[], maxSwitchingShare: number): readonly string[] => members
+	.filter(({id}) => maySwitch({
+		members, selfId: id, service: 'kit', name: 'kit', manifest: 'new', maxSwitchingShare,
+	}))
+	.map(({id}) => id);
+
+describe('maySwitch', () => {
+	const ids = Array.from({length: 16}, (_, index) => `vm-${index}`);
+
+	it('lets no more members switch at the same time than the share allows, until all have switched', () => {
+		let members = ids.map(id => recordOf(id, ['old']));
+		for (let round = 0; round < 4; round++) {
+			const pending = new Set(members.filter(({upstream}) => upstream!.served[0].manifest === 'old').map(({id}) => id));
+			const next = turns(members, 0.25).filter(id => pending.has(id));
+			expect(next).to.have.length(4);
+			members = members.map(member => next.includes(member.id) ? recordOf(member.id, ['new']) : member);
+		}
+
+		expect(members.every(({upstream}) => upstream!.served[0].manifest === 'new')).to.equal(true);
+	});
+
+	it('always lets one member switch, and does not wait for members that serve nothing', () => {
+		expect(turns(ids.map(id => recordOf(id, ['old'])), 0.01)).to.have.length(1);
+		expect(turns(ids.map(id => recordOf(id, [])), 0.01)).to.have.length(16);
+	});
+});
--- a/packages/weights/src/weight-manager.ts
+++ b/packages/weights/src/weight-manager.ts
@@ -10,6 +10,7 @@
 import {EngineMonitor} from './engine-monitor.js';
 import {EngineOrders} from './engine-orders.js';
 import {Exchange} from './exchange.js';
+import {publishWeights} from './publish-weights.js';
 import {Retirement} from './retirement.js';
 import {rollOut} from './rollout.js';
 import type {ServingVersions, WeightManagerOptions, WeightStatus} from './types.js';
@@ -241,15 +242,8 @@
 		}
 
 		const {members, service} = this.#options;
-		const held = this.#exchange.store.complete;
-		const upstream = members.self.upstream ?? {
-			kind: 'engine', service, ready: false, capacity: 0, served: [], held: [],
-		};
-		const updated = {
-			...upstream, served: serving, held, capacity: this.#monitor.state?.capacity ?? upstream.capacity,
-		};
-		if (!isSame(updated, upstream)) {
-			members.updateSelf({upstream: updated});
-		}
+		publishWeights({
+			members, service, served: serving, held: this.#exchange.store.complete, capacity: this.#monitor.state?.capacity,
+		});
 	}
 }
