--- a/packages/weights/src/link-limits.test.ts
+++ b/packages/weights/src/link-limits.test.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@yuccawood/common';
+import {seededRandom, type Clock} from '@yuccawood/common';
 import {expect} from 'chai';
 import {LinkBudget} from './link-budget.js';
 import {TokenBucket} from './token-bucket.js';
@@ -38,19 +38,31 @@
 		expect(budget.bytesPerSecond).to.equal(600);
 		clock.time += 1000;
 		expect(budget.bytesPerSecond).to.equal(1000);
-		for (let i = 0; i < 50; i++) {
-			budget.reportLatency(20);
-		}
+		const report = (milliseconds: readonly number[]): void => {
+			for (let i = 0; i < 12; i++) {
+				clock.time += 50;
+				budget.reportLatency(milliseconds[i % milliseconds.length]);
+			}
+		};
 
-		clock.time += 600;
-		for (let i = 0; i < 20; i++) {
-			budget.reportLatency(100);
+		report([20]);
+		report([100]);
+		expect(budget.bytesPerSecond).to.equal(500);
+		for (let i = 0; i < 10; i++) {
+			report([20]);
 		}
 
-		expect(budget.bytesPerSecond).to.be.at.most(500);
-		for (let i = 0; i < 50; i++) {
-			clock.time += 600;
-			budget.reportLatency(20);
+		expect(budget.bytesPerSecond).to.equal(1000);
+	});
+
+	it('does not take a changing mix of streams and whole answers for raised latency', () => {
+		const clock = new ManualClock();
+		const random = seededRandom('mix');
+		const budget = new LinkBudget({clock, bytesPerSecond: 1000});
+		for (let i = 0; i < 5000; i++) {
+			clock.time += 50;
+			budget.reportLatency(random.next() < 0.5 ? 5 : 100);
+			expect(budget.bytesPerSecond).to.be.at.least(500);
 		}
 
 		expect(budget.bytesPerSecond).to.equal(1000);
