Test the request path under faults, load and bad input

Each mechanism of the request path needs a test that brings about the failure it is meant for.

New tests swap answers between two requests, answer with a version that was not verified, break streams with and without an end mark, overload an agent three times, drain agent and entry during a stream, disconnect callers, let deadlines pass and send malformed input. They found that a caller could keep other requests from an agent for a second by insisting on a version that the agent does not serve; only rejections that say something about the agent now lead to its avoidance. The agent reads its engine's load from the engine at its upstream address unless another source is given.

--- a/packages/requests/src/agent-requests.ts
+++ b/packages/requests/src/agent-requests.ts
@@ -47,7 +47,7 @@
 	readonly serving: () => readonly ServedVersion[];
 	readonly peerServer: PeerServer;
 
-	/** Tells how many requests the engine has, which tells silent connections from a slow engine. Absent for a plain service. */
+	/** Tells how many requests the engine has, which tells silent connections from a slow engine. By default the engine at `upstreamAddress`. */
 	readonly engine?: Pick<ModelEngine, 'state'>;
 	readonly log: Log;
 	readonly metrics: Metrics;
@@ -72,13 +72,13 @@
 
 	constructor(options: AgentRequestsOptions) {
 		const {
-			clock = new SystemClock(), capacity, queueLimit = Math.ceil(capacity / 4), peerServer, upstreamAddress, engine, onLiveLatency = () => undefined, onLiveBytes = () => undefined,
+			clock = new SystemClock(), capacity, queueLimit = Math.ceil(capacity / 4), peerServer, upstreamAddress, onLiveLatency = () => undefined, onLiveBytes = () => undefined,
 		} = options;
 		this.#options = options;
 		this.#clock = clock;
 		this.#limit = capacity + queueLimit;
 		this.#upstream = new Upstream({
-			...options, address: upstreamAddress, clock, engine, records: this.#records, onLiveLatency, onLiveBytes,
+			...options, address: upstreamAddress, clock, records: this.#records, onLiveLatency, onLiveBytes,
 		});
 		peerServer.handle(`${PREFIX}/`, async (request, response) => this.#handle(request, response));
 		peerServer.method('requests.settle', async (question: SettleQuestion) => this.#settle(question));
--- a/packages/requests/src/constants.ts
+++ b/packages/requests/src/constants.ts
@@ -47,10 +47,12 @@
 /** Forwarding attempts for one request, the first included. */
 export const MAX_ATTEMPTS = 4;
 
-/** Time during which an entry avoids an agent that refused as leaving or failed, in milliseconds. */
-export const AVOID_LEAVING_MS = 5000;
+/** Time during which an entry avoids an agent whose path failed, in milliseconds. */
 export const AVOID_FAILED_MS = 1000;
 
+/** Time during which an entry avoids an agent after a rejection with this reason, in milliseconds. Reasons that are due to the request itself do not count. */
+export const AVOID_MS_BY_REASON: ReadonlyMap<string, number> = new Map([['leaving', 5000], ['upstream-down', 1000], ['wrong-incarnation', 1000]]);
+
 /** Time over which a reported load loses its weight, in milliseconds. */
 export const LOAD_REPORT_LIFETIME_MS = 1000;
 
--- a/packages/requests/src/fleet.test.ts
+++ b/packages/requests/src/fleet.test.ts
@@ -131,7 +131,7 @@
 		const server = new PeerServer();
 		const requests = new AgentRequests({
 			selfId: id, incarnation, upstreamAddress: upstream.address, kind, service: 'orders', capacity: 8, serving: () => [SERVED],
-			peerServer: server, log: SILENT_LOG, metrics: this.metrics, ...options,
+			peerServer: server, log: SILENT_LOG, metrics: this.metrics, engine: undefined, ...options,
 		});
 		const real = `127.0.0.1:${await server.listen('127.0.0.1', 0)}`;
 		const address = await options.addressOf?.(real) ?? real;
--- a/packages/requests/src/forwarding.ts
+++ b/packages/requests/src/forwarding.ts
@@ -4,7 +4,7 @@
 import type {Call} from './call.js';
 import type {Claim} from './claims.js';
 import type {CallerResponse} from './caller-response.js';
-import {AVOID_FAILED_MS, AVOID_LEAVING_MS, MAX_ATTEMPTS} from './constants.js';
+import {AVOID_FAILED_MS, AVOID_MS_BY_REASON, MAX_ATTEMPTS} from './constants.js';
 import type {EntryContext} from './entry-context.js';
 import type {ExecutionOutcome, RequestError, RequestErrorKind} from './errors.js';
 import {createFailure, createQuarantineFailure} from './failures.js';
@@ -173,8 +173,10 @@
 		const {router, metrics, deaths} = this.#context;
 		metrics.count('requests.rejected', {reason});
 		if (outcome === 'not-run') {
-			if (reason !== 'overloaded' && reason !== 'suspect-running') {
-				router.avoid(agent, reason === 'leaving' ? AVOID_LEAVING_MS : AVOID_FAILED_MS);
+			// A rejection that is due to the request itself must not keep other requests from the agent.
+			const avoidMs = AVOID_MS_BY_REASON.get(reason);
+			if (avoidMs !== undefined) {
+				router.avoid(agent, avoidMs);
 			}
 
 			return this.#failure(reason === 'overloaded' ? 'overloaded' : 'no-agent', `The agents reject the request: ${reason}.`);
--- /dev/null
+++ b/packages/requests/src/load.test.ts
@@ -0,0 +1,224 @@
+import {connect} from 'node:net';
+import {expect} from 'chai';
+import {delay} from '@yuccawood/common';
+import {
+	answerChat, chat, chatBody, Fleet, isLost, jsonOf, MODEL_HASH, send, statusOf, textOf, waitUntil, type Upstream,
+} from './fleet.test.js';
+import type {EntryServer} from './entry-server.js';
+
+describe('load, limits and drain', () => {
+	let fleet: Fleet;
+
+	beforeEach(() => {
+		fleet = new Fleet();
+	});
+
+	afterEach(async () => {
+		await fleet.close();
+	});
+
+	const slowEngine = async (milliseconds: number): Promise<Upstream> => fleet.upstream(async (...call) => {
+		await delay(milliseconds);
+		void answerChat(...call);
+	});
+
+	const stream = async (gate: () => boolean): Promise<Upstream> => fleet.upstream(async (_request, response) => {
+		response.writeHead(200, {'content-type': 'text/event-stream', 'x-model-version': MODEL_HASH});
+		response.write('data: one\n\n');
+		await waitUntil(gate);
+		response.end('data: [DONE]\n\n');
+	});
+
+	describe('overload', () => {
+		it('answers as many as fit at three times the capacity and rejects the others as not run, with a hint when to try again', async () => {
+			const upstream = await slowEngine(100);
+			await fleet.agent('engine-1', upstream, {capacity: 4, queueLimit: 0});
+			const entry = await fleet.entry();
+			const replies = await Promise.all(Array.from({length: 12}, async (_, i) => chat(entry, `call ${i}`)));
+			const rejected = replies.filter(({status}) => status !== 200);
+			expect(rejected).to.have.length(8);
+			expect(rejected.every(({headers, json}) => headers.get('retry-after') === '1' && json().outcome === 'not-run')).to.equal(true);
+			expect(upstream.seen).to.have.length(4);
+		});
+
+		it('moves calls to another agent when the first is full', async () => {
+			const upstream = await slowEngine(100);
+			await fleet.agent('engine-1', upstream, {capacity: 1, queueLimit: 0});
+			await fleet.agent('engine-2', upstream, {capacity: 1, queueLimit: 0});
+			const entry = await fleet.entry();
+			const statuses = await Promise.all(['a', 'a'].map(async content => statusOf(chat(entry, content))));
+			expect(statuses).to.deep.equal([200, 200]);
+		});
+
+		it('sends calls with the same prompt prefix to the same agent while its load allows', async () => {
+			const upstreams: Upstream[] = [];
+			for (const id of ['engine-1', 'engine-2', 'engine-3', 'engine-4']) {
+				const upstream = await fleet.upstream(answerChat);
+				upstreams.push(upstream);
+				await fleet.agent(id, upstream);
+			}
+
+			const entry = await fleet.entry();
+			for (let i = 0; i < 12; i++) {
+				await chat(entry, 'the same long prompt');
+			}
+
+			expect(upstreams.map(({seen}) => seen.length).sort((a, b) => b - a)).to.deep.equal([12, 0, 0, 0]);
+		});
+
+		it('prefers agents of its own failure domain and region', async () => {
+			const [near, far] = [await fleet.upstream(answerChat), await fleet.upstream(answerChat)];
+			await fleet.agent('engine-far', far);
+			fleet.members.put({...fleet.members.records.get('engine-far')!, region: 'northern', failureDomain: 'northern-a'});
+			await fleet.agent('engine-near', near);
+			const entry = await fleet.entry();
+			await Promise.all(['a', 'b', 'c'].map(async content => chat(entry, content)));
+			expect([near.seen.length, far.seen.length]).to.deep.equal([3, 0]);
+		});
+	});
+
+	describe('drain', () => {
+		it('rejects new work at once, finishes the stream in progress, and the entry sends new calls elsewhere', async () => {
+			let isOpen = false;
+			const first = await stream(() => isOpen);
+			const leaving = await fleet.agent('engine-1', first);
+			const entry = await fleet.entry();
+			const running = textOf(chat(entry, 'hello', {stream: true}));
+			await waitUntil(() => first.seen.length === 1);
+			const drained = leaving.drain();
+			await fleet.agent('engine-2', await fleet.upstream(answerChat));
+			const statuses = await Promise.all(['a', 'b', 'c', 'd'].map(async content => statusOf(chat(entry, content))));
+			isOpen = true;
+			await drained;
+			expect(statuses).to.deep.equal([200, 200, 200, 200]);
+			expect(await running).to.contain('[DONE]');
+			expect(first.seen).to.have.length(1);
+		});
+
+		it('reports the entry as unhealthy while its stream in progress goes on, then closes the listener', async () => {
+			let isOpen = false;
+			const upstream = await stream(() => isOpen);
+			await fleet.agent('engine-1', upstream);
+			const entry = await fleet.entry();
+			expect(await statusOf(send(entry, '/healthz'))).to.equal(200);
+			const running = textOf(chat(entry, 'hello', {stream: true}));
+			await waitUntil(() => upstream.seen.length === 1);
+			const drained = entry.drain();
+			expect(await statusOf(send(entry, '/healthz'))).to.equal(503);
+			isOpen = true;
+			expect(await running).to.contain('[DONE]');
+			await drained;
+			expect(await isLost(send(entry, '/healthz'))).to.equal(true);
+		});
+	});
+
+	describe('caller disconnect', () => {
+		it('cancels a repeatable call upstream', async () => {
+			let isCancelled = false;
+			const upstream = await fleet.upstream((_request, response) => {
+				response.on('close', () => {
+					isCancelled = true;
+				});
+			});
+			await fleet.agent('engine-1', upstream);
+			const abort = new AbortController();
+			const lost = isLost(send(await fleet.entry(), '/v1/chat/completions', {method: 'POST', body: chatBody('hello'), signal: abort.signal}));
+			await waitUntil(() => upstream.seen.length === 1);
+			abort.abort();
+			expect(await lost).to.equal(true);
+			await waitUntil(() => isCancelled);
+		});
+
+		it('does not cancel a non-repeatable call upstream', async () => {
+			const ends: boolean[] = [];
+			const upstream = await fleet.upstream(async (_request, response) => {
+				await delay(150);
+				ends.push(response.destroyed);
+				response.end('done');
+			});
+			const agent = await fleet.agent('orders-1', upstream, {kind: 'service'});
+			const abort = new AbortController();
+			const lost = isLost(send(await fleet.entry(), '/orders', {method: 'POST', body: 'rope', signal: abort.signal}));
+			await waitUntil(() => upstream.seen.length === 1);
+			abort.abort();
+			await lost;
+			await agent.drain();
+			expect(ends).to.deep.equal([false]);
+		});
+	});
+
+	describe('deadlines', () => {
+		it('ends a call at its deadline and cancels it upstream', async () => {
+			let isCancelled = false;
+			const upstream = await fleet.upstream((_request, response) => {
+				response.on('close', () => {
+					isCancelled = true;
+				});
+			});
+			await fleet.agent('engine-1', upstream);
+			const reply = send(await fleet.entry(), '/v1/chat/completions', {method: 'POST', body: chatBody('hello'), headers: {'yuccawood-deadline-ms': '200'}});
+			expect(await jsonOf(reply)).to.include({status: 504, outcome: 'unknown'});
+			await waitUntil(() => isCancelled);
+		});
+
+		it('reports unknown for a non-repeatable call that runs beyond its deadline, and lets it run to its end', async () => {
+			const upstream = await slowEngine(600);
+			await fleet.agent('orders-1', upstream, {kind: 'service'});
+			const reply = await send(await fleet.entry(), '/orders', {method: 'POST', body: 'rope', headers: {'yuccawood-deadline-ms': '200'}});
+			expect(reply.json()).to.include({status: 504, outcome: 'unknown'});
+			await fleet.agents.get('orders-1')!.requests.drain();
+		});
+	});
+
+	describe('bad input', () => {
+		let entry: EntryServer;
+
+		beforeEach(async () => {
+			await fleet.agent('engine-1', await fleet.upstream(answerChat));
+			entry = await fleet.entry();
+		});
+
+		afterEach(async () => {
+			expect(await statusOf(chat(entry, 'others are not disturbed'))).to.equal(200);
+		});
+
+		const raw = async (text: string): Promise<string> => new Promise(resolve => {
+			const [host, port] = entry.address.split(':');
+			const socket = connect(Number(port), host, () => socket.write(text));
+			let received = '';
+			socket.on('data', data => {
+				received += String(data);
+			});
+			socket.on('error', () => undefined);
+			socket.on('close', () => {
+				resolve(received);
+			});
+		});
+
+		const post = async (body: string): Promise<Readonly<Record<string, unknown>>> => jsonOf(send(entry, '/v1/chat/completions', {method: 'POST', body}));
+
+		it('answers malformed HTTP with 400 and oversized headers with 431', async () => {
+			expect(await raw('GARBAGE\r\n\r\n')).to.match(/^HTTP\/1.1 400 [^]*"outcome":"not-run"/);
+			expect(await raw(`GET / HTTP/1.1\r\nhost: x\r\nx-long: ${'x'.repeat(20_000)}\r\n\r\n`)).to.match(/^HTTP\/1.1 431 [^]*"remedy"/);
+			expect(fleet.metrics.counters.get('requests.finished,result=headers-too-large')).to.equal(1);
+		});
+
+		it('answers a body above the limit with 413, announced or not', async () => {
+			expect(await post(chatBody('x'.repeat(20_000)))).to.include({status: 413, outcome: 'not-run'});
+			const chunk = `4000\r\n${'x'.repeat(0x40_00)}\r\n0\r\n\r\n`;
+			expect(await raw(`POST /orders HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n${chunk}`)).to.match(/^HTTP\/1.1 413 /);
+		});
+
+		it('answers malformed JSON, an unknown model and a missing route with typed errors', async () => {
+			expect(await post('{"model":')).to.include({status: 400, type: 'urn:yuccawood:problem:malformed'});
+			expect(await post('{"model":"none","messages":[]}')).to.include({status: 404, type: 'urn:yuccawood:problem:unknown-model'});
+			expect(await jsonOf(send(entry, '/nowhere'))).to.include({status: 404, type: 'urn:yuccawood:problem:no-route'});
+			expect(fleet.metrics.counters.get('requests.finished,result=unknown-model')).to.equal(1);
+		});
+
+		it('keeps headers of callers from reaching the agent as its own', async () => {
+			const reply = await send(entry, '/v1/chat/completions', {method: 'POST', body: chatBody('hello'), headers: {'yuccawood-vm': 'other', 'yuccawood-suspect': 'yes', connection: 'x-a'}});
+			expect(reply.status).to.equal(200);
+		});
+	});
+});
--- a/packages/requests/src/upstream.ts
+++ b/packages/requests/src/upstream.ts
@@ -4,7 +4,7 @@
 	withTimeout, type Clock, type Log, type Metrics,
 } from '@yuccawood/common';
 import type {ServedVersion} from '@yuccawood/membership';
-import type {EngineState, ModelEngine} from '@yuccawood/platform';
+import {HttpModelEngine, type EngineState, type ModelEngine} from '@yuccawood/platform';
 import {ConnectionPools} from './connection-pools.js';
 import {MAX_SILENT_STATES, QUERY_TIMEOUT_MS, SILENCE_MS} from './constants.js';
 import type {ExchangeRequest} from './exchange.js';
@@ -20,7 +20,7 @@
 	readonly address: string;
 	readonly kind: 'engine' | 'service';
 	readonly serving: () => readonly ServedVersion[];
-	readonly engine: Pick<ModelEngine, 'state'> | undefined;
+	readonly engine?: Pick<ModelEngine, 'state'>;
 	readonly records: RequestRecords;
 	readonly clock: Clock;
 	readonly log: Log;
@@ -47,13 +47,19 @@
 	readonly #pools = new ConnectionPools();
 	readonly #supervisor: Supervisor;
 	readonly #monitor: UpstreamMonitor;
+	readonly #ownEngine: HttpModelEngine | undefined;
+	readonly #engine: Pick<ModelEngine, 'state'> | undefined;
 	readonly #running = new Map<string, Running>();
 	#suspects = 0;
 	#silentStates = 0;
 
 	constructor(options: UpstreamOptions) {
 		this.#options = options;
-		const {clock, log, address, selfId, incarnation, metrics} = options;
+		const {
+			clock, log, address, selfId, incarnation, metrics, kind,
+		} = options;
+		this.#ownEngine = kind === 'engine' && !('engine' in options) ? new HttpModelEngine({address}) : undefined;
+		this.#engine = options.engine ?? this.#ownEngine;
 		this.#supervisor = new Supervisor({clock, log});
 		this.#monitor = new UpstreamMonitor({
 			address, selfId, incarnation, clock, log, metrics,
@@ -108,6 +114,7 @@
 		this.#supervisor.close();
 		this.#monitor.close();
 		await this.#pools.close();
+		await this.#ownEngine?.close();
 	}
 
 	#createRun(job: Job, dispatcher: ReturnType<ConnectionPools['get']>): UpstreamRun {
@@ -129,8 +136,8 @@
 	A plain service cannot be asked, so a repeatable call is sent again over a new connection and the first response wins.
 	*/
 	async #judgeSilence({repeatable}: ForwardedHead, hasHead: boolean): Promise<SilenceVerdict> {
-		const {kind, engine} = this.#options;
-		if (kind === 'service' || !engine) {
+		const {kind} = this.#options;
+		if (kind === 'service' || !this.#engine) {
 			return kind === 'service' && repeatable && !hasHead ? 'hedge' : 'wait';
 		}
 
@@ -155,13 +162,12 @@
 	}
 
 	async #state(): Promise<EngineState | undefined> {
-		const {engine} = this.#options;
-		if (!engine) {
+		if (!this.#engine) {
 			return undefined;
 		}
 
 		try {
-			const state = await withTimeout(engine.state(), QUERY_TIMEOUT_MS, 'State of the engine');
+			const state = await withTimeout(this.#engine.state(), QUERY_TIMEOUT_MS, 'State of the engine');
 			return state.ok ? state.val : undefined;
 		} catch {
 			return undefined;
--- /dev/null
+++ b/packages/requests/src/verification.test.ts
@@ -0,0 +1,109 @@
+import type {ServerResponse} from 'node:http';
+import {expect} from 'chai';
+import {
+	answerChat, chat, Fleet, isLost, jsonOf, MODEL_HASH, send, statusOf, textOf, waitUntil,
+} from './fleet.test.js';
+import type {EntryServer} from './entry-server.js';
+
+describe('verification of responses', () => {
+	let fleet: Fleet;
+
+	beforeEach(() => {
+		fleet = new Fleet();
+	});
+
+	afterEach(async () => {
+		await fleet.close();
+	});
+
+	it('discards answers that are swapped between two requests and has both answered elsewhere', async () => {
+		const held: Array<{readonly id: string; readonly response: ServerResponse}> = [];
+		const swapping = await fleet.upstream((request, response) => {
+			held.push({id: String(request.headers['yuccawood-request-id']), response});
+		});
+		const upstream = await fleet.upstream(answerChat);
+		await fleet.agent('engine-1', upstream, {addressOf: async () => swapping.address});
+		const entry = await fleet.entry();
+		const replies = Promise.all([textOf(chat(entry, 'first')), textOf(chat(entry, 'second'))]);
+		await waitUntil(() => held.length === 2);
+		await fleet.agent('engine-2', upstream);
+		for (const [i, {response}] of held.entries()) {
+			response.writeHead(200, {
+				'yuccawood-request-id': held[1 - i].id, 'yuccawood-vm': 'engine-1', 'yuccawood-incarnation': '7', 'yuccawood-version': MODEL_HASH,
+			});
+			response.end('answer to the other request');
+		}
+
+		const [first, second] = await replies;
+		expect(first).to.contain('first');
+		expect(second).to.contain('second');
+	});
+
+	it('passes on no byte of an answer from a version that the agent did not verify', async () => {
+		const upstream = await fleet.upstream((_request, response) => {
+			response.writeHead(200, {'x-model-version': 'b'.repeat(64)});
+			response.end('mixed weights');
+		});
+		await fleet.agent('engine-1', upstream);
+		const reply = await chat(await fleet.entry(), 'hello');
+		expect(reply.text).to.not.contain('mixed weights');
+		expect(reply.json()).to.include({status: 502, outcome: 'unknown'});
+	});
+
+	it('rejects a request that insists on a version which is not served', async () => {
+		const upstream = await fleet.upstream(answerChat);
+		await fleet.agent('engine-1', upstream);
+		const entry = await fleet.entry();
+		const pinned = async (version: string): Promise<number> => statusOf(send(entry, '/v1/chat/completions', {
+			method: 'POST', body: '{"model":"kit","messages":[]}', headers: {'yuccawood-version': version},
+		}));
+		expect(await pinned('b'.repeat(64))).to.equal(503);
+		expect(await pinned(MODEL_HASH)).to.equal(200);
+	});
+
+	describe('of broken streams', () => {
+		const startStream = async (finish: (response: ServerResponse) => void, contentType: string): Promise<EntryServer> => {
+			const upstream = await fleet.upstream((_request, response) => {
+				response.writeHead(200, {'content-type': contentType, 'x-model-version': MODEL_HASH});
+				response.write('data: one\n\n', () => {
+					finish(response);
+				});
+			});
+			await fleet.agent('engine-1', upstream);
+			return fleet.entry();
+		};
+
+		it('ends a stream whose upstream breaks with an error event and without the end mark', async () => {
+			const entry = await startStream(response => response.destroy(), 'text/event-stream');
+			const text = await textOf(chat(entry, 'hello', {stream: true}));
+			expect(text).to.match(/^data: one\n\nevent: error\ndata: /);
+			expect(text).to.contain('"outcome":"unknown"');
+			expect(text).to.not.contain('[DONE]');
+		});
+
+		it('does not take a stream as complete that the upstream ends without its end mark', async () => {
+			const entry = await startStream(response => response.end(), 'text/event-stream');
+			expect(await textOf(chat(entry, 'hello', {stream: true}))).to.contain('event: error');
+		});
+
+		it('cuts the connection when a whole answer breaks off', async () => {
+			const entry = await startStream(response => response.destroy(), 'application/json');
+			expect(await isLost(chat(entry, 'hello'))).to.equal(true);
+		});
+	});
+
+	it('repeats a completion on another VM when its first one answers with an error', async () => {
+		const failing = await fleet.upstream((_request, response) => {
+			response.writeHead(500);
+			response.end();
+		});
+		await fleet.agent('engine-1', failing);
+		await fleet.agent('engine-2', await fleet.upstream(answerChat));
+		const entry = await fleet.entry();
+		expect(await Promise.all(['a', 'b', 'c', 'd'].map(async text => statusOf(chat(entry, text))))).to.deep.equal([200, 200, 200, 200]);
+	});
+
+	it('reports not-run when no VM takes the request', async () => {
+		expect(await jsonOf(chat(await fleet.entry(), 'hello'))).to.include({status: 503, outcome: 'not-run'});
+	});
+});
