Share account limits strictly and order waiting requests fairly

Ruled out: choosing the next request by requests running per weight, which rounds small parts down; shedding by weighted queue length, which drops the bursts of small accounts.

Waiting requests are served in start-time fair order by service time and weight. When the queue is full the least urgent priority loses from its longest queue, unless its accounts are within their part. Home entries leave even parts of unused limits free for entries without a report, make shares valid for longer when many entries report, and exchange compact rows. Times to retry are whole seconds, as the header needs.

--- a/packages/accounts/src/account-admission.ts
+++ b/packages/accounts/src/account-admission.ts
@@ -4,7 +4,7 @@
 import type {AccountAdmissionOptions} from './admission-options.js';
 import {CapacityGate, type AdmissionAnswer} from './capacity-gate.js';
 import {
-	FIRST_SHARE_WAIT_MS, FLEET, REPORT_PERIOD_MS, SHARE_TTL_MS,
+	FIRST_SHARE_WAIT_MS, FLEET, REPORT_PERIOD_MS, SHARE_VALID_MS,
 } from './constants.js';
 import {DemandReporter} from './demand-reporter.js';
 import {
@@ -26,18 +26,25 @@
 
 	constructor(options: AccountAdmissionOptions) {
 		this.#options = options;
-		const {clock, shareTtlMs: ttlMs = SHARE_TTL_MS, firstShareWaitMs = FIRST_SHARE_WAIT_MS} = options;
+		const {clock, shareValidMs: validMs = SHARE_VALID_MS, firstShareWaitMs = FIRST_SHARE_WAIT_MS} = options;
 		this.#gate = new CapacityGate({
-			...options, capacity: () => this.#capacity(), onRefusal: refusal => {
+			...options, capacity: () => this.#capacity(),
+			onWait: () => {
+				this.#reporter.reportEarly(this.#gate.fleet);
+			},
+			onRefusal: refusal => {
 				this.#refuse(refusal);
 			},
 		});
-		this.#home = new ShareHome({clock, ttlMs, liveEntries: () => this.#shares.entries.length});
+		this.#home = new ShareHome({clock, validMs, liveEntries: () => this.#shares.entries.length});
 		this.#shares = new ShareTable({
-			...options, home: this.#home, ttlMs, limitsOf: account => this.#limitsOf(account),
+			...options, home: this.#home, limitsOf: account => this.#limitsOf(account),
 		});
 		this.#reporter = new DemandReporter({
 			accounts: this.#accounts, fleet: this.#gate.fleet, shares: this.#shares, clock, firstShareWaitMs,
+			onShares: () => {
+				this.#gate.pump();
+			},
 		});
 		options.peerServer.method('accounts.share', (request: ShareRequest) => this.#shares.answer(request));
 	}
@@ -125,9 +132,9 @@
 
 	/** Seconds until the bucket has a token. A share of several entries is adapted to the demand within its time, so waiting longer is not needed. */
 	#secondsToToken({bucket}: AccountState, now: number): number {
-		const {shareTtlMs = SHARE_TTL_MS} = this.#options;
+		const {shareValidMs = SHARE_VALID_MS} = this.#options;
 		const seconds = bucket.secondsToNext(now);
-		return this.#shares.entries.length > 1 ? Math.min(seconds, shareTtlMs / 1000) : seconds;
+		return this.#shares.entries.length > 1 ? Math.min(seconds, shareValidMs / 1000) : seconds;
 	}
 
 	async #run(signal: AbortSignal): Promise<void> {
--- a/packages/accounts/src/account-state.ts
+++ b/packages/accounts/src/account-state.ts
@@ -1,6 +1,6 @@
 import type {AccountConfiguration} from '@yuccawood/configuration';
 import {
-	ANONYMOUS_ACCOUNT, ANONYMOUS_PRIORITY, ASSUMED_SERVICE_MS, AVERAGE_WEIGHT, BURST_SECONDS, MIN_DEMAND_PERIOD_MS,
+	ANONYMOUS_ACCOUNT, ANONYMOUS_PRIORITY, ASSUMED_SERVICE_MS, AVERAGE_WEIGHT, BURST_SECONDS, MIN_DEMAND_PERIOD_MS, USE_AVERAGE_MS,
 } from './constants.js';
 import type {Limits} from './share-messages.js';
 import {TokenBucket} from './token-bucket.js';
@@ -16,6 +16,9 @@
 	weight: number;
 	inFlight = 0;
 	waiting = 0;
+
+	/** Service time that the account has had, divided by its weight. */
+	virtualMs = 0;
 	meanServiceMs = ASSUMED_SERVICE_MS;
 	hasEnded = false;
 	lastUsedAt: number;
@@ -24,6 +27,8 @@
 	#peak = 0;
 	#rateDemand = 0;
 	#demandAt: number;
+	#meanInFlight = 0;
+	#meanAt: number;
 
 	constructor({name, limits, priority, weight, now}: {
 		readonly name: string;
@@ -38,6 +43,7 @@
 		this.weight = weight;
 		this.lastUsedAt = now;
 		this.#demandAt = now;
+		this.#meanAt = now;
 		this.bucket = new TokenBucket({rate: limits.rate, burstSeconds: BURST_SECONDS, now});
 	}
 
@@ -51,12 +57,22 @@
 		this.lastUsedAt = now;
 	}
 
-	begin(): void {
+	/** Mean number of requests that ran over the last seconds. */
+	meanInFlight(now: number): number {
+		const passed = Math.max(0, now - this.#meanAt);
+		this.#meanAt = Math.max(now, this.#meanAt);
+		this.#meanInFlight += (this.inFlight - this.#meanInFlight) * (1 - Math.exp(-passed / USE_AVERAGE_MS));
+		return this.#meanInFlight;
+	}
+
+	begin(now: number): void {
+		this.meanInFlight(now);
 		this.inFlight++;
 		this.#peak = Math.max(this.#peak, this.inUse);
 	}
 
-	end(serviceMs: number): void {
+	end(now: number, serviceMs: number): void {
+		this.meanInFlight(now);
 		this.inFlight--;
 		this.meanServiceMs += (this.hasEnded ? AVERAGE_WEIGHT : 1) * (serviceMs - this.meanServiceMs);
 		this.hasEnded = true;
--- a/packages/accounts/src/admission-options.ts
+++ b/packages/accounts/src/admission-options.ts
@@ -21,7 +21,7 @@
 	readonly fleetCapacity: () => number;
 	readonly isLeaving?: () => boolean;
 	readonly reportPeriodMs?: number;
-	readonly shareTtlMs?: number;
+	readonly shareValidMs?: number;
 	readonly firstShareWaitMs?: number;
 
 	/** Requests that may wait; by default a multiple of the entry's share of the capacity. */
--- a/packages/accounts/src/capacity-gate.ts
+++ b/packages/accounts/src/capacity-gate.ts
@@ -17,19 +17,24 @@
 	readonly #clock: Clock;
 	readonly #capacity: () => number;
 	readonly #queueLength: number | undefined;
+	readonly #onWait: () => void;
 	readonly #onRefusal: (refusal: AdmissionRefusal) => void;
 
-	constructor({clock, capacity, queueLength, onRefusal}: {
+	constructor({clock, capacity, queueLength, onWait, onRefusal}: {
 		readonly clock: Clock;
 
 		/** Requests that this entry may run at the same time. */
 		readonly capacity: () => number;
 		readonly queueLength?: number;
+
+		/** Called when a request finds no room; a larger share of the capacity may be had. */
+		readonly onWait: () => void;
 		readonly onRefusal: (refusal: AdmissionRefusal) => void;
 	}) {
 		this.#clock = clock;
 		this.#capacity = capacity;
 		this.#queueLength = queueLength;
+		this.#onWait = onWait;
 		this.#onRefusal = onRefusal;
 		this.fleet = new AccountState({
 			name: FLEET, limits: {rate: 0, concurrent: 0}, priority: 0, weight: 1, now: clock.monotonic(),
@@ -68,8 +73,11 @@
 
 		const limit = this.#queueLength ?? Math.max(MIN_QUEUE_LENGTH, Math.ceil(capacity * QUEUE_FACTOR));
 		if (this.#queue.length >= limit) {
-			const victim = this.#queue.victim({newcomer: state, places: capacity + limit});
+			const victim = this.#queue.victim({
+				newcomer: state, capacity, places: capacity + limit, now: this.#clock.monotonic(),
+			});
 			if (!victim) {
+				this.#onWait();
 				return this.#refuse(state, queueFullRefusal(waitSeconds));
 			}
 
@@ -79,6 +87,7 @@
 
 		const answer = this.#wait(state, request);
 		this.pump();
+		this.#onWait();
 		return answer;
 	}
 
@@ -112,8 +121,9 @@
 	#begin(state: AccountState): Permit {
 		const startedAt = this.#clock.monotonic();
 		let isHeld = true;
-		state.begin();
-		this.fleet.begin();
+		const chargedMs = this.#queue.charge(state);
+		state.begin(startedAt);
+		this.fleet.begin(startedAt);
 		return {
 			account: state.name,
 			priority: state.priority,
@@ -123,9 +133,10 @@
 				}
 
 				isHeld = false;
-				const serviceMs = this.#clock.monotonic() - startedAt;
-				state.end(serviceMs);
-				this.fleet.end(serviceMs);
+				const now = this.#clock.monotonic();
+				state.virtualMs += (now - startedAt - chargedMs) / state.weight;
+				state.end(now, now - startedAt);
+				this.fleet.end(now, now - startedAt);
 				this.pump();
 			},
 		};
--- a/packages/accounts/src/constants.ts
+++ b/packages/accounts/src/constants.ts
@@ -12,8 +12,17 @@
 /** Time that a report may take. */
 export const REPORT_TIMEOUT_MS = 500;
 
-/** Time for which a share is valid. Longer than three reports, so that two lost ones change nothing. */
-export const SHARE_TTL_MS = 3500;
+/** Time for which a share is valid while few entries report. Longer than three reports, so that two lost ones change nothing. */
+export const SHARE_VALID_MS = 3500;
+
+/** Reports of an account that its home entry takes per period before it makes shares valid for longer. */
+export const REPORTS_PER_PERIOD = 6;
+
+/** Bounds the time for which a share is valid, and so the time until shares follow the demand. */
+export const MAX_VALIDITY_FACTOR = 30;
+
+/** Reports in the time for which a share is valid. */
+export const REPORTS_PER_VALIDITY = 3.5;
 
 /** Time that a request waits for the first share of its account. */
 export const FIRST_SHARE_WAIT_MS = 300;
@@ -21,8 +30,8 @@
 /** Time without requests after which an entry stops reporting an account. */
 export const ACCOUNT_IDLE_MS = 10_000;
 
-/** Time between two early reports of an account whose share is used up. */
-export const EARLY_REPORT_PERIOD_MS = 250;
+/** Early reports of an account whose share is used up, for each regular one. */
+export const EARLY_REPORTS_PER_PERIOD = 4;
 
 /** Seconds of the rate that an account may use at once after a quiet time. */
 export const BURST_SECONDS = 1;
@@ -38,8 +47,8 @@
 /** Mean service time that is assumed before the first request has ended. */
 export const ASSUMED_SERVICE_MS = 1000;
 
-/** Shortest time to wait that a refusal names. */
-export const MIN_RETRY_SECONDS = 0.1;
+/** Shortest time to wait that a refusal names; the header retry-after holds whole seconds. */
+export const MIN_RETRY_SECONDS = 1;
 
 /** Time after which a new key is in force everywhere; a refused caller may try again then. */
 export const UNKNOWN_ACCOUNT_RETRY_SECONDS = 8;
@@ -52,3 +61,9 @@
 
 /** Shortest period over which a rate of attempts is computed. */
 export const MIN_DEMAND_PERIOD_MS = 250;
+
+/** Time constant of the mean use that decides whether an account has had its part of the capacity. */
+export const USE_AVERAGE_MS = 5000;
+
+/** Part of its entitlement below which an account's requests are not shed. An account that waits all the time comes closer to it than that. */
+export const SPARED_USE = 0.98;
--- a/packages/accounts/src/demand-reporter.ts
+++ b/packages/accounts/src/demand-reporter.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@yuccawood/common';
 import type {AccountDirectory} from './account-directory.js';
 import type {AccountState} from './account-state.js';
-import {ACCOUNT_IDLE_MS, EARLY_REPORT_PERIOD_MS} from './constants.js';
+import {ACCOUNT_IDLE_MS, EARLY_REPORTS_PER_PERIOD} from './constants.js';
 import type {DemandReport} from './share-messages.js';
 import type {ShareTable} from './share-table.js';
 
@@ -12,24 +12,29 @@
 	readonly #shares: ShareTable;
 	readonly #clock: Clock;
 	readonly #firstShareWaitMs: number;
+	readonly #onShares: () => void;
 	readonly #running = new Map<string, Promise<void>>();
 	readonly #reportedAt = new Map<string, number>();
 
-	constructor({accounts, fleet, shares, clock, firstShareWaitMs}: {
+	constructor({accounts, fleet, shares, clock, firstShareWaitMs, onShares}: {
 		readonly accounts: AccountDirectory;
 		readonly fleet: AccountState;
 		readonly shares: ShareTable;
 		readonly clock: Clock;
 		readonly firstShareWaitMs: number;
+
+		/** Called after shares may have changed. */
+		readonly onShares: () => void;
 	}) {
 		this.#accounts = accounts;
 		this.#fleet = fleet;
 		this.#shares = shares;
 		this.#clock = clock;
 		this.#firstShareWaitMs = firstShareWaitMs;
+		this.#onShares = onShares;
 	}
 
-	/** Reports all accounts in use. */
+	/** Reports all accounts in use whose share is due for a report. */
 	async reportAll(): Promise<void> {
 		if (this.#shares.entries.length <= 1) {
 			return;
@@ -37,7 +42,7 @@
 
 		const oldest = this.#clock.monotonic() - ACCOUNT_IDLE_MS;
 		const active = [this.#fleet, ...this.#accounts.all].filter(({inUse, lastUsedAt}) => inUse > 0 || lastUsedAt >= oldest);
-		await this.#report(active.filter(({limits}) => Number.isFinite(limits.concurrent)));
+		await this.#report(active.filter(({name, limits}) => Number.isFinite(limits.concurrent) && this.#shares.isDue(name)));
 	}
 
 	/** Reports accounts at once because their first share is needed, and waits for it for a bounded time. */
@@ -59,7 +64,7 @@
 	/** Reports an account early because its share is used up, at a bounded rate. */
 	reportEarly(state: AccountState): void {
 		const now = this.#clock.monotonic();
-		const isRecent = now - (this.#reportedAt.get(state.name) ?? Number.NEGATIVE_INFINITY) < EARLY_REPORT_PERIOD_MS;
+		const isRecent = now - (this.#reportedAt.get(state.name) ?? Number.NEGATIVE_INFINITY) < this.#shares.reportPeriodMs(state.name) / EARLY_REPORTS_PER_PERIOD;
 		if (isRecent || this.#shares.entries.length <= 1) {
 			return;
 		}
@@ -73,12 +78,15 @@
 			this.#reportedAt.set(state.name, now);
 			const {rate, concurrent} = state.takeDemand(now);
 			const held = this.#shares.heldOf(state.name);
+			// Requests that wait for capacity do not use it yet, but they do use the concurrency of their account.
+			const inUse = state === this.#fleet ? state.inFlight : state.inUse;
 			return {
-				account: state.name, rateDemand: rate, concurrentDemand: concurrent, inUse: state.inUse, heldRate: held.rate, heldConcurrent: held.concurrent,
+				account: state.name, rateDemand: rate, concurrentDemand: concurrent, inUse, heldRate: held.rate, heldConcurrent: held.concurrent,
 			};
 		});
 		if (reports.length > 0) {
 			await this.#shares.report(reports);
+			this.#onShares();
 		}
 	}
 }
--- a/packages/accounts/src/fair-queue.ts
+++ b/packages/accounts/src/fair-queue.ts
@@ -1,4 +1,5 @@
 import type {AccountState} from './account-state.js';
+import {SPARED_USE} from './constants.js';
 
 /** A request that waits for capacity. */
 export type Waiter = {
@@ -12,14 +13,19 @@
 };
 
 /**
-Requests that wait for capacity, by account.
+Requests that wait for capacity, by account, in start-time fair order.
 
-The next one comes from the account that uses the smallest part of its weight, so a flood of one account delays only itself.
+Each account has a virtual time that rises by the service time of its requests divided by its weight; the account with the lowest one
+is next. Over time each waiting account gets its part of the capacity, even if that part is a fraction of one request, and a flood
+of one account delays only itself.
 */
 export class FairQueue {
 	readonly #waiting = new Map<AccountState, Waiter[]>();
 	#length = 0;
 
+	/** Virtual time at which the last request started. An account that was idle continues from here and keeps no credit. */
+	#virtualMs = 0;
+
 	get length(): number {
 		return this.#length;
 	}
@@ -30,6 +36,7 @@
 			queue.push(waiter);
 		} else {
 			this.#waiting.set(waiter.state, [waiter]);
+			waiter.state.virtualMs = Math.max(waiter.state.virtualMs, this.#virtualMs);
 		}
 
 		waiter.state.waiting++;
@@ -64,7 +71,7 @@
 		return state.weight / total;
 	}
 
-	/** Takes the oldest request of the account that is furthest below its weight; equal ones by priority. */
+	/** Takes the oldest request of the account with the lowest virtual time; equal ones by priority. */
 	next(): Waiter | undefined {
 		let best: AccountState | undefined;
 		for (const state of this.#waiting.keys()) {
@@ -79,31 +86,52 @@
 		return waiter;
 	}
 
+	/** Charges a request that starts, waiting or not, with its expected service time. @returns the charge. */
+	charge(state: AccountState): number {
+		state.virtualMs = Math.max(state.virtualMs, this.#virtualMs);
+		this.#virtualMs = state.virtualMs;
+		state.virtualMs += state.meanServiceMs / state.weight;
+		return state.meanServiceMs;
+	}
+
 	/**
 	Chooses the request to shed when the queue is full.
 
-	Accounts within their part of the capacity and the queue are spared; of the others the least urgent one loses its newest request.
+	The least urgent priority is chosen first, unless all its accounts are spared because they had less than their part of the capacity
+	lately or wait within their part of the places. Of that priority the longest queue loses its newest request, so a burst of a small
+	account is not shed for a flood of a large one.
 
 	@returns undefined if that is the newcomer.
 	*/
-	victim({newcomer, places}: {readonly newcomer: AccountState; readonly places: number}): Waiter | undefined {
-		const states = new Set([...this.#waiting.keys(), newcomer]);
-		const totalWeight = [...states].reduce((sum, {weight}) => sum + weight, 0);
-		let worst: {readonly state: AccountState; readonly use: number} | undefined;
-		for (const state of states) {
-			const wanted = state.inUse + (state === newcomer ? 1 : 0);
-			const use = wanted / (places * state.weight / totalWeight);
-			const isWorse = !worst || state.priority < worst.state.priority || (state.priority === worst.state.priority && use > worst.use);
-			if (use > 1 && isWorse) {
-				worst = {state, use};
-			}
-		}
+	victim({newcomer, capacity, places, now}: {
+		readonly newcomer: AccountState;
+		readonly capacity: number;
+
+		/** Requests that may run or wait. */
+		readonly places: number;
+		readonly now: number;
+	}): Waiter | undefined {
+		const states = [...new Set([...this.#waiting.keys(), newcomer])];
+		const totalWeight = states.reduce((sum, {weight}) => sum + weight, 0);
+		const isSpared = (state: AccountState): boolean => {
+			const part = state.weight / totalWeight;
+			return this.#wanted(state, newcomer) <= places * part || state.meanInFlight(now) < SPARED_USE * capacity * part;
+		};
+
+		const priority = Math.min(...states.filter(state => !isSpared(state)).map(state => state.priority));
+		const candidates = Number.isFinite(priority) ? states.filter(state => state.priority === priority) : states;
+		const [longest] = candidates.sort((a, b) => this.#queued(b, newcomer) - this.#queued(a, newcomer));
+		return longest === newcomer ? undefined : this.#waiting.get(longest)?.at(-1);
+	}
+
+	#queued(state: AccountState, newcomer: AccountState): number {
+		return state.waiting + (state === newcomer ? 1 : 0);
+	}
 
-		return worst && worst.state !== newcomer ? this.#waiting.get(worst.state)?.at(-1) : undefined;
+	#wanted(state: AccountState, newcomer: AccountState): number {
+		return state.inFlight + this.#queued(state, newcomer);
 	}
 }
 
-const isBefore = (a: AccountState, b: AccountState): boolean => {
-	const difference = ((a.inFlight + 1) / a.weight) - ((b.inFlight + 1) / b.weight);
-	return difference < 0 || (difference === 0 && a.priority > b.priority);
-};
+const isBefore = (a: AccountState, b: AccountState): boolean =>
+	a.virtualMs < b.virtualMs || (a.virtualMs === b.virtualMs && a.priority > b.priority);
--- a/packages/accounts/src/max-min.ts
+++ b/packages/accounts/src/max-min.ts
@@ -1,9 +1,11 @@
 /**
-Max-min fair division of a limit: nobody gets less than another one that wants no more, and what is left after all demands is divided evenly.
+Max-min fair division of a limit: nobody gets less than another one that wants no more.
 
-@returns one share for each demand; their sum is the limit, or less for whole shares of a fraction.
+What is left after all demands is divided evenly among `parties`, which may include some without a demand; their parts stay free.
+
+@returns one share for each demand; their sum does not exceed the limit.
 */
-export const maxMinShares = (limit: number, demands: readonly number[]): readonly number[] => {
+export const maxMinShares = (limit: number, demands: readonly number[], parties = demands.length): readonly number[] => {
 	const shares = demands.map(() => 0);
 	const order = demands.map((demand, index) => ({demand, index})).sort((a, b) => a.demand - b.demand);
 	let rest = limit;
@@ -13,14 +15,15 @@
 		rest -= share;
 	}
 
-	return shares.map(share => share + (rest / shares.length));
+	return shares.map(share => share + (rest / Math.max(parties, shares.length)));
 };
 
 /** Max-min fair division in whole units. Units that remain after rounding down go to the largest fractions, earlier ones first. */
-export const wholeMaxMinShares = (limit: number, demands: readonly number[]): readonly number[] => {
-	const exact = maxMinShares(Math.floor(limit), demands);
+export const wholeMaxMinShares = (limit: number, demands: readonly number[], parties = demands.length): readonly number[] => {
+	const exact = maxMinShares(Math.floor(limit), demands, parties);
 	const shares = exact.map(share => Math.floor(share + ROUNDING_TOLERANCE));
-	let rest = Math.floor(limit) - shares.reduce((sum, share) => sum + share, 0);
+	const total = Math.floor(exact.reduce((sum, share) => sum + share, ROUNDING_TOLERANCE));
+	let rest = total - shares.reduce((sum, share) => sum + share, 0);
 	const byFraction = exact.map((share, index) => ({fraction: share - shares[index], index})).sort((a, b) => b.fraction - a.fraction);
 	for (const {index} of byFraction) {
 		if (rest < 1) {
--- a/packages/accounts/src/refusals.ts
+++ b/packages/accounts/src/refusals.ts
@@ -3,7 +3,7 @@
 import {LEAVING_RETRY_SECONDS, MIN_RETRY_SECONDS, UNKNOWN_ACCOUNT_RETRY_SECONDS} from './constants.js';
 import type {AdmissionRefusal} from './types.js';
 
-const atLeastMinimum = (seconds: number): number => Math.max(MIN_RETRY_SECONDS, seconds);
+const wholeSeconds = (seconds: number): number => Math.max(MIN_RETRY_SECONDS, Math.ceil(seconds));
 
 export const leavingRefusal = (): AdmissionRefusal => ({
 	kind: 'leaving', detail: 'This entry is leaving and accepts no new requests.', remedy: 'Send the request again; the balancer picks another entry.',
@@ -22,7 +22,7 @@
 	kind: 'rate-limit',
 	detail: `Account ${state.name} has used up its ${state.limits.rate} requests per second.`,
 	remedy: 'Wait, or raise requests_per_second of the account.',
-	retryAfterSeconds: atLeastMinimum(seconds),
+	retryAfterSeconds: wholeSeconds(seconds),
 });
 
 /** @param seconds until one of the account's requests is expected to end. */
@@ -30,15 +30,15 @@
 	kind: 'concurrency-limit',
 	detail: `Account ${state.name} has used up its ${state.limits.concurrent} concurrent requests.`,
 	remedy: 'Wait until a request has ended, or raise concurrent of the account.',
-	retryAfterSeconds: atLeastMinimum(seconds),
+	retryAfterSeconds: wholeSeconds(seconds),
 });
 
 /** @param seconds until the queue is expected to be served. */
 export const queueFullRefusal = (seconds: number): AdmissionRefusal => ({
 	kind: 'queue-full', detail: 'The fleet is full and so is the queue.', remedy: 'Wait, or add VMs.',
-	retryAfterSeconds: atLeastMinimum(seconds),
+	retryAfterSeconds: wholeSeconds(seconds),
 });
 
 export const deadlineRefusal = (detail: string, seconds: number): AdmissionRefusal => ({
-	kind: 'deadline', detail, remedy: 'Wait, or send the request with a later deadline.', retryAfterSeconds: atLeastMinimum(seconds),
+	kind: 'deadline', detail, remedy: 'Wait, or send the request with a later deadline.', retryAfterSeconds: wholeSeconds(seconds),
 });
--- a/packages/accounts/src/share-home.ts
+++ b/packages/accounts/src/share-home.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@yuccawood/common';
+import {MAX_VALIDITY_FACTOR, REPORTS_PER_PERIOD} from './constants.js';
 import {maxMinShares, wholeMaxMinShares} from './max-min.js';
 import type {DemandReport, Limits, Share} from './share-messages.js';
 
@@ -24,21 +25,23 @@
 */
 export class ShareHome {
 	readonly #clock: Clock;
-	readonly #ttlMs: number;
+	readonly #validMs: number;
 	readonly #liveEntries: () => number;
 	readonly #ledgers = new Map<string, Ledger>();
 
-	constructor({clock, ttlMs, liveEntries}: {
+	constructor({clock, validMs, liveEntries}: {
 		readonly clock: Clock;
-		readonly ttlMs: number;
+
+		/** Time for which a share is valid while few entries report. */
+		readonly validMs: number;
 		readonly liveEntries: () => number;
 	}) {
 		this.#clock = clock;
-		this.#ttlMs = ttlMs;
+		this.#validMs = validMs;
 		this.#liveEntries = liveEntries;
 	}
 
-	/** Takes a report and grants a share for the next `ttlMs`. */
+	/** Takes a report and grants a share. */
 	grant(entry: string, report: DemandReport, limits: Limits): Share {
 		const now = this.#clock.monotonic();
 		const {grants, settledAt} = this.#ledger(report.account, now);
@@ -48,15 +51,17 @@
 			}
 		}
 
+		const validMs = this.#validity(grants.size);
+		const expiresAt = now + validMs;
 		grants.set(entry, {
-			report, rate: report.heldRate, concurrent: report.heldConcurrent, expiresAt: now + this.#ttlMs,
+			report, rate: report.heldRate, concurrent: report.heldConcurrent, expiresAt,
 		});
-		const share = this.#divide(entry, grants, limits);
-		const allowed = now < settledAt ? this.#cautious(share, report, limits) : share;
+		const divided = {...this.#divide(entry, grants, limits), account: report.account, validMs};
+		const share = now < settledAt ? this.#cautious(divided, report, limits) : divided;
 		grants.set(entry, {
-			report, rate: allowed.rate, concurrent: allowed.concurrent, expiresAt: now + this.#ttlMs,
+			report, rate: share.rate, concurrent: share.concurrent, expiresAt,
 		});
-		return allowed;
+		return share;
 	}
 
 	/** Forgets accounts without reports, so that a later return as home starts cautiously again. */
@@ -70,23 +75,30 @@
 		}
 	}
 
+	/** Grows with the number of entries that report, which bounds the reports per second that a home entry receives. */
+	#validity(reporters: number): number {
+		const factor = Math.min(MAX_VALIDITY_FACTOR, Math.max(1, reporters / REPORTS_PER_PERIOD));
+		return Math.round(this.#validMs * factor);
+	}
+
 	#ledger(account: string, now: number): Ledger {
 		const known = this.#ledgers.get(account);
 		if (known) {
 			return known;
 		}
 
-		const ledger: Ledger = {grants: new Map(), settledAt: now + this.#ttlMs};
+		const ledger: Ledger = {grants: new Map(), settledAt: now + this.#validity(this.#liveEntries())};
 		this.#ledgers.set(account, ledger);
 		return ledger;
 	}
 
-	#divide(entry: string, grants: ReadonlyMap<string, Grant>, limits: Limits): Share {
+	#divide(entry: string, grants: ReadonlyMap<string, Grant>, limits: Limits): Limits {
 		const entries = [...grants.keys()];
 		const reports = [...grants.values()].map(({report}) => report);
 		const index = entries.indexOf(entry);
-		const rates = maxMinShares(limits.rate, reports.map(({rateDemand}) => rateDemand));
-		const concurrents = wholeMaxMinShares(limits.concurrent, reports.map(({concurrentDemand}) => concurrentDemand));
+		const parties = this.#liveEntries();
+		const rates = maxMinShares(limits.rate, reports.map(({rateDemand}) => rateDemand), parties);
+		const concurrents = wholeMaxMinShares(limits.concurrent, reports.map(({concurrentDemand}) => concurrentDemand), parties);
 		let freeRate = limits.rate;
 		let freeConcurrent = limits.concurrent;
 		for (const [other, grant] of grants) {
@@ -97,19 +109,18 @@
 		}
 
 		return {
-			account: reports[index].account,
 			rate: Math.max(0, Math.min(rates[index], freeRate)),
 			concurrent: Math.max(0, Math.min(concurrents[index], Math.floor(freeConcurrent))),
 		};
 	}
 
 	/** What an entry may have before all holders of earlier shares are known. */
-	#cautious({account, rate, concurrent}: Share, {heldRate, heldConcurrent}: DemandReport, limits: Limits): Share {
+	#cautious(share: Share, {heldRate, heldConcurrent}: DemandReport, limits: Limits): Share {
 		const entries = Math.max(1, this.#liveEntries());
 		return {
-			account,
-			rate: Math.min(rate, Math.max(heldRate, limits.rate / entries)),
-			concurrent: Math.min(concurrent, Math.max(heldConcurrent, Math.floor(limits.concurrent / entries), 1)),
+			...share,
+			rate: Math.min(share.rate, Math.max(heldRate, limits.rate / entries)),
+			concurrent: Math.min(share.concurrent, Math.max(heldConcurrent, Math.floor(limits.concurrent / entries), 1)),
 		};
 	}
 }
--- a/packages/accounts/src/share-table.ts
+++ b/packages/accounts/src/share-table.ts
@@ -2,13 +2,16 @@
 	rank, type Clock, type Metrics, type PeerClient,
 } from '@yuccawood/common';
 import type {MemberRecord, MemberTable} from '@yuccawood/membership';
-import {REPORT_TIMEOUT_MS} from './constants.js';
+import {REPORT_TIMEOUT_MS, REPORTS_PER_VALIDITY, SHARE_VALID_MS} from './constants.js';
 import type {ShareHome} from './share-home.js';
-import type {
-	DemandReport, Limits, Share, ShareAnswer, ShareRequest,
+import {
+	readReportRow, readShareRow, reportRow, shareRow, type DemandReport, type Limits, type Share, type ShareAnswer, type ShareRequest, type ShareRow,
 } from './share-messages.js';
 
-type HeldShare = Share & {readonly expiresAt: number};
+type HeldShare = Share & {
+	readonly reportAt: number;
+	readonly expiresAt: number;
+};
 
 /** Shares that this entry holds, and the reports that obtain them from the home entries. */
 export class ShareTable {
@@ -18,7 +21,6 @@
 	readonly #peerClient: Pick<PeerClient, 'call'>;
 	readonly #clock: Clock;
 	readonly #metrics: Metrics;
-	readonly #ttlMs: number;
 	readonly #limitsOf: (account: string) => Limits | undefined;
 	readonly #held = new Map<string, HeldShare>();
 
@@ -27,14 +29,13 @@
 	#entriesOf: readonly MemberRecord[] = [];
 	#entries: readonly MemberRecord[] = [];
 
-	constructor({members, selfId, home, peerClient, clock, metrics, ttlMs, limitsOf}: {
+	constructor({members, selfId, home, peerClient, clock, metrics, limitsOf}: {
 		readonly members: MemberTable;
 		readonly selfId: string;
 		readonly home: ShareHome;
 		readonly peerClient: Pick<PeerClient, 'call'>;
 		readonly clock: Clock;
 		readonly metrics: Metrics;
-		readonly ttlMs: number;
 
 		/** Limits over all entries, for the accounts whose home is this entry. */
 		readonly limitsOf: (account: string) => Limits | undefined;
@@ -45,7 +46,6 @@
 		this.#peerClient = peerClient;
 		this.#clock = clock;
 		this.#metrics = metrics;
-		this.#ttlMs = ttlMs;
 		this.#limitsOf = limitsOf;
 	}
 
@@ -88,6 +88,17 @@
 		return held && this.#clock.monotonic() < held.expiresAt ? held : {rate: 0, concurrent: 0};
 	}
 
+	/** True if the share is to be reported again: its time for a report has come, or there is none. */
+	isDue(account: string): boolean {
+		const held = this.#held.get(account);
+		return !held || this.#clock.monotonic() >= held.reportAt;
+	}
+
+	/** Time between two regular reports of an account. */
+	reportPeriodMs(account: string): number {
+		return (this.#held.get(account)?.validMs ?? SHARE_VALID_MS) / REPORTS_PER_VALIDITY;
+	}
+
 	/** Reports demand to the home entries and takes over the shares that they grant. */
 	async report(reports: readonly DemandReport[]): Promise<void> {
 		const byHome = new Map<MemberRecord, DemandReport[]>();
@@ -101,11 +112,12 @@
 
 	/** Answers the report of an entry. Accounts that this entry does not know get no share. */
 	answer({entry, reports}: ShareRequest): ShareAnswer {
-		const shares: Share[] = [];
-		for (const report of reports) {
+		const shares: ShareRow[] = [];
+		for (const row of reports) {
+			const report = readReportRow(row);
 			const limits = this.#limitsOf(report.account);
 			if (limits) {
-				shares.push(this.#home.grant(entry, report, limits));
+				shares.push(shareRow(this.#home.grant(entry, report, limits)));
 			}
 		}
 
@@ -113,11 +125,12 @@
 	}
 
 	/** A home entry that does not know an account yet grants nothing, which counts like no answer. */
-	#takeOver(reports: readonly DemandReport[], shares: readonly Share[], expiresAt: number): void {
+	#takeOver(reports: readonly DemandReport[], shares: readonly ShareRow[], askedAt: number): void {
 		for (const {account} of reports) {
-			const share = shares.find(candidate => candidate.account === account);
-			if (share) {
-				this.#held.set(account, {...share, expiresAt});
+			const row = shares.find(([candidate]) => candidate === account);
+			if (row) {
+				const share = readShareRow(row);
+				this.#held.set(account, {...share, reportAt: askedAt + (share.validMs / REPORTS_PER_VALIDITY), expiresAt: askedAt + share.validMs});
 				this.#unreachable.delete(account);
 			} else {
 				this.#unreachable.add(account);
@@ -133,13 +146,13 @@
 
 	async #reportTo(home: MemberRecord, reports: readonly DemandReport[]): Promise<void> {
 		// The time of a share counts from before the report, so that it ends here before it ends at the home entry.
-		const expiresAt = this.#clock.monotonic() + this.#ttlMs;
-		const request: ShareRequest = {entry: this.#selfId, reports};
+		const askedAt = this.#clock.monotonic();
+		const request: ShareRequest = {entry: this.#selfId, reports: reports.map(report => reportRow(report))};
 		try {
 			const {shares} = home.id === this.#selfId
 				? this.answer(request)
 				: await this.#peerClient.call<ShareAnswer>(home.address, 'accounts.share', request, {timeoutMs: REPORT_TIMEOUT_MS});
-			this.#takeOver(reports, shares, expiresAt);
+			this.#takeOver(reports, shares, askedAt);
 		} catch {
 			this.#metrics.count('accounts.failed_reports');
 			for (const {account} of reports) {
--- a/packages/lifecycle/src/lifecycle.test.ts
+++ b/packages/lifecycle/src/lifecycle.test.ts
@@ -22,6 +22,20 @@
 		expect(lifecycle.mustExit).to.equal(true);
 	});
 
+	it('tells its listeners again when a process that was drained by the configuration has to exit', () => {
+		const lifecycle = new ProcessLifecycle({log: SILENT_LOG});
+		const exits: boolean[] = [];
+		lifecycle.onChange(phase => {
+			if (phase === 'draining') {
+				exits.push(lifecycle.mustExit);
+			}
+		});
+		lifecycle.markServing();
+		lifecycle.drain('configuration');
+		lifecycle.drain('signal');
+		expect(exits).to.deep.equal([false, true]);
+	});
+
 	it('does not serve when the sign to leave came during the start', () => {
 		const lifecycle = new ProcessLifecycle({log: SILENT_LOG});
 		lifecycle.drain('signal');
