--- a/packages/bench/src/soak/checks.test.ts
+++ b/packages/bench/src/soak/checks.test.ts
@@ -20,7 +20,7 @@
 });
 
 const rules = (evidence: Partial<Evidence>, entries: readonly LogEntry[] = []): readonly string[] => check({
-	calls: [], interferences: [], plannedStops: [], revisions: [], manifests: new Set([MANIFEST]), logs: [{name: 'orders', kind: 'service', entries}], ...evidence,
+	calls: [], interferences: [], plannedStops: [], revisions: [], edits: [], history: [], manifests: new Set([MANIFEST]), logs: [{name: 'orders', kind: 'service', entries}], ...evidence,
 }).map(({rule}) => rule);
 
 const refused: Partial<Attempt> = {result: 'refused', outcome: 'not-run', status: 503};
@@ -65,6 +65,14 @@
 		expect(rules({revisions: [{process: 'e', at: 1, revision: 2}, {process: 'e', at: 2, revision: 0}, {process: 'e', at: 3, revision: 1}]})).to.deep.equal(['revision-reverted']);
 	});
 
+	it('finds edits that were lost, made twice, or made although they were refused', () => {
+		const edits = [
+			{editId: 'a', result: 'accepted', reason: undefined}, {editId: 'b', result: 'refused', reason: 'conflict'}, {editId: 'c', result: 'unknown', reason: undefined},
+		] as const;
+		expect(rules({edits, history: ['a', 'c']})).to.deep.equal([]);
+		expect(rules({edits, history: ['b', 'c', 'c']})).to.have.members(['edit-lost', 'refused-edit-applied', 'edit-duplicated']);
+	});
+
 	it('blames a planned stop for what it cut only when nothing else was wrong', () => {
 		const calls = [call('chat', [{
 			result: 'broken', outcome: 'unknown', text: '', startedAt: 140,
--- a/packages/bench/src/soak/checks.ts
+++ b/packages/bench/src/soak/checks.ts
@@ -120,6 +120,16 @@
 	return [...failedExit, ...cut];
 });
 
+/** Edits whose authors were told something else than what the history holds. */
+const wrongEdits = ({edits, history}: Evidence): readonly Finding[] => {
+	const duplicated = history.filter((editId, index) => history.indexOf(editId) !== index)
+		.map(editId => ({rule: 'edit-duplicated', detail: `${editId} stands in the history more than once.`}));
+	const wrong = edits
+		.filter(({editId, result}) => result !== 'unknown' && history.includes(editId) !== (result === 'accepted'))
+		.map(({editId, result}) => ({rule: result === 'accepted' ? 'edit-lost' : 'refused-edit-applied', detail: `${editId} was reported as ${result}, and the history says otherwise.`}));
+	return [...duplicated, ...wrong];
+};
+
 /** All violations, each with its trace. */
 export const check = (evidence: Evidence): readonly Violation[] => {
 	const runs = runsByContent(evidence);
@@ -131,6 +141,7 @@
 		...unverifiedVersions(evidence),
 		...reverts(evidence),
 		...cutByStops(evidence),
+		...wrongEdits(evidence),
 	];
 	return findings.map(({rule, detail, ...subject}) => ({rule, detail, trace: traceOf(subject, evidence)}));
 };
--- a/packages/bench/src/soak/evidence.ts
+++ b/packages/bench/src/soak/evidence.ts
@@ -65,6 +65,13 @@
 	readonly revision: number;
 };
 
+/** An edit with what its author was told. */
+export type EditRecord = {
+	readonly editId: string;
+	readonly result: 'accepted' | 'refused' | 'unknown';
+	readonly reason: string | undefined;
+};
+
 export type StandInLog = {
 	readonly name: string;
 	readonly kind: 'engine' | 'service';
@@ -80,6 +87,10 @@
 	readonly interferences: readonly Interference[];
 	readonly plannedStops: readonly PlannedStop[];
 	readonly revisions: readonly RevisionSample[];
+	readonly edits: readonly EditRecord[];
+
+	/** Ids of the edits in the history of the document. */
+	readonly history: readonly string[];
 };
 
 export type Violation = {
--- a/packages/bench/src/soak/operators.ts
+++ b/packages/bench/src/soak/operators.ts
@@ -1,36 +1,46 @@
-/** Operators of a soak run, who edit the document with the command line. */
-import type {Random} from '@yuccawood/common';
+/** Operators of a soak run, who edit sections of the document as the command line does. */
+import {
+	SystemClock, systemRandom, type Random,
+} from '@yuccawood/common';
+import {
+	applyEdit, initialiseDocument, listHistory, readHead, TimeLimit,
+} from '@yuccawood/configuration';
+import {HttpKeyValueService} from '@yuccawood/platform';
 import {modelSection} from '../fleet/document.js';
+import type {EditRecord} from './evidence.js';
 import {firstDocument, MODEL, routeSection} from './plan.js';
 import type {SoakSystem} from './system.js';
 
-export type EditCounts = {readonly accepted: number; readonly refused: number};
-
 const MIN_DEADLINE_MS = 6000;
 const MAX_DEADLINE_MS = 9000;
+const EDIT_LIMIT_MS = 10_000;
+const READ_LIMIT_MS = 20_000;
 
 export class Operators {
 	readonly #system: SoakSystem;
 	readonly #random: Random;
+	readonly #records: EditRecord[] = [];
+	#service: HttpKeyValueService | undefined;
 	#version = 0;
-	#accepted = 0;
-	#refused = 0;
+	#sequence = 0;
 
 	constructor({system, random}: {readonly system: SoakSystem; readonly random: Random}) {
 		this.#system = system;
 		this.#random = random;
 	}
 
-	get counts(): EditCounts {
-		return {accepted: this.#accepted, refused: this.#refused};
+	/** Edits with what their authors were told. */
+	get records(): readonly EditRecord[] {
+		return this.#records;
 	}
 
 	/** Writes the first document. */
 	async begin(): Promise<void> {
-		const {exitCode, output} = await this.#system.fleet.operate(['init', 'FILE'], {team: 'platform', file: firstDocument(this.#system.versions[0])});
-		if (exitCode !== 0) {
-			throw new Error(`The first document was refused: ${output}`);
-		}
+		this.#service = new HttpKeyValueService({address: this.#system.fleet.platform.keyValue});
+		const written = await initialiseDocument({
+			keyValue: this.#keyValue, author: 'soak', team: 'platform', editId: 'first', text: firstDocument(this.#system.versions[0]),
+		});
+		written.unwrap();
 	}
 
 	/** Rolls out the next version of the model. */
@@ -49,13 +59,45 @@
 		]);
 	}
 
+	/** Ids of all edits in the history of the document, newest first. */
+	async history(): Promise<readonly string[]> {
+		const history = await listHistory({keyValue: this.#keyValue, limit: timeLimit(), count: Number.POSITIVE_INFINITY});
+		return history.unwrap().edits.map(({editId}) => editId);
+	}
+
+	async close(): Promise<void> {
+		await this.#service?.close();
+	}
+
+	get #keyValue(): HttpKeyValueService {
+		if (!this.#service) {
+			throw new Error('The operators have not begun.');
+		}
+
+		return this.#service;
+	}
+
 	async #edit(section: string, text: string, team: string): Promise<void> {
-		const {exitCode} = await this.#system.fleet.operate(['apply', 'FILE', '--section', section], {team, author: `soak-${team}`, file: text});
-		if (exitCode === 0) {
-			this.#accepted++;
+		this.#sequence++;
+		const editId = `edit-${this.#sequence}`;
+		const head = await readHead({keyValue: this.#keyValue, limit: timeLimit()});
+		if (head.err) {
+			this.#records.push({editId, result: 'refused', reason: head.val.kind});
 			return;
 		}
 
-		this.#refused++;
+		const baseRevision = head.val.head.sections[section]?.revision ?? 0;
+		const outcome = await applyEdit({
+			keyValue: this.#keyValue,
+			timeLimitMs: EDIT_LIMIT_MS,
+			edit: {
+				editId, author: `soak-${team}`, team, section, baseRevision, text,
+			},
+		});
+		const reason = outcome.err ? outcome.val.kind : undefined;
+		const failure = reason === 'unknown-outcome' ? 'unknown' as const : 'refused' as const;
+		this.#records.push({editId, result: outcome.ok ? 'accepted' : failure, reason});
 	}
 }
+
+const timeLimit = (): TimeLimit => new TimeLimit({clock: new SystemClock(), random: systemRandom(), milliseconds: READ_LIMIT_MS});
--- a/packages/bench/src/soak/run-soak.ts
+++ b/packages/bench/src/soak/run-soak.ts
@@ -39,8 +39,8 @@
 export const runSoak = async ({seed, seconds, size, progress}: SoakOptions): Promise<SoakResult> => {
 	const system = new SoakSystem({seed, size});
 	const ended = new AbortController();
+	const operators = new Operators({system, random: seededRandom(`${seed}/operators`)});
 	try {
-		const operators = new Operators({system, random: seededRandom(`${seed}/operators`)});
 		await system.start(async () => operators.begin());
 		await system.waitUntilReady();
 		progress(`The system serves: ${system.fleet.vms.size} VMs.`);
@@ -67,14 +67,16 @@
 			interferences: injector.interferences,
 			plannedStops: injector.plannedStops,
 			revisions: observer.samples,
+			edits: operators.records,
+			history: await operators.history(),
 		};
 		return {
 			seed, seconds, faults: injector.counts, ...counts(evidence),
-			editsAccepted: operators.counts.accepted, editsRefused: operators.counts.refused,
 			recoverySeconds: recovery.seconds, violations: [...check(evidence), ...recovery.violations],
 		};
 	} finally {
 		ended.abort();
+		await operators.close();
 		await system.close();
 	}
 };
@@ -116,7 +118,9 @@
 	return {seconds: Math.round(performance.now() - startedAt) / 1000, violations};
 };
 
-const counts = ({calls, interferences, plannedStops}: Evidence) => {
+const counts = ({
+	calls, interferences, plannedStops, edits,
+}: Evidence) => {
 	const results = calls.flatMap(({attempts}) => attempts.map(({result}) => result));
 	const count = (wanted: string): number => results.filter(result => result === wanted).length;
 	return {
@@ -126,5 +130,7 @@
 		refused: count('refused'),
 		broken: count('broken') + count('unreached'),
 		plannedStops: plannedStops.length,
+		editsAccepted: edits.filter(({result}) => result === 'accepted').length,
+		editsRefused: edits.filter(({result}) => result === 'refused').length,
 	};
 };
