Tell the next process in order of every new revision

At N = 32 and 64 the slowest process of a run had an edit in force only after 1.011 and 1.073 s: four random peers each leave about one process in fifty untold, and such a process waits for a comparison of revisions. More random peers were ruled out, since they cost bytes on every process and still give no bound.

One of the four peers is now the next one in the order of ids.

--- a/packages/bench/src/configuration/control-load.ts
+++ b/packages/bench/src/configuration/control-load.ts
@@ -28,13 +28,25 @@
 	return {time: performance.now(), reports, calls: Object.values(counters).reduce((sum, count) => sum + count, 0)};
 };
 
+const bodiesBetween = (before: Sample, after: Sample): readonly number[] => after.reports.map((report, index) =>
+	report.controlBytes - before.reports[index].controlBytes - Buffer.byteLength(JSON.stringify(before.reports[index])));
+
+/** Runs the work. @returns its result, and the mean number of bytes that it added for each VM to those of quiet time. */
+export const measureAddedBytes = async <Value>(fleet: Fleet, quiet: ControlLoad, work: () => Promise<Value>): Promise<{readonly value: Value; readonly addedBytes: number}> => {
+	const before = await sample(fleet);
+	const value = await work();
+	const after = await sample(fleet);
+	const seconds = (after.time - before.time) / 1000;
+	return {value, addedBytes: mean(bodiesBetween(before, after)) - (quiet.bytesPerSecondPerNode * seconds)};
+};
+
 /** Measures for a while. The answer to the first `status.report` counts as sent after it was made, so it is taken off. */
 export const measureControlLoad = async (fleet: Fleet): Promise<ControlLoad> => {
 	const before = await sample(fleet);
 	await delay(QUIET_MS);
 	const after = await sample(fleet);
 	const seconds = (after.time - before.time) / 1000;
-	const bytes = after.reports.map((report, index) => report.controlBytes - before.reports[index].controlBytes - Buffer.byteLength(JSON.stringify(before.reports[index])));
+	const bytes = bodiesBetween(before, after);
 	const cpu = after.reports.map((report, index) => report.cpuSeconds - before.reports[index].cpuSeconds);
 	return {
 		bytesPerSecondPerNode: mean(bytes) / seconds,
--- a/packages/bench/src/configuration/index.ts
+++ b/packages/bench/src/configuration/index.ts
@@ -3,8 +3,8 @@
 import {documentText} from '../fleet/document.js';
 import {Fleet} from '../fleet/fleet.js';
 import type {Benchmark} from '../types.js';
-import {SETTLE_MS, START_LIMIT_MS} from './constants.js';
-import {measureControlLoad, type ControlLoad} from './control-load.js';
+import {SETTLE_MS, SINGLE_EDITS, START_LIMIT_MS} from './constants.js';
+import {measureAddedBytes, measureControlLoad, type ControlLoad} from './control-load.js';
 import {Editor} from './editor.js';
 import {runFrozenEdit, runRacingEdits, runSingleEdits} from './edit-rounds.js';
 import {addVm} from './add-vm.js';
@@ -54,7 +54,7 @@
 	const full = await measureControlLoad(fleet);
 	const options = {fleet, editor, random};
 	progress('Editing.');
-	const seconds = await runSingleEdits(options);
+	const {value: seconds, addedBytes} = await measureAddedBytes(fleet, full, async () => runSingleEdits(options));
 	await runRacingEdits(options);
 	progress('Freezing one VM in ten.');
 	const {others, frozen} = await runFrozenEdit(options);
@@ -67,6 +67,7 @@
 		inForceWhileFrozenMaxSeconds: round(Math.max(...others), 3),
 		inForceAfterReturnMaxSeconds: round(Math.max(...frozen), 3),
 		...costFields(half, full, count),
+		controlBytesPerEditPerNode: Math.round(addedBytes / SINGLE_EDITS),
 		acceptedEdits: editor.accepted,
 		conflicts: editor.conflicts,
 		reverts: [...fleet.vms.values()].reduce((sum, vm) => sum + countReverts(vm), 0),
--- a/packages/configuration/src/distributor.ts
+++ b/packages/configuration/src/distributor.ts
@@ -5,8 +5,9 @@
 import type {KeyValueService} from '@yuccawood/platform';
 import type {Stream} from 'most';
 import {
-	ANNOUNCE_FANOUT, CATCH_UP_PERIOD_MS, MAX_CONCURRENT_FETCHES, PEER_CALL_TIMEOUT_MS, WATCH_TIMEOUT_MS,
+	CATCH_UP_PERIOD_MS, MAX_CONCURRENT_FETCHES, PEER_CALL_TIMEOUT_MS, WATCH_TIMEOUT_MS,
 } from './constants.js';
+import {announcementTargets} from './announcement-targets.js';
 import {DocumentInForce} from './document-in-force.js';
 import {HeadWatcher} from './head-watcher.js';
 import {fetchDocument, serveDocuments} from './peer-documents.js';
@@ -153,12 +154,12 @@
 		return true;
 	}
 
-	/** Tells a few random peers that are not known to have the revision; they fetch it and tell others. */
+	/** Tells a few peers that are not known to have the revision; they fetch it and tell others. */
 	async #announce(revision: number): Promise<void> {
 		const {members, random, peerClient, selfId, metrics} = this.#options;
 		const candidates = members.members.filter(member => member.id !== selfId && member.status !== 'dead' && member.revision < revision);
 		const announcement: Announcement = {revision, address: members.self.address};
-		await Promise.all(random.sample(candidates, ANNOUNCE_FANOUT).map(async ({address}) => {
+		await Promise.all(announcementTargets(selfId, candidates, random).map(async ({address}) => {
 			try {
 				await peerClient.call(address, 'configuration.announce', announcement, {timeoutMs: PEER_CALL_TIMEOUT_MS});
 			} catch {
