Keep status working without the key-value service

status read the head first and failed when the key-value service was down, although a process can still be asked.

--- a/packages/cli/src/constants.ts
+++ b/packages/cli/src/constants.ts
@@ -30,6 +30,9 @@
 /** Default time limit of `status --wait`, in seconds. */
 export const DEFAULT_WAIT_SECONDS = 60;
 
+/** Time limit of a read that an action can do without, in seconds. */
+export const SHORT_READ_SECONDS = 2;
+
 /** Pause between two reports in `status --wait`, in milliseconds. */
 export const STATUS_POLL_MS = 250;
 
--- a/packages/cli/src/context.ts
+++ b/packages/cli/src/context.ts
@@ -86,8 +86,9 @@
 	}
 
 	/** A fresh time limit for reading. */
-	limit(): TimeLimit {
-		return new TimeLimit({clock: this.clock, random: this.random, milliseconds: this.settings.timeoutSeconds * 1000});
+	limit(longestSeconds = Number.POSITIVE_INFINITY): TimeLimit {
+		const seconds = Math.min(longestSeconds, this.settings.timeoutSeconds);
+		return new TimeLimit({clock: this.clock, random: this.random, milliseconds: seconds * 1000});
 	}
 
 	/** Prints the result: one JSON object with `--json`, the text otherwise. */
--- a/packages/cli/src/program.test.ts
+++ b/packages/cli/src/program.test.ts
@@ -157,6 +157,9 @@
 			expect(errors).to.contain('1 of 2').and.contain('missing: b').and.contain('2 of 2');
 			expect(await run('status', '--wait', '--peer', peer, '--revision', '7', '--wait-seconds', '0.5')).to.equal(EXIT_CODES.timeout);
 			expect(errors).to.contain('missing: a, b');
+			standIn.setFaults({outage: 'refused'});
+			expect(await run('status', '--peer', peer, '--timeout', '0.3')).to.equal(EXIT_CODES.done);
+			expect(output).to.contain('Revision 1 is in force on 2 of 2 live members.');
 		} finally {
 			await peerServer.close();
 		}
--- a/packages/cli/src/show-status.ts
+++ b/packages/cli/src/show-status.ts
@@ -2,7 +2,7 @@
 import {readHead} from '@yuccawood/configuration';
 import type {MemberRecord} from '@yuccawood/membership';
 import {CliError} from './cli-error.js';
-import {DEFAULT_WAIT_SECONDS, STATUS_POLL_MS} from './constants.js';
+import {DEFAULT_WAIT_SECONDS, SHORT_READ_SECONDS, STATUS_POLL_MS} from './constants.js';
 import {valueOf, type Context} from './context.js';
 
 /** The part of the answer of `status.report` that is shown. */
@@ -110,7 +110,7 @@
 	const client = new PeerClient();
 	const ask = async (): Promise<StatusReport> => client.call<StatusReport>(peer, 'status.report', {}, {fresh: true});
 	try {
-		const wanted = revision ?? await newestRevision(context);
+		const wanted = revision ?? await newestRevision(context, wait);
 		const report = wait && wanted !== undefined ? await waitForAll(context, ask, wanted, waitSeconds) : await ask();
 		const progress = progressOf(report, wanted ?? Math.max(...report.members.map(member => member.revision)));
 		const table = report.members.toSorted((a, b) => a.id < b.id ? -1 : 1).map(member => memberLine(member)).join('');
@@ -120,12 +120,25 @@
 	}
 };
 
-/** Revision of the head when the key-value service is known; otherwise the highest that the process reports counts. */
-const newestRevision = async (context: Context): Promise<number | undefined> => {
+/**
+Revision of the head. Without the key-value service the highest revision that the process reports counts instead, but
+there is nothing to wait for.
+*/
+const newestRevision = async (context: Context, wait: boolean): Promise<number | undefined> => {
+	if (wait) {
+		const {head} = valueOf(await readHead({keyValue: context.keyValue, limit: context.limit()}));
+		return head.revision;
+	}
+
 	if (context.settings.keyValue === undefined) {
 		return undefined;
 	}
 
-	const {head} = valueOf(await readHead({keyValue: context.keyValue, limit: context.limit()}));
-	return head.revision;
+	const read = await readHead({keyValue: context.keyValue, limit: context.limit(SHORT_READ_SECONDS)});
+	if (read.ok) {
+		return read.val.head.revision;
+	}
+
+	context.terminal.writeError(`The newest revision is not known: ${read.val.message}\n`);
+	return undefined;
 };
