--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -1,5 +1,7 @@
 import {configurationBenchmark} from './configuration/index.js';
+import {PATH_BENCHMARK} from './path/path-benchmark.js';
+import {ROLLOUT_BENCHMARK} from './rollout/rollout-benchmark.js';
 import type {Benchmark} from './types.js';
 
 /** All measurements, in the order of `--list`. */
-export const BENCHMARKS: readonly Benchmark[] = [configurationBenchmark];
+export const BENCHMARKS: readonly Benchmark[] = [PATH_BENCHMARK, ROLLOUT_BENCHMARK, configurationBenchmark];
