--- a/packages/cli/src/apply-section.ts
+++ b/packages/cli/src/apply-section.ts
@@ -1,4 +1,5 @@
 import {applyEdit, readHead} from '@yuccawood/configuration';
+import {CliError} from './cli-error.js';
 import {valueOf, type Context} from './context.js';
 import {parseSectionFile} from './section-file.js';
 
@@ -20,6 +21,11 @@
 /** Replaces one section and prints the new revision. */
 export const applySection = async (context: Context, {section, input, baseRevision}: SectionInput): Promise<void> => {
 	const {editOptions} = context;
+	if (input?.trim() === '') {
+		// Standard input is empty when a script forgets to send the text.
+		throw new CliError({kind: 'usage', detail: `The new text of [${section}] is empty.`, remedy: 'Give the text, or remove the section with: yuccawood apply --remove.'});
+	}
+
 	const file = input === undefined ? undefined : parseSectionFile(input);
 	const base = baseRevision ?? file?.baseRevision ?? await currentRevision(context, section);
 	const {author, team, editId, ...options} = editOptions;
--- a/packages/cli/src/program.test.ts
+++ b/packages/cli/src/program.test.ts
@@ -128,6 +128,8 @@
 	it('edits from standard input or an editor, shows the difference and reverts as a new revision', async () => {
 		standardInput = 'balance = 0.9\n';
 		expect(await run('edit', 'rollout', '--team', 'models')).to.equal(EXIT_CODES.done);
+		standardInput = '';
+		expect(await run('edit', 'rollout', '--team', 'models')).to.equal(EXIT_CODES.usage);
 		standardInput = undefined;
 		editor = 'sed -i s/0.9/0.2/';
 		expect(await run('edit', 'rollout', '--team', 'models')).to.equal(EXIT_CODES.done);
