--- a/packages/bench/src/path/bare-hop.ts
+++ b/packages/bench/src/path/bare-hop.ts
@@ -1,6 +1,5 @@
 /** Minimal pass-through hop without any logic: Node `http` and undici. Usage: `bare-hop.js LISTEN TARGET`. */
 import http from 'node:http';
-import {pipeline} from 'node:stream';
 import process from 'node:process';
 import {Pool} from 'undici';
 
@@ -9,11 +8,9 @@
 
 const pass = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
 	const {connection, host, 'transfer-encoding': encoding, ...headers} = request.headers;
-	const answer = await pool.request({
+	await pool.stream({
 		method: request.method ?? 'GET', path: request.url ?? '/', headers, body: request,
-	});
-	response.writeHead(answer.statusCode, answer.headers);
-	pipeline(answer.body, response, () => undefined);
+	}, ({statusCode, headers: answer}) => response.writeHead(statusCode, answer));
 };
 
 const server = http.createServer((request, response) => {
--- a/packages/requests/src/agent-requests.ts
+++ b/packages/requests/src/agent-requests.ts
@@ -20,7 +20,7 @@
 	AnswerQuestion, AnswerReply, DeathReport, SettleAnswer, SettleQuestion,
 } from './types.js';
 import {Upstream} from './upstream.js';
-import type {RunEnd} from './upstream-run.js';
+import type {RunEnd} from './run-types.js';
 
 const PREFIX = '/requests';
 
--- a/packages/requests/src/attempt.ts
+++ b/packages/requests/src/attempt.ts
@@ -74,7 +74,7 @@
 		};
 
 		this.#exchange = new Exchange({
-			...options.request, dispatcher: options.dispatcher, sink: this, now: options.now,
+			request: options.request, dispatcher: options.dispatcher, sink: this, now: options.now,
 		});
 	}
 
--- a/packages/requests/src/call.ts
+++ b/packages/requests/src/call.ts
@@ -1,9 +1,9 @@
 /** A caller's request after its headers and body have been read and checked. */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import {fingerprint} from '@yuccawood/common';
 import type {Configuration, RouteConfiguration} from '@yuccawood/configuration';
 import {parseChat, promptPrefix, type ChatBody} from './chat-body.js';
+import {fingerprintOf, prefixGroup} from './fingerprint.js';
 import {RequestError} from './errors.js';
 import {DEADLINE_MS, VERSION, single} from './headers.js';
 
@@ -26,7 +26,7 @@
 	readonly repeatable: boolean;
 	readonly fingerprint: string;
 
-	/** Text that calls with the same prompt prefix share. */
+	/** Name that calls with the same prompt prefix share. */
 	readonly prefix: string | undefined;
 
 	/** Monotonic time in milliseconds. */
@@ -64,11 +64,15 @@
 
 			parts.push(part);
 		});
+		let isComplete = false;
 		request.on('end', () => {
+			isComplete = true;
 			resolve(parts.length === 1 ? parts[0] : Buffer.concat(parts, size));
 		});
 		request.on('close', () => {
-			reject(new RequestError({kind: 'malformed', detail: 'The connection closed before the body was complete.', remedy: 'Send the request again.'}));
+			if (!isComplete) {
+				reject(new RequestError({kind: 'malformed', detail: 'The connection closed before the body was complete.', remedy: 'Send the request again.'}));
+			}
 		});
 	});
 };
@@ -116,7 +120,7 @@
 
 	// Generation has no side effects, so it may be repeated.
 	return {
-		target: {kind: 'model', name: model}, chat, prefix: promptPrefix(chat), repeatable: true,
+		target: {kind: 'model', name: model}, chat, prefix: prefixGroup(promptPrefix(chat)), repeatable: true,
 	};
 };
 
@@ -151,7 +155,7 @@
 		connection: request.headers.connection,
 		body,
 		...findDestination(request, body, route, configuration),
-		fingerprint: fingerprint(method, path, body ?? ''),
+		fingerprint: fingerprintOf(method, path, body),
 		deadlineAt: now + readDeadline(request, route),
 		bearer: readBearer(request.headers.authorization),
 		idempotencyKey: single(request.headers['idempotency-key']),
--- a/packages/requests/src/exchange.ts
+++ b/packages/requests/src/exchange.ts
@@ -4,12 +4,12 @@
 
 /** Receives one response. Exactly one of `onEnd` and `onFailure` is called, as the last call. */
 export interface ResponseSink {
-	readonly onHead: (status: number, headers: ResponseHeaders) => void;
+	readonly onHead: (status: number, headers: ResponseHeaders, exchange: Exchange) => void;
 
 	/** @returns false to pause the response until `Exchange.resume`. */
 	readonly onData: (chunk: Uint8Array) => boolean;
 	readonly onEnd: () => void;
-	readonly onFailure: (error: Error) => void;
+	readonly onFailure: (error: Error, exchange: Exchange) => void;
 }
 
 export type ExchangeRequest = {
@@ -21,7 +21,8 @@
 	readonly body: Uint8Array | undefined;
 };
 
-export type ExchangeOptions = ExchangeRequest & {
+export type ExchangeOptions = {
+	readonly request: ExchangeRequest;
 	readonly dispatcher: Dispatcher;
 	readonly sink: ResponseSink;
 
@@ -39,27 +40,22 @@
 
 	/** Monotonic time of the last sign of life, in milliseconds. */
 	progressAt: number;
-	readonly #now: () => number;
 	#controller: Dispatcher.DispatchController | undefined;
 	#aborted: Error | undefined;
 	#finished = false;
-	readonly #sink: ResponseSink;
-	readonly #start: () => void;
-
-	constructor({dispatcher, sink, now, method, path, headers, body}: ExchangeOptions) {
-		this.#sink = sink;
-		this.#now = now;
-		this.progressAt = now();
-		this.#start = () => {
-			dispatcher.dispatch({
-				method, path, headers, body: body ?? null,
-			}, this);
-		};
+	readonly #options: ExchangeOptions;
+
+	constructor(options: ExchangeOptions) {
+		this.#options = options;
+		this.progressAt = options.now();
 	}
 
 	/** Sends the request. The sink may be called before this returns. */
 	start(): void {
-		this.#start();
+		const {dispatcher, request: {method, path, headers, body}} = this.#options;
+		dispatcher.dispatch({
+			method, path, headers, body: body ?? null,
+		}, this);
 	}
 
 	/** Ends the exchange and closes its connection; the sink gets the reason as a failure. */
@@ -78,7 +74,7 @@
 
 	/** Continues a paused response. */
 	resume(): void {
-		this.progressAt = this.#now();
+		this.progressAt = this.#options.now();
 		this.#controller?.resume();
 	}
 
@@ -99,8 +95,8 @@
 		}
 
 		this.headReceived = true;
-		this.progressAt = this.#now();
-		this.#sink.onHead(status, headers);
+		this.progressAt = this.#options.now();
+		this.#options.sink.onHead(status, headers, this);
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
@@ -109,8 +105,8 @@
 		}
 
 		this.bytesReceived += chunk.byteLength;
-		this.progressAt = this.#now();
-		if (!this.#sink.onData(chunk)) {
+		this.progressAt = this.#options.now();
+		if (!this.#options.sink.onData(chunk)) {
 			controller.pause();
 		}
 	}
@@ -121,7 +117,7 @@
 		}
 
 		this.#finished = true;
-		this.#sink.onEnd();
+		this.#options.sink.onEnd();
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
@@ -134,6 +130,6 @@
 		}
 
 		this.#finished = true;
-		this.#sink.onFailure(error);
+		this.#options.sink.onFailure(error, this);
 	}
 }
--- a/packages/requests/src/hedged-exchange.ts
+++ b/packages/requests/src/hedged-exchange.ts
@@ -1,8 +1,9 @@
 /** An exchange that can be sent a second time over another connection; the first response wins. */
 import type {Dispatcher} from 'undici';
 import {Exchange, type ExchangeOptions, type ResponseSink} from './exchange.js';
+import type {ResponseHeaders} from './headers.js';
 
-export class HedgedExchange {
+export class HedgedExchange implements ResponseSink {
 	/** Whether any of the connections was handed the request. While false, it cannot have been run. */
 	wasSent = false;
 
@@ -58,39 +59,47 @@
 		}
 	}
 
+	onHead(status: number, headers: ResponseHeaders, exchange: Exchange): void {
+		this.#winner = exchange;
+		this.wasSent = true;
+		if (this.#isHedged) {
+			this.#abortOthers(exchange);
+		}
+
+		this.#options.sink.onHead(status, headers, exchange);
+	}
+
+	onData(chunk: Uint8Array): boolean {
+		return this.#options.sink.onData(chunk);
+	}
+
+	onEnd(): void {
+		this.#options.sink.onEnd();
+	}
+
+	/** The failure of one of two exchanges is passed on only when it had the response or was the last. */
+	onFailure(error: Error, exchange: Exchange): void {
+		this.wasSent ||= exchange.sent;
+		this.#exchanges.delete(exchange);
+		if (this.#winner === exchange || (this.#winner === undefined && this.#exchanges.size === 0)) {
+			this.#options.sink.onFailure(error, exchange);
+		}
+	}
+
 	#launch(dispatcher: Dispatcher): void {
-		const {sink} = this.#options;
-		const ownSink: ResponseSink = {
-			onHead: (status, headers) => {
-				this.#win(exchange);
-				sink.onHead(status, headers);
-			},
-			onData: sink.onData.bind(sink),
-			onEnd: sink.onEnd.bind(sink),
-			onFailure: error => {
-				this.#lose(exchange, error);
-			},
-		};
-		const exchange = new Exchange({...this.#options, dispatcher, sink: ownSink});
+		const {request, now} = this.#options;
+		const exchange = new Exchange({
+			request, now, dispatcher, sink: this,
+		});
 		this.#exchanges.add(exchange);
 		exchange.start();
 	}
 
-	#win(winner: Exchange): void {
-		this.#winner = winner;
-		this.wasSent = true;
+	#abortOthers(winner: Exchange): void {
 		for (const other of this.#exchanges) {
 			if (other !== winner) {
 				other.abort(new Error('Another connection was faster.'));
 			}
 		}
 	}
-
-	#lose(exchange: Exchange, error: Error): void {
-		this.wasSent ||= exchange.sent;
-		this.#exchanges.delete(exchange);
-		if (this.#winner === exchange || (this.#winner === undefined && this.#exchanges.size === 0)) {
-			this.#options.sink.onFailure(error);
-		}
-	}
 }
--- a/packages/requests/src/upstream-run.ts
+++ b/packages/requests/src/upstream-run.ts
@@ -1,6 +1,4 @@
 /** One request at the upstream, its response passed on to the entry as it arrives. */
-import type {ServerResponse} from 'node:http';
-import type {ServedVersion} from '@yuccawood/membership';
 import type {Dispatcher} from 'undici';
 import {AnswerCapture} from './answer-capture.js';
 import {
@@ -8,48 +6,24 @@
 } from './constants.js';
 import {MODEL_VERSION, checkEngineResponse, upstreamFailed} from './engine-response.js';
 import {RequestError} from './errors.js';
-import type {ExchangeRequest, ResponseSink} from './exchange.js';
-import type {ForwardedHead} from './forwarded-head.js';
+import type {ResponseSink} from './exchange.js';
 import {HedgedExchange} from './hedged-exchange.js';
 import {
 	VERSION, appendResponseHeaders, single, type ResponseHeaders,
 } from './headers.js';
-import type {RequestRecord, RequestRecords} from './request-records.js';
+import type {Job, RunEnd, RunEnvironment} from './run-types.js';
 import {StreamEnd} from './stream-end.js';
 import type {Supervised} from './supervisor.js';
 
 export type UpstreamRunOptions = {
-	readonly head: ForwardedHead;
-	readonly kind: 'engine' | 'service';
-	readonly request: ExchangeRequest;
+	readonly job: Job;
+	readonly environment: RunEnvironment;
 	readonly dispatcher: Dispatcher;
-	readonly response: ServerResponse;
-	readonly record: RequestRecord;
-	readonly records: RequestRecords;
-	readonly serving: () => readonly ServedVersion[];
-
-	/** Headers that identify the response to the entry, as names and values in turn. */
-	readonly identity: () => readonly string[];
-	readonly now: () => number;
-	readonly deadlineAt: number;
-	readonly onFirstByte: (milliseconds: number) => void;
-	readonly onBytes: (bytes: number) => void;
-
-	/** Finds out why the connection carries no data. */
-	readonly judgeSilence: (hasHead: boolean) => Promise<SilenceVerdict>;
-
-	/** Starts new connections to the upstream. */
-	readonly replaceConnections: () => Dispatcher;
 };
 
-/** Whether to wait for a slow upstream, to send the request again over a new connection, or to give it up. */
-export type SilenceVerdict = 'wait' | 'hedge' | 'fail';
-
-/** How a run ended: the answer was passed on or kept, the caller gave up, or it failed. */
-export type RunEnd = {readonly kind: 'completed' | 'cancelled'} | {readonly kind: 'failed'; readonly error: RequestError; readonly isConnectionBroken: boolean};
-
 export class UpstreamRun implements ResponseSink, Supervised {
-	readonly #options: UpstreamRunOptions;
+	readonly #job: Job;
+	readonly #environment: RunEnvironment;
 	readonly #exchange: HedgedExchange;
 	readonly #startedAt: number;
 	readonly #end = new StreamEnd();
@@ -65,12 +39,14 @@
 	#status = 0;
 	readonly #headers: string[] = [];
 
-	constructor(options: UpstreamRunOptions) {
-		this.#options = options;
-		this.#startedAt = options.now();
-		this.#capture = options.head.repeatable ? undefined : new AnswerCapture();
+	constructor({job, environment, dispatcher}: UpstreamRunOptions) {
+		const {now} = environment;
+		this.#job = job;
+		this.#environment = environment;
+		this.#startedAt = now();
+		this.#capture = job.head.repeatable ? undefined : new AnswerCapture();
 		this.#exchange = new HedgedExchange({
-			...options.request, dispatcher: options.dispatcher, sink: this, now: options.now,
+			request: job.request, dispatcher, sink: this, now,
 		});
 	}
 
@@ -78,7 +54,7 @@
 		const ended = new Promise<RunEnd>(resolve => {
 			this.#resolve = resolve;
 		});
-		const {response} = this.#options;
+		const {response} = this.#job;
 		response.on('close', () => {
 			this.#onEntryGone();
 		});
@@ -91,9 +67,8 @@
 	}
 
 	onHead(status: number, headers: ResponseHeaders): void {
-		const {
-			kind, head, serving, response, record, identity, now, onFirstByte,
-		} = this.#options;
+		const {kind, serving, now, onFirstByte} = this.#environment;
+		const {head, response, record, identity} = this.#job;
 		onFirstByte(now() - this.#startedAt);
 		this.#refusal = kind === 'engine' ? checkEngineResponse(status, headers, {model: head.model, serving: serving()}) : undefined;
 		if (this.#refusal) {
@@ -120,8 +95,8 @@
 			return true;
 		}
 
-		const {response, record, onBytes} = this.#options;
-		onBytes(chunk.byteLength);
+		const {response, record} = this.#job;
+		this.#environment.onBytes(chunk.byteLength);
 		this.#capture?.push(chunk);
 		if (this.#mustEndWithDone) {
 			this.#end.push(chunk);
@@ -147,14 +122,14 @@
 			return;
 		}
 
-		const {record, records} = this.#options;
+		const {record, response} = this.#job;
 		const answer = this.#capture?.finish(this.#status, this.#headers);
 		if (answer) {
-			records.keep(record, answer);
+			this.#environment.records.keep(record, answer);
 		}
 
 		record.finish('completed');
-		this.#options.response.end();
+		response.end();
 		this.#finish({kind: 'completed'});
 	}
 
@@ -170,7 +145,7 @@
 
 	check(now: number): void {
 		// A non-repeatable request goes on after its deadline, so that its caller can still learn what became of it.
-		const {deadlineAt, head} = this.#options;
+		const {deadlineAt, head} = this.#job;
 		if (now >= (head.repeatable ? deadlineAt : deadlineAt + ABANDON_MS)) {
 			this.#fail(new RequestError({
 				kind: 'deadline', detail: 'The deadline passed.', remedy: 'Allow more time.', outcome: 'unknown',
@@ -186,15 +161,15 @@
 	async #judge(): Promise<void> {
 		this.#isJudging = true;
 		const {progressAt} = this.#exchange;
-		const verdict = await this.#options.judgeSilence(this.#exchange.headReceived);
+		const verdict = await this.#environment.judgeSilence(this.#job.head, this.#exchange.headReceived);
 		this.#isJudging = false;
-		this.#nextJudgementAt = this.#options.now() + MAX_QUERY_INTERVAL_MS;
+		this.#nextJudgementAt = this.#environment.now() + MAX_QUERY_INTERVAL_MS;
 		if (this.#isFinished || verdict === 'wait' || progressAt !== this.#exchange.progressAt) {
 			return;
 		}
 
 		if (verdict === 'hedge' && !this.#exchange.isHedged) {
-			this.#exchange.hedge(this.#options.replaceConnections());
+			this.#exchange.hedge(this.#environment.replaceConnections());
 			return;
 		}
 
@@ -209,8 +184,8 @@
 		}
 
 		this.#entryIsGone = true;
-		if (this.#options.head.repeatable) {
-			this.#options.record.finish('failed');
+		if (this.#job.head.repeatable) {
+			this.#job.record.finish('failed');
 			this.#finish({kind: 'cancelled'});
 			this.#exchange.abort(new Error('The entry closed its connection.'));
 			return;
@@ -227,7 +202,7 @@
 			return;
 		}
 
-		this.#options.record.finish(error.outcome === 'not-run' ? 'not-run' : 'failed');
+		this.#job.record.finish(error.outcome === 'not-run' ? 'not-run' : 'failed');
 		this.#finish({kind: 'failed', error, isConnectionBroken});
 		this.#exchange.abort(error);
 	}
--- a/packages/requests/src/upstream.ts
+++ b/packages/requests/src/upstream.ts
@@ -1,5 +1,4 @@
 /** The upstream of a VM as the agent uses it: its connections, the requests that it runs, and its deaths. */
-import type {ServerResponse} from 'node:http';
 import {
 	withTimeout, type Clock, type Log, type Metrics,
 } from '@yuccawood/common';
@@ -7,12 +6,14 @@
 import {HttpModelEngine, type EngineState, type ModelEngine} from '@yuccawood/platform';
 import {ConnectionPools} from './connection-pools.js';
 import {MAX_SILENT_STATES, QUERY_TIMEOUT_MS, SILENCE_MS} from './constants.js';
-import type {ExchangeRequest} from './exchange.js';
 import type {ForwardedHead} from './forwarded-head.js';
-import type {RequestRecord, RequestRecords} from './request-records.js';
+import type {RequestRecords} from './request-records.js';
 import {Supervisor} from './supervisor.js';
 import {UpstreamMonitor} from './upstream-monitor.js';
-import {UpstreamRun, type RunEnd, type SilenceVerdict} from './upstream-run.js';
+import type {
+	Job, RunEnd, RunEnvironment, SilenceVerdict,
+} from './run-types.js';
+import {UpstreamRun} from './upstream-run.js';
 
 export type UpstreamOptions = {
 	readonly selfId: string;
@@ -29,17 +30,6 @@
 	readonly onLiveBytes: (bytes: number) => void;
 };
 
-export type Job = {
-	readonly head: ForwardedHead;
-	readonly request: ExchangeRequest;
-	readonly response: ServerResponse;
-	readonly record: RequestRecord;
-
-	/** Monotonic time in milliseconds. */
-	readonly deadlineAt: number;
-	readonly identity: () => readonly string[];
-};
-
 type Running = {readonly head: ForwardedHead; readonly startedAt: number};
 
 export class Upstream {
@@ -50,6 +40,7 @@
 	readonly #ownEngine: HttpModelEngine | undefined;
 	readonly #engine: Pick<ModelEngine, 'state'> | undefined;
 	readonly #running = new Map<string, Running>();
+	readonly #environment: RunEnvironment;
 	#suspects = 0;
 	#silentStates = 0;
 
@@ -69,6 +60,11 @@
 				return state?.incarnation;
 			},
 		});
+		this.#environment = {
+			kind, records: options.records, serving: options.serving, now: clock.monotonic, onFirstByte: options.onLiveLatency, onBytes: options.onLiveBytes,
+			judgeSilence: async (head, hasHead) => this.#judgeSilence(head, hasHead),
+			replaceConnections: () => this.#replaceConnections(),
+		};
 		this.#supervisor.start();
 		void this.#monitor.start();
 	}
@@ -91,7 +87,7 @@
 	async run(job: Job): Promise<RunEnd> {
 		const {head, record} = job;
 		const own = head.repeatable ? undefined : this.#pools.createSingle(this.#options.address);
-		const run = this.#createRun(job, own ?? this.#pools.get(this.#options.address));
+		const run = new UpstreamRun({job, environment: this.#environment, dispatcher: own ?? this.#pools.get(this.#options.address)});
 		this.#running.set(head.requestId, {head, startedAt: this.#options.clock.monotonic()});
 		this.#suspects += head.suspect ? 1 : 0;
 		this.#supervisor.add(run);
@@ -117,18 +113,6 @@
 		await this.#ownEngine?.close();
 	}
 
-	#createRun(job: Job, dispatcher: ReturnType<ConnectionPools['get']>): UpstreamRun {
-		const {kind, records, serving, clock, onLiveLatency, onLiveBytes} = this.#options;
-		return new UpstreamRun({
-			...job, kind, records, serving, dispatcher,
-			now: clock.monotonic,
-			onFirstByte: onLiveLatency,
-			onBytes: onLiveBytes,
-			judgeSilence: async hasHead => this.#judgeSilence(job.head, hasHead),
-			replaceConnections: () => this.#replaceConnections(),
-		});
-	}
-
 	/**
 	Decides about a request whose connection carries no data.
 
