--- a/packages/weights/src/chunk-fetcher.ts
+++ b/packages/weights/src/chunk-fetcher.ts
@@ -6,11 +6,11 @@
 import type {WeightOrigin} from '@yuccawood/platform';
 import {
 	ABSENT_PATIENCE_MS, AVOID_ABSENT_MS, AVOID_CORRUPT_MS, AVOID_STALLED_MS, MAX_ORIGIN_RETRY_MS, ORIGIN_READERS_AT_BALANCE_1, ORIGIN_RETRY_MS,
-	ORIGIN_TIMEOUT_MS, PATIENCE_AT_BALANCE_0_MS, PATIENCE_AT_BALANCE_1_MS,
+	PATIENCE_AT_BALANCE_0_MS, PATIENCE_AT_BALANCE_1_MS,
 } from './constants.js';
 import type {Avoidance} from './avoidance.js';
 import {
-	listParticipants, planSource, type Plan, type Source,
+	listParticipants, planSource, type Plan, type Source, type TreeKey,
 } from './fetch-plan.js';
 import type {PeerChunkClient} from './peer-chunk-client.js';
 import type {TokenBucket} from './token-bucket.js';
@@ -39,6 +39,7 @@
 export type ChunkTask = {
 	readonly manifest: string;
 	readonly hash: string;
+	readonly tree: TreeKey;
 	readonly sizeBytes: number;
 
 	/** Waits until this member may read the chunk from the origin. */
@@ -86,10 +87,10 @@
 		}
 	}
 
-	#plan({hash, manifest}: ChunkTask): Plan {
+	#plan({hash, tree, manifest}: ChunkTask): Plan {
 		const {selfId, service, storeRegion, members, avoidance, balance} = this.#options;
 		return planSource({
-			chunk: hash,
+			tree,
 			manifest,
 			selfId,
 			region: members.self.region,
@@ -109,7 +110,7 @@
 			return undefined;
 		}
 
-		const result = await origin.chunk(hash, AbortSignal.any([signal, AbortSignal.timeout(ORIGIN_TIMEOUT_MS)]));
+		const result = await origin.chunk(hash, signal);
 		if (signal.aborted) {
 			return undefined;
 		}
