--- a/packages/membership/src/failure-detector.ts
+++ b/packages/membership/src/failure-detector.ts
@@ -109,6 +109,8 @@
 		log.info('Member suspected.', {member: member.id, address: member.address});
 		metrics.count('membership.suspicions');
 		this.#set(current, 'suspect');
+		// The next ping goes to the suspect again, so that it learns of the suspicion soon if it can refute it.
+		this.#round.push(current);
 	}
 
 	#set(member: MemberRecord, status: 'suspect' | 'dead'): void {
--- a/packages/membership/src/gossip.test.ts
+++ b/packages/membership/src/gossip.test.ts
@@ -210,7 +210,11 @@
 
 		const changeAll = (): void => {
 			for (const {gossip} of cluster.all) {
-				gossip.updateSelf({status: 'alive'});
+				gossip.updateSelf({
+					upstream: {
+						kind: 'engine', service: 'kit', ready: true, capacity: gossip.self.sequence, served: [], held: [],
+					},
+				});
 			}
 		};
 
--- a/packages/membership/src/own-record.ts
+++ b/packages/membership/src/own-record.ts
@@ -1,3 +1,4 @@
+import {isDeepStrictEqual} from 'node:util';
 import {compareVersions} from './record-order.js';
 import {versionOf, type Claim} from './messages.js';
 import type {MemberPatch, MemberRecord} from './types.js';
@@ -17,12 +18,13 @@
 		return this.#record;
 	}
 
-	/** A changed revision alone keeps the sequence, because revisions travel with every message and are merged separately. */
+	/** A patch that changes nothing is not news. A changed revision alone keeps the sequence, because revisions travel with every message and are merged separately. */
 	update(patch: MemberPatch): void {
-		const isDescriptionChange = patch.status !== undefined || patch.upstream !== undefined;
+		const {status = this.#record.status, upstream = this.#record.upstream} = patch;
+		const isDescriptionChange = status !== this.#record.status || !isDeepStrictEqual(upstream, this.#record.upstream);
 		const sequence = this.#record.sequence + (isDescriptionChange ? 1 : 0);
 		this.#record = {
-			...this.#record, ...patch, sequence, revision: Math.max(this.#record.revision, patch.revision ?? 0),
+			...this.#record, status, ...(upstream && {upstream}), sequence, revision: Math.max(this.#record.revision, patch.revision ?? 0),
 		};
 	}
 
