Test that a resumed process hears refutations before it declares deaths

Leaving the restart of suspicions out did not fail any test. The new test freezes a process while it suspects another one; without the restart it declares the other one dead on its return.

--- a/packages/membership/src/gossip.test.ts
+++ b/packages/membership/src/gossip.test.ts
@@ -74,6 +74,20 @@
 			expect(sum('membership.deaths')).to.equal(deaths);
 		});
 
+		it('lets a process that was frozen while it suspected another one hear the refutation first', async () => {
+			await startCluster(8);
+			node('n3').host.clock.freeze();
+			const suspects = (): ClusterNode | undefined => cluster.all.find(({gossip: {find}}) => find('n3')?.status === 'suspect');
+			await reaches(() => suspects() !== undefined, 10_000);
+			const observer = suspects()!;
+			observer.host.clock.freeze();
+			node('n3').host.clock.resume();
+			await cluster.time.advance(30_000);
+			observer.host.clock.resume();
+			await reaches(() => cluster.agree(), 30_000);
+			expect(observer.metrics.counters.get('membership.deaths')).to.equal(undefined);
+		});
+
 		it('forgets a dead member and refuses stale records of it', async () => {
 			await startCluster(8);
 			const stale = node('n0').gossip.find('n5')!;
