Require the wanted version after a soak run

Recovery counted an engine that answers with any version. It now has to be the one that the document names.

Seed 3 ended with a connection reset while a fault was set on a stand-in that another fault had closed; setting faults is now repeated until the stand-in takes them.

--- a/packages/bench/src/soak/fault-injector.ts
+++ b/packages/bench/src/soak/fault-injector.ts
@@ -1,5 +1,6 @@
 /** Carries out the faults of a schedule and records when they may have had an effect. */
 import {delay} from '@yuccawood/common';
+import {waitUntil} from '../fleet/child.js';
 import type {FleetVm} from '../fleet/fleet.js';
 import {setFaults} from '../fleet/stand-in-control.js';
 import type {Callers} from './callers.js';
@@ -126,10 +127,10 @@
 		readonly end: Readonly<Record<string, unknown>> | undefined;
 		readonly durationMs: number;
 	}): Promise<void> {
-		await setFaults(address, begin);
+		await setFaultsRepeatedly(address, begin);
 		await delay(durationMs);
 		if (end) {
-			await setFaults(address, end);
+			await setFaultsRepeatedly(address, end);
 		}
 	}
 
@@ -160,7 +161,7 @@
 	/** A planned stop in otherwise healthy conditions; the VM is replaced afterwards. */
 	async #stop({target}: Fault): Promise<string> {
 		this.#system.cutSilent();
-		await this.#system.waitUntilReady(READY_LIMIT_MS);
+		await this.#system.waitUntilReady({limitMs: READY_LIMIT_MS});
 		await delay(QUIET_BEFORE_STOP_MS);
 		const vm = pick([...this.#system.fleet.vms.values()], target);
 		const startedAt = Date.now();
@@ -195,4 +196,16 @@
 	}
 }
 
+/** Another fault may have closed the stand-in for a while, its control path included. */
+const setFaultsRepeatedly = async (address: string, faults: Readonly<Record<string, unknown>>): Promise<void> => {
+	await waitUntil(async () => {
+		try {
+			await setFaults(address, faults);
+			return true;
+		} catch {
+			return false;
+		}
+	}, {subject: `the stand-in at ${address} to take faults`});
+};
+
 const pick = <Item>(items: readonly Item[], target: number): Item => items[Math.floor(target * items.length)];
--- a/packages/bench/src/soak/operators.ts
+++ b/packages/bench/src/soak/operators.ts
@@ -65,6 +65,12 @@
 		return history.unwrap().edits.map(({editId}) => editId);
 	}
 
+	/** Manifest that the document names for the model. */
+	async wantedManifest(): Promise<string> {
+		const head = await readHead({keyValue: this.#keyValue, limit: timeLimit()});
+		return /[\da-f]{64}/.exec(head.unwrap().head.sections[`model.${MODEL}`].text)![0];
+	}
+
 	async close(): Promise<void> {
 		await this.#service?.close();
 	}
--- a/packages/bench/src/soak/run-soak.ts
+++ b/packages/bench/src/soak/run-soak.ts
@@ -56,7 +56,7 @@
 		await injectFaults({
 			seed, seconds, injector, progress,
 		});
-		const recovery = await recover(system);
+		const recovery = await recover(system, operators);
 		ended.abort();
 		await Promise.all([watching, callers.finished()]);
 		balancer.close();
@@ -97,12 +97,12 @@
 	}
 };
 
-/** After the last fault the system has to serve again with one configuration. */
-const recover = async (system: SoakSystem): Promise<{readonly seconds: number; readonly violations: readonly Violation[]}> => {
+/** After the last fault the system has to serve again with one configuration and the version that it names. */
+const recover = async (system: SoakSystem, operators: Operators): Promise<{readonly seconds: number; readonly violations: readonly Violation[]}> => {
 	const startedAt = performance.now();
 	const violations: Violation[] = [];
 	try {
-		await system.waitUntilReady(RECOVERY_LIMIT_MS);
+		await system.waitUntilReady({limitMs: RECOVERY_LIMIT_MS, manifest: await operators.wantedManifest()});
 	} catch (error) {
 		const states = await Promise.all([...system.fleet.vms.values()].map(async vm => {
 			try {
--- a/packages/bench/src/soak/system.ts
+++ b/packages/bench/src/soak/system.ts
@@ -65,13 +65,15 @@
 		await this.showAllLive();
 	}
 
-	/** Waits until every process serves, has the same revision, and every engine answers with a version. */
-	async waitUntilReady(limitMs = START_LIMIT_MS): Promise<void> {
+	/** Waits until every process serves with the same revision and every agent is ready; with a manifest, until every engine answers with it. */
+	async waitUntilReady({limitMs = START_LIMIT_MS, manifest}: {readonly limitMs?: number; readonly manifest?: string} = {}): Promise<void> {
 		let revision = 0;
 		await this.fleet.waitForAll('every process to serve with the newest configuration', report => {
 			revision = Math.max(revision, report.revision);
-			const serving = (report.members as ReadonlyArray<{readonly upstream?: {readonly ready: boolean}}>).filter(({upstream}) => upstream?.ready);
-			return report.phase === 'serving' && report.revision > 0 && report.revision === revision && serving.length === this.fleet.agents.length;
+			const ready = report.members.filter(({upstream}) => upstream?.ready && (
+				manifest === undefined || upstream.kind === 'service' || upstream.served.some(served => served.manifest === manifest)
+			));
+			return report.phase === 'serving' && report.revision > 0 && report.revision === revision && ready.length === this.fleet.agents.length;
 		}, limitMs);
 	}
 
