Send the second child to the first when uploads are late

One agent that halves its transfers held up a whole rollout: every member passes on about one copy. A member whose upload queue is late now sends the second child of a chunk to the first one, which adds no origin copy.

--- a/packages/bench/src/rollout/rollout-benchmark.ts
+++ b/packages/bench/src/rollout/rollout-benchmark.ts
@@ -73,6 +73,8 @@
 			liveP99BeforeMs: round(outcome.liveP99BeforeMs, 1),
 			liveP99DuringMs: round(outcome.liveP99DuringMs, 1),
 			liveCalls: outcome.liveCalls,
+			slowdowns: outcome.slowdowns,
+			failedPeers: outcome.failedPeers,
 			agentCpuSeconds: round(outcome.agentCpuSeconds, 1),
 			violations: outcome.violations,
 		};
--- a/packages/bench/src/rollout/run-rollout.ts
+++ b/packages/bench/src/rollout/run-rollout.ts
@@ -71,11 +71,13 @@
 			seconds: times.at(-1)!,
 			quartiles: [0.25, 0.5, 0.75].map(share => times[Math.floor(times.length * share)]),
 			originCopies: (servedAfter - servedBefore) / this.#plan.sizeBytes,
-			crossRegionCopies: await this.#countCrossRegionBytes() / this.#plan.sizeBytes,
+			crossRegionCopies: await this.#sumCounter('weights.peer_bytes,crossRegion=true') / this.#plan.sizeBytes,
 			liveP99BeforeMs: summariseLatency(records, quietFrom, editedAt),
 			liveP99DuringMs: summariseLatency(records, editedAt, endedAt),
 			liveCalls: records.length,
 			violations: checkRecords(records, []).crossed + mismatches,
+			slowdowns: await this.#sumCounter('weights.slowed_for_live_requests'),
+			failedPeers: await this.#sumCounter('weights.failed_peers'),
 			agentCpuSeconds,
 		};
 	}
@@ -170,9 +172,10 @@
 		return {activeAt: activeAt as number[], mismatches: logs.flat().filter(({event}) => event === 'chunk-mismatch').length};
 	}
 
-	async #countCrossRegionBytes(): Promise<number> {
+	/** Sum of a counter over all agents since their start. */
+	async #sumCounter(name: string): Promise<number> {
 		const reports = await Promise.all(this.#running.map(async ({id}) => this.#fleet.status(id)));
-		return reports.reduce((sum, {counters}) => sum + (counters['weights.peer_bytes,crossRegion=true'] ?? 0), 0);
+		return reports.reduce((sum, {counters}) => sum + (counters[name] ?? 0), 0);
 	}
 
 	async #cpuSeconds(): Promise<number> {
--- a/packages/bench/src/rollout/types.ts
+++ b/packages/bench/src/rollout/types.ts
@@ -30,6 +30,12 @@
 	readonly liveCalls: number;
 	readonly violations: number;
 
+	/** Times that an agent halved its transfers because live requests were slower than usual. */
+	readonly slowdowns: number;
+
+	/** Requests to peers that stalled, broke or could not be connected. */
+	readonly failedPeers: number;
+
 	/** Processor time of all agents during the rollout, in seconds. */
 	readonly agentCpuSeconds: number;
 };
--- a/packages/weights/src/chunk-fetcher.ts
+++ b/packages/weights/src/chunk-fetcher.ts
@@ -53,6 +53,9 @@
 	waitingFor?: string;
 	waitingSince: number;
 	originFailures: number;
+
+	/** The parent was busy, so the chunk comes from its other child. */
+	asksSibling: boolean;
 };
 
 /** Members of the store's region that may read a chunk from the origin: one up to balance 0.5, then more. */
@@ -71,10 +74,12 @@
 	/** @returns the chunk, or nothing when the signal aborted. */
 	async fetch(task: ChunkTask): Promise<VerifiedChunk | undefined> {
 		const {clock, avoidance} = this.#options;
-		const state: FetchState = {startedAt: clock.monotonic(), waitingSince: 0, originFailures: 0};
+		const state: FetchState = {
+			startedAt: clock.monotonic(), waitingSince: 0, originFailures: 0, asksSibling: false,
+		};
 		try {
 			while (!task.signal.aborted) {
-				const plan = this.#plan(task);
+				const plan = this.#plan(task, state);
 				const chunk = plan.source.kind === 'origin' ? await this.#readOrigin(task, state) : await this.#askPeer(task, plan, plan.source, state);
 				if (chunk) {
 					return chunk;
@@ -87,7 +92,7 @@
 		}
 	}
 
-	#plan({hash, tree, manifest}: ChunkTask): Plan {
+	#plan({hash, tree, manifest}: ChunkTask, {asksSibling}: FetchState): Plan {
 		const {selfId, service, storeRegion, members, avoidance, balance} = this.#options;
 		return planSource({
 			tree,
@@ -98,6 +103,7 @@
 			participants: listParticipants(members.members, {selfId, service, manifest}),
 			isAvoided: id => avoidance.isAvoided(id) || avoidance.isAvoided(id, manifest) || avoidance.isAvoided(id, hash),
 			originReaders: countOriginReaders(balance()),
+			asksSibling,
 		});
 	}
 
@@ -149,7 +155,7 @@
 
 		const buckets = source.isCrossRegion ? [link, crossRegionLink] : [link];
 		const answer = await peers.fetchChunk(source.address, {
-			hash, sizeBytes, buckets, signal,
+			hash, sizeBytes, buckets, signal, mayYield: plan.hasSibling && !state.asksSibling,
 		});
 		if (signal.aborted) {
 			return undefined;
@@ -160,6 +166,12 @@
 			return answer.chunk;
 		}
 
+		if (answer.kind === 'busy') {
+			state.asksSibling = true;
+			return undefined;
+		}
+
+		state.asksSibling &&= answer.kind === 'pending';
 		this.#passOver(task, plan, {id: source.id, answer: answer.kind, waitedMs: this.#options.clock.monotonic() - state.waitingSince});
 		if ('detail' in answer) {
 			this.#options.log.info('A peer did not send a chunk; asking another one.', {
--- a/packages/weights/src/chunk-server.ts
+++ b/packages/weights/src/chunk-server.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Metrics, PeerServer} from '@yuccawood/common';
 import {
-	HEARTBEAT_MS, MAX_HELD_WAIT_MS, STALL_WINDOW_MS, UPLOAD_SLICE_BYTES,
+	HEARTBEAT_MS, MAX_HELD_WAIT_MS, STALL_WINDOW_MS, UPLOAD_SLICE_BYTES, YIELD_AFTER_MS,
 } from './constants.js';
 import type {ChunkStore} from './chunk-store.js';
 import type {ManifestLibrary} from './manifest-library.js';
@@ -11,7 +11,10 @@
 import type {UploadQueue} from './upload-queue.js';
 import type {VerifiedChunk} from './verified-chunk.js';
 
-/** Response header of a 404: `pending` while the member fetches the chunk itself, `absent` when it has no use for it. */
+/**
+Response header of a 404: `pending` while the member fetches the chunk itself, `absent` when it has no use for it,
+`busy` when it has the chunk but its uploads are late and the requester can ask another member.
+*/
 export const CHUNK_STATE_HEADER = 'yuccawood-chunk';
 
 /** Request header with the id of the member that asks, for fair sharing. */
@@ -28,11 +31,19 @@
 
 const HASH_PATH = /^\/(?:chunks|manifests)\/([\da-f]{64})$/;
 
-const readTarget = (request: IncomingMessage): {readonly hash: string; readonly waitMs: number} | undefined => {
+type Target = {
+	readonly hash: string;
+	readonly waitMs: number;
+
+	/** Whether the requester can ask another member when this one is busy. */
+	readonly mayYield: boolean;
+};
+
+const readTarget = (request: IncomingMessage): Target | undefined => {
 	const url = new URL(request.url ?? '/', 'http://peer');
 	const hash = HASH_PATH.exec(url.pathname)?.[1];
 	const waitMs = Number(url.searchParams.get('wait') ?? 0);
-	return hash === undefined || request.method !== 'GET' || !(waitMs >= 0) ? undefined : {hash, waitMs: Math.min(waitMs, MAX_HELD_WAIT_MS)};
+	return hash === undefined || request.method !== 'GET' || !(waitMs >= 0) ? undefined : {hash, waitMs: Math.min(waitMs, MAX_HELD_WAIT_MS), mayYield: url.searchParams.has('yield')};
 };
 
 const refuse = (response: ServerResponse, status: number, headers: Readonly<Record<string, string>> = {}): void => {
@@ -103,19 +114,28 @@
 				return;
 			}
 
-			await this.#send(chunk, response, {peer: String(request.headers[REQUESTER_HEADER] ?? request.socket.remoteAddress), signal});
+			const peer = String(request.headers[REQUESTER_HEADER] ?? request.socket.remoteAddress);
+			const queueLimit = target.mayYield ? AbortSignal.any([signal, AbortSignal.timeout(YIELD_AFTER_MS)]) : signal;
+			const free = await this.#options.uploads.acquire(peer, queueLimit);
+			if (free) {
+				await this.#send(chunk, response, {peer, signal, free});
+			} else if (!signal.aborted) {
+				this.#options.metrics.count('weights.yielded_uploads');
+				refuse(response, 404, {[CHUNK_STATE_HEADER]: 'busy'});
+			}
 		} finally {
 			clearInterval(heartbeat);
 		}
 	}
 
-	async #send(chunk: VerifiedChunk, response: ServerResponse, {peer, signal}: {readonly peer: string; readonly signal: AbortSignal}): Promise<void> {
-		const {uploads, bucket, metrics} = this.#options;
-		const free = await uploads.acquire(peer, signal);
-		if (!free) {
-			return;
-		}
+	async #send(chunk: VerifiedChunk, response: ServerResponse, {peer, signal, free}: {
+		readonly peer: string;
+		readonly signal: AbortSignal;
 
+		/** Frees the upload slot. */
+		readonly free: () => void;
+	}): Promise<void> {
+		const {uploads, bucket, metrics} = this.#options;
 		try {
 			response.writeHead(200, {'content-type': 'application/octet-stream', 'content-length': chunk.data.byteLength});
 			for (let start = 0; start < chunk.data.byteLength && !signal.aborted; start += UPLOAD_SLICE_BYTES) {
--- a/packages/weights/src/constants.ts
+++ b/packages/weights/src/constants.ts
@@ -42,6 +42,9 @@
 /** Uploads that send at the same time. Few at a time let chunks arrive early and be passed on. */
 export const UPLOAD_SLOTS = 3;
 
+/** Time in the upload queue after which a member sends its second child to the first one. */
+export const YIELD_AFTER_MS = 700;
+
 /** Bytes written to a peer between two looks at the rate limit. */
 export const UPLOAD_SLICE_BYTES = 32 * 1024;
 
--- a/packages/weights/src/exchange.ts
+++ b/packages/weights/src/exchange.ts
@@ -29,7 +29,13 @@
 			originBytesPerSecond = Number.POSITIVE_INFINITY, storeRegion, storeBytes,
 		} = settings;
 		this.store = new ChunkStore({limitBytes: storeBytes});
-		this.budget = new LinkBudget({clock, bytesPerSecond: linkBytesPerSecond});
+		this.budget = new LinkBudget({
+			clock,
+			bytesPerSecond: linkBytesPerSecond,
+			onSlowed() {
+				metrics.count('weights.slowed_for_live_requests');
+			},
+		});
 		this.#peers = new PeerChunkClient({selfId});
 		const linkRate = (): number => this.budget.bytesPerSecond;
 
--- a/packages/weights/src/fetch-plan.ts
+++ b/packages/weights/src/fetch-plan.ts
@@ -28,6 +28,9 @@
 
 	/** Members of the store's region that may read the chunk from the origin. */
 	readonly originReaders: number;
+
+	/** Asks the parent's other child, because the parent is busy. */
+	readonly asksSibling?: boolean;
 };
 
 export type Plan = {
@@ -35,6 +38,9 @@
 
 	/** Position of this member in its region's order for the chunk. */
 	readonly position: number;
+
+	/** Whether a busy parent may send this member to its other child. Only the second child, so that no cycle arises. */
+	readonly hasSibling: boolean;
 };
 
 /**
@@ -79,7 +85,7 @@
 });
 
 /** Chooses the source of a chunk for this member. */
-export const planSource = ({tree, manifest, selfId, region, storeRegion, participants, isAvoided, originReaders}: PlanOptions): Plan => {
+export const planSource = ({tree, manifest, selfId, region, storeRegion, participants, isAvoided, originReaders, asksSibling = false}: PlanOptions): Plan => {
 	const usable = participants.filter(({id}) => id === selfId || !isAvoided(id));
 	const byId = new Map(usable.map(member => [member.id, member]));
 	const orderOf = (members: readonly MemberRecord[]): readonly string[] => orderFor(tree, members);
@@ -88,7 +94,9 @@
 	const position = order.indexOf(selfId);
 	const isReader = position === 0 || (region === storeRegion && position < originReaders);
 	if (!isReader) {
-		return {source: peerSource(byId.get(order[parentPosition(position)!])!, region), position};
+		const hasSibling = position % 2 === 0;
+		const sender = hasSibling && asksSibling ? position - 1 : parentPosition(position)!;
+		return {source: peerSource(byId.get(order[sender])!, region), position, hasSibling};
 	}
 
 	const isHolder = ({id, upstream}: MemberRecord): boolean => id !== selfId && (upstream?.held.includes(manifest) ?? false);
@@ -96,5 +104,5 @@
 	const remote = region === storeRegion ? [] : usable.filter(member => member.region === storeRegion);
 	const candidates = localHolders.length > 0 ? localHolders : remote;
 	const first = orderOf(candidates).at(0);
-	return {source: first === undefined ? {kind: 'origin'} : peerSource(byId.get(first)!, region), position};
+	return {source: first === undefined ? {kind: 'origin'} : peerSource(byId.get(first)!, region), position, hasSibling: false};
 };
--- a/packages/weights/src/latency-gauge.ts
+++ b/packages/weights/src/latency-gauge.ts
@@ -1,19 +1,23 @@
 /** Tells whether live requests are slower than their recent baseline. */
 
-const MIN_SAMPLES = 10;
+const MIN_SAMPLES = 20;
+
+/** Samples that the baseline needs before anything can count as raised. */
+const MIN_BASELINE_SAMPLES = 60;
 
 /** Latency above this multiple of the baseline, plus the margin, counts as raised. */
 const RAISED_RATIO = 1.5;
 const RAISED_MARGIN_MS = 5;
 
 /** Standard errors by which the mean must exceed the baseline: streams and whole answers differ by far, so a mean of few scatters. */
-const RAISED_ERRORS = 3;
+const RAISED_ERRORS = 4;
 const BASELINE_WEIGHT = 0.1;
 
 /** While latency is raised the baseline follows slowly, so that a long rollout does not become the baseline. */
 const RAISED_WEIGHT = 0.005;
 
 export class LatencyGauge {
+	#baselineCount = 0;
 	#count = 0;
 	#sum = 0;
 	#sumOfSquares = 0;
@@ -38,9 +42,12 @@
 		this.#sum = 0;
 		this.#sumOfSquares = 0;
 		const baseline = this.#baseline ?? {mean, variance};
-		const error = Math.sqrt(baseline.variance / count);
-		const isRaised = mean > (baseline.mean * RAISED_RATIO) + RAISED_MARGIN_MS && mean > baseline.mean + (RAISED_ERRORS * error);
-		const weight = isRaised ? RAISED_WEIGHT : BASELINE_WEIGHT;
+		const error = Math.sqrt(Math.max(baseline.variance, variance) * ((1 / count) + (1 / Math.max(1, this.#baselineCount))));
+		const isRaised = this.#baselineCount >= MIN_BASELINE_SAMPLES && mean > (baseline.mean * RAISED_RATIO) + RAISED_MARGIN_MS && mean > baseline.mean + (RAISED_ERRORS * error);
+
+		// The first samples count alike, so that the baseline does not rest on the first few.
+		const weight = isRaised ? RAISED_WEIGHT : Math.max(BASELINE_WEIGHT, count / (this.#baselineCount + count));
+		this.#baselineCount += count;
 		this.#baseline = {
 			mean: baseline.mean + (weight * (mean - baseline.mean)),
 			variance: baseline.variance + (weight * (variance - baseline.variance)),
--- a/packages/weights/src/link-budget.ts
+++ b/packages/weights/src/link-budget.ts
@@ -5,10 +5,10 @@
 const WINDOW_MS = 1000;
 const ADJUST_EVERY_MS = 500;
 
-/** Without live requests there is nothing to protect, so the rate recovers. */
-const IDLE_RECOVERY_MS = 2000;
+/** Without further proof of raised latency the rate recovers: one slow member holds up all others. */
+const IDLE_RECOVERY_MS = 1000;
 const SMALLEST_FACTOR = 1 / 8;
-const RECOVERY = 1.25;
+const RECOVERY = 1.5;
 
 /** Live requests always leave transfers this share of the line, so that a rollout cannot starve. */
 const SMALLEST_SHARE = 0.1;
@@ -16,6 +16,7 @@
 export class LinkBudget {
 	readonly #clock: Clock;
 	readonly #lineRate: number;
+	readonly #onSlowed: () => void;
 	readonly #gauge = new LatencyGauge();
 	#windowStart: number;
 	#windowBytes = 0;
@@ -23,7 +24,14 @@
 	#factor = 1;
 	#adjustedAt: number;
 
-	constructor({clock, bytesPerSecond}: {readonly clock: Clock; readonly bytesPerSecond: number}) {
+	constructor({clock, bytesPerSecond, onSlowed = () => undefined}: {
+		readonly clock: Clock;
+		readonly bytesPerSecond: number;
+
+		/** Called when the rate is halved because live requests are slower than usual. */
+		readonly onSlowed?: () => void;
+	}) {
+		this.#onSlowed = onSlowed;
 		this.#clock = clock;
 		this.#lineRate = bytesPerSecond;
 		this.#windowStart = clock.monotonic();
@@ -49,6 +57,10 @@
 			this.#adjustedAt = now;
 			this.#factor = judgement === 'raised' ? Math.max(SMALLEST_FACTOR, this.#factor / 2) : Math.min(1, this.#factor * RECOVERY);
 		}
+
+		if (judgement === 'raised') {
+			this.#onSlowed();
+		}
 	}
 
 	/** Bytes per second that transfers may use now. */
--- a/packages/weights/src/peer-chunk-client.ts
+++ b/packages/weights/src/peer-chunk-client.ts
@@ -14,12 +14,13 @@
 
 - `pending`: the peer fetches the chunk itself and has not got it yet.
 - `absent`: the peer neither has the chunk nor fetches it.
+- `busy`: the peer has the chunk but its uploads are late.
 - `corrupt`: the peer sent other bytes.
 - `failed`: the peer is unreachable, did not answer in time or stalled.
 */
 export type PeerAnswer =
 	{readonly kind: 'chunk'; readonly chunk: VerifiedChunk}
-	| {readonly kind: 'pending' | 'absent'}
+	| {readonly kind: 'pending' | 'absent' | 'busy'}
 	| {readonly kind: 'corrupt' | 'failed'; readonly detail: string};
 
 export type PeerChunkClientOptions = {
@@ -29,6 +30,8 @@
 	readonly stallWindowMs?: number;
 };
 
+const stateOf = (header: unknown): 'pending' | 'absent' | 'busy' => header === 'pending' || header === 'busy' ? header : 'absent';
+
 export class PeerChunkClient {
 	readonly #agent: Agent;
 	readonly #selfId: string;
@@ -43,19 +46,22 @@
 	}
 
 	/** Asks a peer for a chunk. The peer holds the request until it has the chunk or the wait ends. */
-	async fetchChunk(address: string, {hash, sizeBytes, buckets, signal}: {
+	async fetchChunk(address: string, {hash, sizeBytes, buckets, mayYield = false, signal}: {
 		readonly hash: string;
 		readonly sizeBytes: number;
 
 		/** Rate limits that the bytes must pass. */
 		readonly buckets: readonly TokenBucket[];
+
+		/** Whether the peer may answer `busy`. */
+		readonly mayYield?: boolean;
 		readonly signal: AbortSignal;
 	}): Promise<PeerAnswer> {
 		const watch = new ProgressWatch(this.#stallWindowMs);
 		const combined = AbortSignal.any([signal, watch.signal]);
 		watch.restart();
 		try {
-			const {statusCode, headers, body} = await request(`http://${address}/chunks/${hash}?wait=${this.#heldWaitMs}`, {
+			const {statusCode, headers, body} = await request(`http://${address}/chunks/${hash}?wait=${this.#heldWaitMs}${mayYield ? '&yield' : ''}`, {
 				dispatcher: this.#agent, signal: combined, headers: {[REQUESTER_HEADER]: this.#selfId}, headersTimeout: 0, bodyTimeout: 0,
 				onInfo() {
 					watch.restart();
@@ -63,7 +69,7 @@
 			});
 			if (statusCode !== 200) {
 				await body.dump();
-				return statusCode === 404 ? {kind: headers[CHUNK_STATE_HEADER] === 'pending' ? 'pending' : 'absent'} : {kind: 'failed', detail: `status ${statusCode}`};
+				return statusCode === 404 ? {kind: stateOf(headers[CHUNK_STATE_HEADER])} : {kind: 'failed', detail: `status ${statusCode}`};
 			}
 
 			const assembler = new ChunkAssembler(hash, sizeBytes);
