--- a/packages/bench/src/golden/session-fleet.ts
+++ b/packages/bench/src/golden/session-fleet.ts
@@ -18,7 +18,7 @@
 const WEIGHT_BYTES = 64 * 1024;
 const CHUNK_BYTES = 16 * 1024;
 const CRASH_DOWN_MS = 200;
-const MAX_STEPS = 60;
+const MAX_STEPS = 200;
 
 const weightsOf = (version: string): Weights => createWeights({
 	seed: 'golden', name: MODEL, version, sizeBytes: WEIGHT_BYTES, chunkBytes: CHUNK_BYTES,
@@ -91,6 +91,16 @@
 		}
 	}
 
+	/** Moves time until the work has ended, for work that waits for timers of the held clock. */
+	async settle<Value>(work: Promise<Value>, stepMs = 100): Promise<Value> {
+		let isDone = false;
+		const watched = work.finally(() => {
+			isDone = true;
+		});
+		await this.advanceUntil(() => isDone, stepMs);
+		return watched;
+	}
+
 	async close(): Promise<void> {
 		for (const {node} of [...this.entries.values(), ...this.agents.values()]) {
 			node.endTasks();
@@ -187,6 +197,9 @@
 	}
 }
 
+/** Leaves a kept answer out; the caller's lines show it, and its date header differs between runs. */
+const hideAnswer = (key: string, value: unknown): unknown => key === 'answer' ? '(kept answer)' : value;
+
 class RecordedPeerClient extends PeerClient {
 	readonly #actor: string;
 	readonly #transcript: Transcript;
@@ -200,7 +213,7 @@
 	override async call<Result>(...[address, method, parameters, options]: Parameters<PeerClient['call']>): Promise<Result> {
 		const result = await super.call<Result>(address, method, parameters, options);
 		if (RECORDED_METHODS.test(method)) {
-			this.#transcript.add(this.#actor, `${method} to ${address}: ${JSON.stringify(result)}`);
+			this.#transcript.add(this.#actor, `${method} to ${address}: ${JSON.stringify(result, hideAnswer)}`);
 		}
 
 		return result;
--- a/packages/bench/src/golden/sessions.ts
+++ b/packages/bench/src/golden/sessions.ts
@@ -49,12 +49,12 @@
 const edit = async (fleet: SessionFleet, {editId, author, team, section, text, baseRevision}: {
 	readonly editId: string; readonly author: string; readonly team: string; readonly section: string; readonly text: string; readonly baseRevision: number;
 }): Promise<void> => {
-	const result = await applyEdit({
+	const result = await fleet.settle(applyEdit({
 		keyValue: fleet.keyValue, clock: fleet.clock, random: seededRandom(editId),
 		edit: {
 			editId, author, team, section, text, baseRevision,
 		},
-	});
+	}));
 	const outcome = result.ok ? `accepted as revision ${result.val.revision}` : `${result.val.kind}: ${result.val.message}`;
 	fleet.transcript.add('operators', `${author} (${team}) edits ${section} from revision ${baseRevision}: ${outcome}`);
 };
@@ -64,6 +64,15 @@
 	return engines.every(({upstream}) => upstream?.served.some(({manifest}) => manifest === fleet.versions[version].hash));
 });
 
+/** True if every engine runs and has activated a version since its last crash. */
+const hasLoaded = (fleet: SessionFleet): boolean => [...fleet.engines.values()].every(({log}) => {
+	const lastOf = (event: string): number => log.findLastIndex(entry => entry.event === event);
+	return lastOf('activate') > lastOf('crashed');
+});
+
+/** Held time after which agents and entries have heard that a crashed engine is back, in milliseconds. */
+const AGENT_RECOVERY_MS = 5000;
+
 const requestPath: Session = {
 	name: 'request-path',
 	async run(fleet) {
@@ -129,12 +138,12 @@
 	name: 'planned-stop',
 	async run(fleet) {
 		await fleet.start({engines: 2, services: 0, entries: 1});
-		const stream = chat(fleet, 'entry-1', {content: 'A long answer', stream: true, tokens: 40});
+		const stream = chat(fleet, 'entry-1', {content: 'A long answer', stream: true, tokens: 12});
 		await fleet.clock.advance(10, 10);
 		const busy = [...fleet.agents].find(([, {requests}]) => requests.inProgress > 0);
 		const agent = busy?.[1] ?? [...fleet.agents.values()][0];
 		agent.node.leave('signal');
-		await stream;
+		await fleet.settle(stream);
 		await fleet.advanceUntil(() => agent.node.lifecycle.phase === 'stopped');
 		await chat(fleet, 'entry-1', {content: 'Served by the other agent'});
 	},
@@ -146,9 +155,7 @@
 		await fleet.start({engines: 1, entries: 1});
 		fleet.keyValueStandIn.setFaults({outage: 'refused'});
 		await chat(fleet, 'entry-1', {content: 'Still answered'});
-		const refused = order(fleet, 'entry-1', 'order-1');
-		await fleet.clock.advance(3000);
-		await refused;
+		await fleet.settle(order(fleet, 'entry-1', 'order-1'));
 		fleet.keyValueStandIn.setFaults({outage: 'none'});
 		await order(fleet, 'entry-1', 'order-1');
 		recordRuns(fleet);
@@ -160,9 +167,9 @@
 	async run(fleet) {
 		await fleet.start({engines: 2, services: 0, entries: 2});
 		for (let send = 0; send < 6; send++) {
-			const answer = chat(fleet, send % 2 === 0 ? 'entry-1' : 'entry-2', {content: '[crash the engine] please'});
-			await fleet.clock.advance(2000);
-			await answer;
+			await fleet.settle(chat(fleet, send % 2 === 0 ? 'entry-1' : 'entry-2', {content: '[crash the engine] please'}));
+			await fleet.advanceUntil(() => hasLoaded(fleet));
+			await fleet.clock.advance(AGENT_RECOVERY_MS);
 			await fleet.advanceUntil(() => serves(fleet, 'v1'));
 		}
 
