--- a/packages/bench/src/soak/fault-injector.ts
+++ b/packages/bench/src/soak/fault-injector.ts
@@ -54,14 +54,15 @@
 		return Object.fromEntries(this.#counts);
 	}
 
-	/** Runs the fault and resolves when it has ended. */
-	async inject(fault: Fault): Promise<void> {
+	/** Runs the fault. @returns its target when it has ended. */
+	async inject(fault: Fault): Promise<string> {
 		const startedAt = Date.now();
 		const target = await this.#actions[fault.kind](fault);
 		this.#counts.set(fault.kind, (this.#counts.get(fault.kind) ?? 0) + 1);
 		this.#interferences.push({
 			kind: fault.kind, target, startedAt, endedAt: Date.now(),
 		});
+		return target;
 	}
 
 	#createActions(): Readonly<Record<FaultKind, Action>> {
