Keep room for urgent changes when the byte budget is used up

With 256 members whose records all changed each second, the death of a member was not known everywhere within 120 s: the budget went to records, and no room was left for versions of changes.

Each message may now hold eight changed versions whatever the budget, those of suspects, leaving and dead members first. Their bytes are still charged, so the average rate stays the same.

--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -31,6 +31,9 @@
 /** Versions of changed members in one message at most. */
 export const MAX_CHANGES_PER_MESSAGE = 32;
 
+/** Versions of changed members that a message may hold even when the byte budget is used up, urgent ones first. */
+export const MIN_CHANGES_PER_MESSAGE = 8;
+
 /** Records that one message asks for at most. */
 export const MAX_WANTS_PER_MESSAGE = 20;
 
--- a/packages/membership/src/message-composer.ts
+++ b/packages/membership/src/message-composer.ts
@@ -1,7 +1,7 @@
 import type {Random} from '@yuccawood/common';
 import type {ByteBudget} from './byte-budget.js';
 import {
-	CLAIMS_PER_MESSAGE, CLAIMS_WHILE_DIFFERENT, MAX_CHANGES_PER_MESSAGE, MAX_WANTS_PER_MESSAGE, MESSAGE_BYTES, RESERVE_BYTES, TRANSMITS_PER_DIGIT,
+	CLAIMS_PER_MESSAGE, CLAIMS_WHILE_DIFFERENT, MAX_CHANGES_PER_MESSAGE, MAX_WANTS_PER_MESSAGE, MESSAGE_BYTES, MIN_CHANGES_PER_MESSAGE, RESERVE_BYTES, TRANSMITS_PER_DIGIT,
 } from './constants.js';
 import {checksumOf} from './record-order.js';
 import type {MemberDirectory} from './member-directory.js';
@@ -102,8 +102,10 @@
 
 	#changes(without: ReadonlySet<string>): readonly Claim[] {
 		const {own, directory, queue, budget} = this.#options;
-		const count = Math.min(MAX_CHANGES_PER_MESSAGE, Math.floor(budget.available / CLAIM_BYTES));
-		const ids = queue.pending().filter(id => !without.has(id)).slice(0, Math.max(0, count));
+		const count = Math.min(MAX_CHANGES_PER_MESSAGE, Math.max(MIN_CHANGES_PER_MESSAGE, Math.floor(budget.available / CLAIM_BYTES)));
+		const pending = queue.pending().filter(id => !without.has(id));
+		const isUrgent = (id: string): boolean => directory.get(id)?.status !== 'alive';
+		const ids = [...pending.filter(id => isUrgent(id)), ...pending.filter(id => !isUrgent(id))].slice(0, count);
 		for (const id of ids) {
 			queue.sent(id, this.#transmitLimit);
 		}
