Keep a queue for each pool of upstreams

A request may now name its pool, and fleetCapacity gets that name. Each pool has its own queue, virtual times and shares of the capacity. Requests without a pool behave as before, so the entry and the daemon need to pass the pool for this to have an effect.

`npx mocha --no-config 'packages/accounts/dist/*.test.js'`: 18 pass; the new test fills one pool and admits to another.

--- a/packages/accounts/src/account-admission.test.ts
+++ b/packages/accounts/src/account-admission.test.ts
@@ -60,6 +60,21 @@
 		expect(later.ok).to.equal(true);
 	});
 
+	it('keeps a pool that is full from holding up requests of another one', async () => {
+		const admission = await create([account('kit')], {fleetCapacity: pool => pool === 'model' ? 1 : 2});
+		const request = {bearer: 'kit-key', deadlineMs: 1000};
+		const permits = await Promise.all(['model', 'orders', 'orders'].map(async pool => admission.admit({...request, pool})));
+		expect(permits.map(({ok}) => ok)).to.deep.equal([true, true, true]);
+		const waiting = admission.admit({...request, pool: 'model'});
+		permits[1].unwrap().release();
+		const orders = await admission.admit({...request, pool: 'orders'});
+		expect(orders.ok).to.equal(true);
+		expect(admission.waiting).to.equal(1);
+		permits[0].unwrap().release();
+		const admitted = await waiting;
+		expect(admitted.ok).to.equal(true);
+	});
+
 	it('lets a waiting request run when another is released, and refuses it at its deadline otherwise', async () => {
 		const admission = await create([account('kit')], {fleetCapacity: () => 1});
 		const request = {bearer: 'kit-key', deadlineMs: 1000};
--- a/packages/accounts/src/account-admission.ts
+++ b/packages/accounts/src/account-admission.ts
@@ -4,7 +4,7 @@
 import type {AccountAdmissionOptions} from './admission-options.js';
 import {CapacityGate, type AdmissionAnswer} from './capacity-gate.js';
 import {
-	FIRST_SHARE_WAIT_MS, FLEET, REPORT_PERIOD_MS, SHARE_VALID_MS,
+	FIRST_SHARE_WAIT_MS, FLEET, MAX_POOLS, REPORT_PERIOD_MS, SHARE_VALID_MS,
 } from './constants.js';
 import {DemandReporter} from './demand-reporter.js';
 import {
@@ -19,7 +19,7 @@
 export class AccountAdmission implements Admission {
 	readonly #options: AccountAdmissionOptions;
 	readonly #accounts = new AccountDirectory();
-	readonly #gate: CapacityGate;
+	readonly #gates = new Map<string, CapacityGate>();
 	readonly #home: ShareHome;
 	readonly #shares: ShareTable;
 	readonly #reporter: DemandReporter;
@@ -27,23 +27,14 @@
 	constructor(options: AccountAdmissionOptions) {
 		this.#options = options;
 		const {clock, shareValidMs: validMs = SHARE_VALID_MS, firstShareWaitMs = FIRST_SHARE_WAIT_MS} = options;
-		this.#gate = new CapacityGate({
-			...options, capacity: () => this.#capacity(),
-			onWait: () => {
-				this.#reporter.reportEarly(this.#gate.fleet);
-			},
-			onRefusal: refusal => {
-				this.#refuse(refusal);
-			},
-		});
 		this.#home = new ShareHome({clock, validMs, liveEntries: () => this.#shares.entries.length});
 		this.#shares = new ShareTable({
 			...options, home: this.#home, limitsOf: account => this.#limitsOf(account),
 		});
 		this.#reporter = new DemandReporter({
-			accounts: this.#accounts, fleet: this.#gate.fleet, shares: this.#shares, clock, firstShareWaitMs,
+			accounts: this.#accounts, pools: () => [...this.#gates.values()].map(({fleet}) => fleet), shares: this.#shares, clock, firstShareWaitMs,
 			onShares: () => {
-				this.#gate.pump();
+				this.#pump();
 			},
 		});
 		options.peerServer.method('accounts.share', (request: ShareRequest) => this.#shares.answer(request));
@@ -56,11 +47,11 @@
 
 	/** Requests admitted here that have not been released. */
 	get inProgress(): number {
-		return this.#gate.fleet.inFlight;
+		return [...this.#gates.values()].reduce((sum, {fleet}) => sum + fleet.inFlight, 0);
 	}
 
 	get waiting(): number {
-		return this.#gate.waiting;
+		return [...this.#gates.values()].reduce((sum, {waiting}) => sum + waiting, 0);
 	}
 
 	readonly admit = async (request: AdmissionRequest): Promise<AdmissionAnswer> => {
@@ -76,17 +67,18 @@
 			return this.#refuse(unknownAccountRefusal(request.bearer !== undefined));
 		}
 
+		const gate = this.#gateOf(request.pool);
 		state.attempt(now);
-		this.#gate.fleet.attempt(now);
-		const missing = [state, this.#gate.fleet].filter(candidate => this.#shareOf(candidate) === undefined);
+		gate.fleet.attempt(now);
+		const missing = [state, gate.fleet].filter(candidate => this.#shareOf(candidate) === undefined);
 		if (missing.length > 0) {
 			await this.#reporter.reportFirst(missing);
 		}
 
-		return this.#decide(state, request);
+		return this.#decide(state, request, gate);
 	};
 
-	#decide(state: AccountState, request: AdmissionRequest): AdmissionAnswer | Promise<AdmissionAnswer> {
+	#decide(state: AccountState, request: AdmissionRequest, gate: CapacityGate): AdmissionAnswer | Promise<AdmissionAnswer> {
 		const now = this.#options.clock.monotonic();
 		const {rate, concurrent} = this.#shareOf(state) ?? this.#shares.fallback(state.limits);
 		state.bucket.setRate(rate, now);
@@ -101,7 +93,7 @@
 			return this.#refuse(rateRefusal(state, this.#secondsToToken(state, now)));
 		}
 
-		return this.#gate.enter(state, request);
+		return gate.enter(state, request);
 	}
 
 	#refuse(refusal: AdmissionRefusal): AdmissionAnswer {
@@ -115,21 +107,51 @@
 	}
 
 	#limitsOf(account: string): Limits | undefined {
-		if (account === FLEET) {
-			return {rate: 0, concurrent: this.#options.fleetCapacity()};
+		if (account.startsWith(FLEET)) {
+			return {rate: 0, concurrent: this.#options.fleetCapacity(account.slice(FLEET.length))};
 		}
 
 		this.#accounts.update(this.#options.configuration.current, this.#options.clock.monotonic());
 		return this.#accounts.get(account)?.limits;
 	}
 
-	/** Requests that this entry may run at the same time. */
-	#capacity(): number {
-		const limits = {rate: 0, concurrent: this.#options.fleetCapacity()};
-		const {concurrent} = this.#shares.current(FLEET, limits) ?? this.#shares.fallback(limits);
+	/** The gate of a pool. Pools beyond the limit share the one without a name. */
+	#gateOf(name = ''): CapacityGate {
+		const known = this.#gates.get(name);
+		if (known) {
+			return known;
+		}
+
+		if (name !== '' && this.#gates.size >= MAX_POOLS) {
+			return this.#gateOf();
+		}
+
+		const gate: CapacityGate = new CapacityGate({
+			...this.#options, pool: name, capacity: () => this.#capacity(name),
+			onWait: () => {
+				this.#reporter.reportEarly(gate.fleet);
+			},
+			onRefusal: refusal => {
+				this.#refuse(refusal);
+			},
+		});
+		this.#gates.set(name, gate);
+		return gate;
+	}
+
+	/** Requests of a pool that this entry may run at the same time. */
+	#capacity(pool: string): number {
+		const limits = {rate: 0, concurrent: this.#options.fleetCapacity(pool)};
+		const {concurrent} = this.#shares.current(FLEET + pool, limits) ?? this.#shares.fallback(limits);
 		return Math.min(concurrent, limits.concurrent);
 	}
 
+	#pump(): void {
+		for (const gate of this.#gates.values()) {
+			gate.pump();
+		}
+	}
+
 	/** Seconds until the bucket has a token. A share of several entries is adapted to the demand within its time, so waiting longer is not needed. */
 	#secondsToToken({bucket}: AccountState, now: number): number {
 		const {shareValidMs = SHARE_VALID_MS} = this.#options;
@@ -145,12 +167,12 @@
 			try {
 				await this.#reporter.reportAll();
 				this.#home.expire();
-				this.#gate.pump();
+				this.#pump();
 			} catch (error) {
 				log.error('Report of demand failed.', {error: describeError(error)});
 			}
 
-			metrics.gauge('accounts.waiting', this.#gate.waiting);
+			metrics.gauge('accounts.waiting', this.waiting);
 			await clock.sleep(reportPeriodMs, signal);
 		}
 	}
--- a/packages/accounts/src/admission-options.ts
+++ b/packages/accounts/src/admission-options.ts
@@ -17,13 +17,13 @@
 	/** Id of this entry. */
 	readonly selfId: string;
 
-	/** Requests that all ready upstreams together run at the same time. */
-	readonly fleetCapacity: () => number;
+	/** Requests that all ready upstreams of a pool together run at the same time; the pool is empty for requests that name none. */
+	readonly fleetCapacity: (pool: string) => number;
 	readonly isLeaving?: () => boolean;
 	readonly reportPeriodMs?: number;
 	readonly shareValidMs?: number;
 	readonly firstShareWaitMs?: number;
 
-	/** Requests that may wait; by default a multiple of the entry's share of the capacity. */
+	/** Requests of each pool that may wait; by default a multiple of the entry's share of the capacity. */
 	readonly queueLength?: number;
 };
--- a/packages/accounts/src/constants.ts
+++ b/packages/accounts/src/constants.ts
@@ -3,7 +3,7 @@
 
 export const ANONYMOUS_PRIORITY = 5;
 
-/** Name under which the entries share the capacity of the fleet. Section names of accounts cannot contain it. */
+/** Start of the names under which the entries share the capacity of the pools. Section names of accounts cannot contain it. */
 export const FLEET = '*';
 
 /** Time between two reports of demand to the home entries. */
@@ -67,3 +67,6 @@
 
 /** Part of its entitlement below which an account's requests are not shed. An account that waits all the time comes closer to it than that. */
 export const SPARED_USE = 0.98;
+
+/** Pools with a queue of their own. */
+export const MAX_POOLS = 256;
--- a/packages/accounts/src/demand-reporter.ts
+++ b/packages/accounts/src/demand-reporter.ts
@@ -1,14 +1,14 @@
 import type {Clock} from '@yuccawood/common';
 import type {AccountDirectory} from './account-directory.js';
 import type {AccountState} from './account-state.js';
-import {ACCOUNT_IDLE_MS, EARLY_REPORTS_PER_PERIOD} from './constants.js';
+import {ACCOUNT_IDLE_MS, EARLY_REPORTS_PER_PERIOD, FLEET} from './constants.js';
 import type {DemandReport} from './share-messages.js';
 import type {ShareTable} from './share-table.js';
 
 /** Decides which accounts to report to their home entries, and when. */
 export class DemandReporter {
 	readonly #accounts: AccountDirectory;
-	readonly #fleet: AccountState;
+	readonly #pools: () => readonly AccountState[];
 	readonly #shares: ShareTable;
 	readonly #clock: Clock;
 	readonly #firstShareWaitMs: number;
@@ -16,9 +16,11 @@
 	readonly #running = new Map<string, Promise<void>>();
 	readonly #reportedAt = new Map<string, number>();
 
-	constructor({accounts, fleet, shares, clock, firstShareWaitMs, onShares}: {
+	constructor({accounts, pools, shares, clock, firstShareWaitMs, onShares}: {
 		readonly accounts: AccountDirectory;
-		readonly fleet: AccountState;
+
+		/** Use of each pool's capacity. */
+		readonly pools: () => readonly AccountState[];
 		readonly shares: ShareTable;
 		readonly clock: Clock;
 		readonly firstShareWaitMs: number;
@@ -27,7 +29,7 @@
 		readonly onShares: () => void;
 	}) {
 		this.#accounts = accounts;
-		this.#fleet = fleet;
+		this.#pools = pools;
 		this.#shares = shares;
 		this.#clock = clock;
 		this.#firstShareWaitMs = firstShareWaitMs;
@@ -41,7 +43,7 @@
 		}
 
 		const oldest = this.#clock.monotonic() - ACCOUNT_IDLE_MS;
-		const active = [this.#fleet, ...this.#accounts.all].filter(({inUse, lastUsedAt}) => inUse > 0 || lastUsedAt >= oldest);
+		const active = [...this.#pools(), ...this.#accounts.all].filter(({inUse, lastUsedAt}) => inUse > 0 || lastUsedAt >= oldest);
 		await this.#report(active.filter(({name, limits}) => Number.isFinite(limits.concurrent) && this.#shares.isDue(name)));
 	}
 
@@ -79,7 +81,7 @@
 			const {rate, concurrent} = state.takeDemand(now);
 			const held = this.#shares.heldOf(state.name);
 			// Requests that wait for capacity do not use it yet, but they do use the concurrency of their account.
-			const inUse = state === this.#fleet ? state.inFlight : state.inUse;
+			const inUse = state.name.startsWith(FLEET) ? state.inFlight : state.inUse;
 			return {
 				account: state.name, rateDemand: rate, concurrentDemand: concurrent, inUse, heldRate: held.rate, heldConcurrent: held.concurrent,
 			};
--- a/packages/accounts/src/fair-queue.ts
+++ b/packages/accounts/src/fair-queue.ts
@@ -3,8 +3,12 @@
 
 /** A request that waits for capacity. */
 export type Waiter = {
+	/** Use of the account in this pool. */
 	readonly state: AccountState;
 
+	/** Use of the account in all pools. */
+	readonly total: AccountState;
+
 	/** Called once, when the request may run. */
 	readonly admit: () => void;
 
@@ -40,6 +44,7 @@
 		}
 
 		waiter.state.waiting++;
+		waiter.total.waiting++;
 		this.#length++;
 	}
 
@@ -57,6 +62,7 @@
 		}
 
 		waiter.state.waiting--;
+		waiter.total.waiting--;
 		this.#length--;
 		return true;
 	}
--- a/packages/accounts/src/types.ts
+++ b/packages/accounts/src/types.ts
@@ -21,6 +21,9 @@
 	/** Bearer key as the caller sent it; absent when there was none. */
 	readonly bearer?: string;
 
+	/** Upstreams that the request can run on, as `fleetCapacity` names them. Requests of different pools do not wait for each other. */
+	readonly pool?: string;
+
 	/** Time left to the request's deadline, in milliseconds. */
 	readonly deadlineMs: number;
 	readonly signal?: AbortSignal;
