Admit a tenth more than the capacity of a pool

Cause: with as many requests admitted as the engines run, engines idle between two requests; with the quarter more that agents queue, agents refuse requests of small accounts.

The factor is 1.1 and an option; the simulations of exact limits set it to 1.

--- a/packages/accounts/src/account-admission.test.ts
+++ b/packages/accounts/src/account-admission.test.ts
@@ -75,6 +75,16 @@
 		expect(admitted.ok).to.equal(true);
 	});
 
+	it('admits a tenth more than the upstreams run, so that none is idle between two requests, and not the quarter that agents would refuse', async () => {
+		const admission = await create([account('kit', {concurrent: 100})], {fleetCapacity: () => 40});
+		for (let i = 0; i < 60; i++) {
+			void admission.admit({bearer: 'kit-key', deadlineMs: 1000});
+		}
+
+		await time.advance(1);
+		expect(admission.inProgress).to.equal(44);
+	});
+
 	it('lets a waiting request run when another is released, and refuses it at its deadline otherwise', async () => {
 		const admission = await create([account('kit')], {fleetCapacity: () => 1});
 		const request = {bearer: 'kit-key', deadlineMs: 1000};
--- a/packages/accounts/src/account-admission.ts
+++ b/packages/accounts/src/account-admission.ts
@@ -4,7 +4,7 @@
 import type {AccountAdmissionOptions} from './admission-options.js';
 import {CapacityGate, type AdmissionAnswer} from './capacity-gate.js';
 import {
-	FIRST_SHARE_WAIT_MS, FLEET, MAX_POOLS, REPORT_PERIOD_MS, SHARE_VALID_MS,
+	CAPACITY_FACTOR, FIRST_SHARE_WAIT_MS, FLEET, MAX_POOLS, REPORT_PERIOD_MS, SHARE_VALID_MS,
 } from './constants.js';
 import {DemandReporter} from './demand-reporter.js';
 import {
@@ -108,7 +108,7 @@
 
 	#limitsOf(account: string): Limits | undefined {
 		if (account.startsWith(FLEET)) {
-			return {rate: 0, concurrent: this.#options.fleetCapacity(account.slice(FLEET.length))};
+			return this.#poolLimits(account.slice(FLEET.length));
 		}
 
 		this.#accounts.update(this.#options.configuration.current, this.#options.clock.monotonic());
@@ -141,11 +141,16 @@
 
 	/** Requests of a pool that this entry may run at the same time. */
 	#capacity(pool: string): number {
-		const limits = {rate: 0, concurrent: this.#options.fleetCapacity(pool)};
+		const limits = this.#poolLimits(pool);
 		const {concurrent} = this.#shares.current(FLEET + pool, limits) ?? this.#shares.fallback(limits);
 		return Math.min(concurrent, limits.concurrent);
 	}
 
+	#poolLimits(pool: string): Limits {
+		const {fleetCapacity, capacityFactor = CAPACITY_FACTOR} = this.#options;
+		return {rate: 0, concurrent: Math.floor(fleetCapacity(pool) * capacityFactor)};
+	}
+
 	#pump(): void {
 		for (const gate of this.#gates.values()) {
 			gate.pump();
--- a/packages/accounts/src/admission-options.ts
+++ b/packages/accounts/src/admission-options.ts
@@ -19,6 +19,9 @@
 
 	/** Requests that all ready upstreams of a pool together run at the same time; the pool is empty for requests that name none. */
 	readonly fleetCapacity: (pool: string) => number;
+
+	/** Requests admitted for each one of that capacity; the surplus waits at the agents. */
+	readonly capacityFactor?: number;
 	readonly isLeaving?: () => boolean;
 	readonly reportPeriodMs?: number;
 	readonly shareValidMs?: number;
--- a/packages/accounts/src/constants.ts
+++ b/packages/accounts/src/constants.ts
@@ -70,3 +70,9 @@
 
 /** Pools with a queue of their own. */
 export const MAX_POOLS = 256;
+
+/**
+Requests admitted for each one that the upstreams run at the same time. Agents queue a quarter of their capacity: admitting as much made
+them refuse requests of small accounts, and admitting none beyond the capacity left engines idle between two requests.
+*/
+export const CAPACITY_FACTOR = 1.1;
--- a/packages/accounts/src/entries.test.ts
+++ b/packages/accounts/src/entries.test.ts
@@ -51,7 +51,7 @@
 		};
 		const admission = new AccountAdmission({
 			configuration, members: node.gossip, ...node.host, peerServer: node.host.peerServer, peerClient: node.host.peerClient, clock: node.host.clock,
-			random: seededRandom(id), log: SILENT_LOG, metrics: new MemoryMetrics(), selfId: id, fleetCapacity: () => 1000, ...this.#options,
+			random: seededRandom(id), log: SILENT_LOG, metrics: new MemoryMetrics(), selfId: id, fleetCapacity: () => 1000, capacityFactor: 1, ...this.#options,
 		});
 		admission.start(ended.signal);
 		const entry: Entry = {
