--- a/packages/bench/src/rollout/run-rollout.ts
+++ b/packages/bench/src/rollout/run-rollout.ts
@@ -17,8 +17,10 @@
 type EngineEntry = {readonly event: string; readonly at: number; readonly manifest?: string; readonly refused?: string};
 
 const QUIET_MS = 4000;
+const CROSS_REGION_BYTES = 'weights.peer_bytes,crossRegion=true';
 const START_BATCH = 8;
-const LIMIT_MS = 120_000;
+const NOTICE_MS = 10_000;
+const LIMIT_MS = 40_000;
 const EDIT_FIELDS = {author: 'bench', team: 'models'} as const;
 
 export class RolloutRun {
@@ -54,6 +56,7 @@
 		await pause(QUIET_MS);
 		const {origin} = this.#fleet.platform;
 		const servedBefore = await readBytesServed(origin);
+		const crossedBefore = await this.#sumCounter(CROSS_REGION_BYTES);
 		const cpuBefore = await this.#cpuSeconds();
 		this.#progress(`agents use ${((cpuBefore - cpuQuiet) * 1000 / QUIET_MS).toFixed(2)} cores while no version changes`);
 		const editedAt = Date.now();
@@ -71,7 +74,7 @@
 			seconds: times.at(-1)!,
 			quartiles: [0.25, 0.5, 0.75].map(share => times[Math.floor(times.length * share)]),
 			originCopies: (servedAfter - servedBefore) / this.#plan.sizeBytes,
-			crossRegionCopies: await this.#sumCounter('weights.peer_bytes,crossRegion=true') / this.#plan.sizeBytes,
+			crossRegionCopies: (await this.#sumCounter(CROSS_REGION_BYTES) - crossedBefore) / this.#plan.sizeBytes,
 			liveP99BeforeMs: summariseLatency(records, quietFrom, editedAt),
 			liveP99DuringMs: summariseLatency(records, editedAt, endedAt),
 			liveCalls: records.length,
@@ -150,6 +153,9 @@
 
 	async #waitForVersion(version: 'v1' | 'v2'): Promise<void> {
 		const pending = new Set(this.#running.map(({id}) => id));
+		const notice = setInterval(() => {
+			this.#progress(`${version} still missing on ${[...pending].join(', ')}`);
+		}, NOTICE_MS);
 		await waitUntil(async () => {
 			const checks = this.#running.filter(({id}) => pending.has(id)).map(async ({id, peer}) => {
 				const {serving} = await this.#peers.call<WeightStatus>(peer, 'weights.status', {});
@@ -160,6 +166,7 @@
 			await Promise.allSettled(checks);
 			return this.#running.every(({id}) => !pending.has(id));
 		}, {subject: `${version} on all replicas`, limitMs: LIMIT_MS, pauseMs: 200});
+		clearInterval(notice);
 	}
 
 	async #readEngines(): Promise<{readonly activeAt: readonly number[]; readonly mismatches: number}> {
