Queue calls fairly in front of full agents

The admission counts the capacity of all services together, so its queue stayed empty while the engines were full and rejected calls whatever their account. Raising the retry budget was ruled out: it multiplies the overload.

Each entry now holds calls for a model or service whose agents are all full in a bounded queue that takes accounts in turn, weighted by priority, and rejects the newest call of the account with the longest queue first. A call that an agent rejects as full waits again. The agent gets no other call for 100 ms unless it answers one.

--- a/packages/bench/src/requests/requests-fleet.ts
+++ b/packages/bench/src/requests/requests-fleet.ts
@@ -26,13 +26,13 @@
 const account = (name: string, key: string): string => `[account.${name}]\nkey = sha256:${sha256(key)}\nrequests_per_second = 2000\nconcurrent = 500\npriority = 5\n`;
 
 export class RequestsFleet {
-	readonly #relays: TcpRelay[] = [];
 	readonly fleet = new Fleet({
 		weights: [`${WEIGHTS.seed}:${MODEL}:v1:model:${WEIGHTS.sizeBytes}:${WEIGHTS.chunkBytes}`],
 		logLevel: 'warn',
 		route: async (_vm, part, address) => part === 'upstream' ? this.#relay(address) : address,
 	});
 
+	readonly #relays: TcpRelay[] = [];
 	#next = 0;
 
 	async start(): Promise<void> {
--- /dev/null
+++ b/packages/requests/src/agent-choice.ts
@@ -0,0 +1,94 @@
+/** Chooses the agents that one call is forwarded to, one after the other. */
+import type {Permit} from '@yuccawood/accounts';
+import type {Call} from './call.js';
+import type {CallerResponse} from './caller-response.js';
+import {FULL_MS, MAX_ATTEMPTS} from './constants.js';
+import type {EntryContext} from './entry-context.js';
+import type {ExecutionOutcome, RequestError} from './errors.js';
+import {createFailure, createQuarantineFailure} from './failures.js';
+import type {Agent} from './router.js';
+
+type Previous = {
+	/** Failure of the previous attempt. */
+	readonly failure: RequestError | undefined;
+
+	/** What is known about all attempts so far. */
+	readonly outcome: ExecutionOutcome;
+};
+
+export class AgentChoice {
+	readonly #context: EntryContext;
+	readonly #call: Call;
+	readonly #permit: Permit;
+	readonly #response: CallerResponse;
+	readonly #excluded = new Set<string>();
+	#attempts = 0;
+
+	constructor({context, call, permit, response}: {
+		readonly context: EntryContext;
+		readonly call: Call;
+		readonly permit: Permit;
+		readonly response: CallerResponse;
+	}) {
+		this.#context = context;
+		this.#call = call;
+		this.#permit = permit;
+		this.#response = response;
+	}
+
+	/** Offers this agent to the call no more. */
+	exclude({id}: Agent): void {
+		this.#excluded.add(id);
+	}
+
+	/** The agent for the next attempt. @throws {RequestError} when there is none or no other attempt is allowed. */
+	async next({failure, outcome}: Previous): Promise<Agent> {
+		const {router, metrics, clock, quarantine} = this.#context;
+		if (failure?.kind === 'overloaded') {
+			await clock.sleep(FULL_MS);
+		}
+
+		if (!this.#context.queues.isOpen(this.#call.target)) {
+			await this.#waitForRoom(outcome);
+		}
+
+		if (quarantine.isQuarantined(this.#call.fingerprint)) {
+			throw createQuarantineFailure(outcome);
+		}
+
+		this.#attempts++;
+		if (failure && !this.#mayRetry(failure)) {
+			throw failure;
+		}
+
+		const agent = router.choose(this.#call.target, {excluded: this.#excluded, prefix: this.#call.prefix});
+		if (!agent) {
+			throw failure ?? createFailure('no-agent', `No agent of ${this.#call.target.name} takes work.`, outcome);
+		}
+
+		if (failure) {
+			metrics.count('requests.retries', {reason: failure.kind});
+		}
+
+		return agent;
+	}
+
+	/** A call that a full agent rejected waits in the queue again, which limits such retries without the budget. */
+	#mayRetry({kind}: RequestError): boolean {
+		const {clock, budget} = this.#context;
+		const isInTime = clock.monotonic() < this.#call.deadlineAt;
+		return isInTime && (kind === 'overloaded' || (this.#attempts <= MAX_ATTEMPTS && budget.withdraw()));
+	}
+
+	/** Waits in the queue of the target while all its agents are full. */
+	async #waitForRoom(outcome: ExecutionOutcome): Promise<void> {
+		const {target, deadlineAt} = this.#call;
+		const {account, priority} = this.#permit;
+		const answer = await this.#context.queues.enter(target, {
+			account, deadlineAt, weight: priority + 1, isGone: () => this.#response.isGone,
+		});
+		if (answer !== 'admitted') {
+			throw createFailure(answer === 'full' ? 'overloaded' : 'deadline', `All agents of ${target.name} are full.`, outcome);
+		}
+	}
+}
--- a/packages/requests/src/call.ts
+++ b/packages/requests/src/call.ts
@@ -8,7 +8,13 @@
 import {DEADLINE_MS, VERSION, single} from './headers.js';
 
 /** What an agent must offer to take a call. */
-export type Target = {readonly kind: 'model' | 'service'; readonly name: string};
+export type Target = {
+	readonly kind: 'model' | 'service';
+	readonly name: string;
+
+	/** Kind and name in one string. */
+	readonly key: string;
+};
 
 export type Call = {
 	readonly requestId: string;
@@ -104,7 +110,7 @@
 const findDestination = ({method = 'GET'}: IncomingMessage, body: Uint8Array | undefined, route: RouteConfiguration, configuration: Configuration): Destination => {
 	if (route.target.kind === 'service') {
 		return {
-			target: {kind: 'service', name: route.target.service}, chat: undefined, prefix: undefined, repeatable: route.repeatableMethods.includes(method),
+			target: {kind: 'service', name: route.target.service, key: `service:${route.target.service}`}, chat: undefined, prefix: undefined, repeatable: route.repeatableMethods.includes(method),
 		};
 	}
 
@@ -120,7 +126,7 @@
 
 	// Generation has no side effects, so it may be repeated.
 	return {
-		target: {kind: 'model', name: model}, chat, prefix: prefixGroup(promptPrefix(chat)), repeatable: true,
+		target: {kind: 'model', name: model, key: `model:${model}`}, chat, prefix: prefixGroup(promptPrefix(chat)), repeatable: true,
 	};
 };
 
--- a/packages/requests/src/constants.ts
+++ b/packages/requests/src/constants.ts
@@ -44,6 +44,10 @@
 export const MIN_RETRIES = 10;
 export const MAX_SAVED_RETRIES = 100;
 
+/** Calls that wait for a model or service at an entry: the larger of a minimum and a multiple of what its agents run at the same time. */
+export const MIN_WAITING = 16;
+export const MAX_WAITING_FACTOR = 2;
+
 /** Forwarding attempts for one request, the first included. */
 export const MAX_ATTEMPTS = 4;
 
@@ -53,6 +57,9 @@
 /** Time during which an entry avoids an agent after a rejection with this reason, in milliseconds. Reasons that are due to the request itself do not count. */
 export const AVOID_MS_BY_REASON: ReadonlyMap<string, number> = new Map([['leaving', 5000], ['upstream-down', 1000], ['wrong-incarnation', 1000]]);
 
+/** Time during which an agent that rejected a call because it is full gets no other, unless it answers one before, in milliseconds. */
+export const FULL_MS = 100;
+
 /** Time over which a reported load loses its weight, in milliseconds. */
 export const LOAD_REPORT_LIFETIME_MS = 1000;
 
--- a/packages/requests/src/entry-context.ts
+++ b/packages/requests/src/entry-context.ts
@@ -8,10 +8,12 @@
 import type {Quarantine} from './quarantine.js';
 import type {Settlement} from './settlement.js';
 import type {Supervisor} from './supervisor.js';
+import type {TargetQueues} from './target-queues.js';
 
 export type EntryContext = {
 	readonly ids: RequestIds;
 	readonly router: Router;
+	readonly queues: TargetQueues;
 	readonly pools: ConnectionPools;
 	readonly settlement: Settlement;
 	readonly supervisor: Supervisor;
--- a/packages/requests/src/entry-server.ts
+++ b/packages/requests/src/entry-server.ts
@@ -26,6 +26,7 @@
 import {Router} from './router.js';
 import {Settlement} from './settlement.js';
 import {Supervisor} from './supervisor.js';
+import {TargetQueues} from './target-queues.js';
 
 export type EntryServerOptions = {
 	readonly selfId: string;
@@ -64,13 +65,15 @@
 			selfId, members, peerClient, peerServer, keyValue, log, metrics, clock = new SystemClock(), random = systemRandom(),
 		} = options;
 		const quarantine = new Quarantine({clock});
+		const router = new Router({members, random, clock});
 		const settlement = new Settlement({client: peerClient});
 		this.#options = options;
 		this.#clock = clock;
 		this.#ids = new RequestIds({selfId, incarnation: members.self.incarnation});
 		this.#context = {
 			ids: this.#ids,
-			router: new Router({members, random, clock}),
+			router,
+			queues: new TargetQueues({router}),
 			pools: new ConnectionPools(),
 			settlement,
 			supervisor: new Supervisor({clock, log}),
@@ -115,6 +118,7 @@
 		});
 		const bound = this.#server.address();
 		this.#address = `${host}:${typeof bound === 'object' && bound ? bound.port : 0}`;
+		this.#context.supervisor.add(this.#context.queues);
 		this.#context.supervisor.start();
 		this.#claims.start();
 	}
--- a/packages/requests/src/forwarding.ts
+++ b/packages/requests/src/forwarding.ts
@@ -1,13 +1,14 @@
 /** Has a call answered: chooses agents, retries what may be retried and settles what may not. */
 import type {Permit} from '@yuccawood/accounts';
+import {AgentChoice} from './agent-choice.js';
 import {Attempt, type AttemptEnd, type AttemptFailure} from './attempt.js';
 import type {Call} from './call.js';
 import type {Claim} from './claims.js';
 import type {CallerResponse} from './caller-response.js';
-import {AVOID_FAILED_MS, AVOID_MS_BY_REASON, MAX_ATTEMPTS} from './constants.js';
+import {AVOID_FAILED_MS, AVOID_MS_BY_REASON} from './constants.js';
 import type {EntryContext} from './entry-context.js';
 import type {ExecutionOutcome, RequestError, RequestErrorKind} from './errors.js';
-import {createFailure, createQuarantineFailure} from './failures.js';
+import {createFailure} from './failures.js';
 import {createForwardedRequest, prepareBody} from './forwarded-request.js';
 import {attributeDeath, replacePath} from './path-repair.js';
 import type {Agent} from './router.js';
@@ -32,7 +33,7 @@
 	readonly #response: CallerResponse;
 	readonly #claim: Claim | undefined;
 	readonly #body: Uint8Array | undefined;
-	readonly #excluded = new Set<string>();
+	readonly #choice: AgentChoice;
 	#mayHaveRun = false;
 
 	constructor({context, call, permit, response, claim}: ForwardingOptions) {
@@ -42,6 +43,9 @@
 		this.#response = response;
 		this.#claim = claim;
 		this.#body = prepareBody(call, permit);
+		this.#choice = new AgentChoice({
+			context, call, permit, response,
+		});
 	}
 
 	get #outcome(): ExecutionOutcome {
@@ -52,9 +56,9 @@
 	async run(): Promise<void> {
 		this.#context.budget.deposit();
 		let lastFailure: RequestError | undefined;
-		for (let attempt = 1; !this.#response.isGone; attempt++) {
-			const agent = this.#choose(attempt, lastFailure);
-			if (attempt > 1) {
+		while (!this.#response.isGone) {
+			const agent = await this.#choice.next({failure: lastFailure, outcome: this.#outcome});
+			if (lastFailure) {
 				this.#renewId();
 			}
 
@@ -69,10 +73,6 @@
 				return;
 			}
 
-			if (end.kind !== 'settled-not-run') {
-				this.#excluded.add(agent.id);
-			}
-
 			lastFailure = await this.#handleFailure(agent, end);
 			if (!lastFailure) {
 				return;
@@ -80,28 +80,6 @@
 		}
 	}
 
-	#choose(attempt: number, lastFailure: RequestError | undefined): Agent {
-		const {router, budget, clock, metrics, quarantine} = this.#context;
-		if (quarantine.isQuarantined(this.#call.fingerprint)) {
-			throw createQuarantineFailure(this.#outcome);
-		}
-
-		if (lastFailure && (attempt > MAX_ATTEMPTS || clock.monotonic() >= this.#call.deadlineAt || !budget.withdraw())) {
-			throw lastFailure;
-		}
-
-		const agent = router.choose(this.#call.target, {excluded: this.#excluded, prefix: this.#call.prefix});
-		if (!agent) {
-			throw lastFailure ?? this.#failure('no-agent', `No agent of ${this.#call.target.name} takes work.`);
-		}
-
-		if (lastFailure) {
-			metrics.count('requests.retries', {reason: lastFailure.kind});
-		}
-
-		return agent;
-	}
-
 	/** Each attempt has its own id, because an agent never runs an id that it settled as not run. */
 	#renewId(): void {
 		const requestId = this.#context.ids.next();
@@ -110,7 +88,7 @@
 	}
 
 	async #attempt(agent: Agent): Promise<AttemptEnd> {
-		const {pools, supervisor, settlement, clock, quarantine} = this.#context;
+		const {pools, supervisor, settlement, clock, quarantine, queues} = this.#context;
 		const call = this.#call;
 		const attempt = new Attempt({
 			call,
@@ -126,6 +104,7 @@
 		});
 		agent.load.own++;
 		supervisor.add(attempt);
+		queues.pump(call.target);
 		try {
 			const end = await attempt.start();
 			if (end.kind === 'answered') {
@@ -136,12 +115,17 @@
 		} finally {
 			supervisor.remove(attempt);
 			agent.load.own--;
+			queues.pump(call.target);
 		}
 	}
 
 	/** @returns the failure to report if no other attempt is made, or `undefined` when the caller has an answer after all. */
 	async #handleFailure(agent: Agent, end: AttemptFailure): Promise<RequestError | undefined> {
 		const {router} = this.#context;
+		if (end.kind !== 'settled-not-run' && (end.kind !== 'rejected' || end.reason !== 'overloaded')) {
+			this.#choice.exclude(agent);
+		}
+
 		switch (end.kind) {
 			case 'rejected': {
 				return this.#handleRejection(agent, end);
@@ -172,6 +156,10 @@
 	#handleRejection(agent: Agent, {reason, outcome, death}: Rejection): RequestError {
 		const {router, metrics, deaths} = this.#context;
 		metrics.count('requests.rejected', {reason});
+		if (reason === 'overloaded') {
+			agent.load.reportFull(this.#context.clock.monotonic());
+		}
+
 		if (outcome === 'not-run') {
 			// A rejection that is due to the request itself must not keep other requests from the agent.
 			const avoidMs = AVOID_MS_BY_REASON.get(reason);
--- a/packages/requests/src/router.ts
+++ b/packages/requests/src/router.ts
@@ -2,12 +2,13 @@
 import {score, type Clock, type Random} from '@yuccawood/common';
 import type {MemberRecord, MemberTable} from '@yuccawood/membership';
 import type {Target} from './call.js';
-import {AFFINITY_SLACK, LOAD_REPORT_LIFETIME_MS} from './constants.js';
+import {AFFINITY_SLACK, FULL_MS, LOAD_REPORT_LIFETIME_MS} from './constants.js';
 
 /** What an entry knows about the load of one agent. */
 class AgentLoad {
 	own = 0;
 	avoidUntil = 0;
+	#fullUntil = 0;
 	#othersReported = 0;
 	#reportedAt = Number.NEGATIVE_INFINITY;
 
@@ -15,10 +16,20 @@
 	report(total: number, now: number): void {
 		this.#othersReported = Math.max(0, total - this.own);
 		this.#reportedAt = now;
+		this.#fullUntil = 0;
+	}
+
+	/** Notes that the agent rejected a call because it is full. */
+	reportFull(now: number): void {
+		this.#fullUntil = now + FULL_MS;
 	}
 
 	/** Own requests plus the reported ones of others, which lose weight with age. */
 	estimate(now: number): number {
+		if (now < this.#fullUntil) {
+			return Number.POSITIVE_INFINITY;
+		}
+
 		const age = now - this.#reportedAt;
 		const weight = age < LOAD_REPORT_LIFETIME_MS ? 1 - (age / LOAD_REPORT_LIFETIME_MS) : 0;
 		return this.own + (this.#othersReported * weight);
@@ -43,8 +54,6 @@
 	readonly prefix?: string;
 };
 
-const targetKey = ({kind, name}: Target): string => `${kind}:${name}`;
-
 const targetsOf = ({upstream}: MemberRecord): readonly string[] => {
 	if (!upstream?.ready) {
 		return [];
@@ -76,7 +85,7 @@
 
 	/** @returns the better of two agents of the nearest tier that has one with room, or `undefined` when none is left. */
 	choose(target: Target, {excluded, prefix}: Choice): Agent | undefined {
-		const tiers = this.#currentTiers().get(targetKey(target)) ?? [];
+		const tiers = this.#currentTiers().get(target.key) ?? [];
 		const now = this.#clock.monotonic();
 		let full: Agent | undefined;
 		for (const tier of tiers) {
@@ -92,6 +101,33 @@
 		return full;
 	}
 
+	/** Whether the target has agents and none of them has room. */
+	isFull(target: Target): boolean {
+		const now = this.#clock.monotonic();
+		let isFull = false;
+		for (const tier of this.#currentTiers().get(target.key) ?? []) {
+			for (const {load, capacity} of tier) {
+				if (load.avoidUntil > now) {
+					continue;
+				}
+
+				if (load.estimate(now) < capacity) {
+					return false;
+				}
+
+				isFull = true;
+			}
+		}
+
+		return isFull;
+	}
+
+	/** Calls that all agents of the target run at the same time. */
+	capacity(target: Target): number {
+		const agents = this.#currentTiers().get(target.key)?.flat() ?? [];
+		return agents.reduce((total, {capacity}) => total + capacity, 0);
+	}
+
 	/** Sends no calls to the agent for a time. */
 	avoid({load}: Agent, milliseconds: number): void {
 		load.avoidUntil = this.#clock.monotonic() + milliseconds;
--- /dev/null
+++ b/packages/requests/src/target-queues.ts
@@ -0,0 +1,50 @@
+/** The queues of an entry, one for each model or service that has been asked for. */
+import type {Target} from './call.js';
+import type {Router} from './router.js';
+import type {Supervised} from './supervisor.js';
+import {TargetQueue, type QueueAnswer, type Ticket} from './target-queue.js';
+
+export class TargetQueues implements Supervised {
+	readonly #router: Router;
+	readonly #queues = new Map<string, TargetQueue>();
+
+	constructor({router}: {readonly router: Router}) {
+		this.#router = router;
+	}
+
+	/** Whether a call of the target may go on without waiting. */
+	isOpen(target: Target): boolean {
+		return (this.#queues.get(target.key)?.length ?? 0) === 0 && !this.#router.isFull(target);
+	}
+
+	async enter(target: Target, ticket: Ticket): Promise<QueueAnswer> {
+		return this.#queue(target).enter(ticket);
+	}
+
+	/** Admits the next call of the target if an agent has room. */
+	pump(target: Target): void {
+		const queue = this.#queues.get(target.key);
+		if (queue && queue.length > 0) {
+			queue.pump();
+		}
+	}
+
+	/** Room also appears without an end of an own call, when other entries use less. */
+	check(now: number): void {
+		for (const queue of this.#queues.values()) {
+			queue.expire(now);
+			queue.pump();
+		}
+	}
+
+	#queue(target: Target): TargetQueue {
+		const known = this.#queues.get(target.key);
+		if (known) {
+			return known;
+		}
+
+		const queue = new TargetQueue({isFull: () => this.#router.isFull(target), capacity: () => this.#router.capacity(target)});
+		this.#queues.set(target.key, queue);
+		return queue;
+	}
+}
