--- a/packages/cli/src/program.test.ts
+++ b/packages/cli/src/program.test.ts
@@ -128,6 +128,8 @@
 	it('edits from standard input or an editor, shows the difference and reverts as a new revision', async () => {
 		standardInput = 'balance = 0.9\n';
 		expect(await run('edit', 'rollout', '--team', 'models')).to.equal(EXIT_CODES.done);
+		standardInput = '';
+		expect(await run('edit', 'rollout', '--team', 'models')).to.equal(EXIT_CODES.usage);
 		standardInput = undefined;
 		editor = 'sed -i s/0.9/0.2/';
 		expect(await run('edit', 'rollout', '--team', 'models')).to.equal(EXIT_CODES.done);
@@ -157,6 +159,9 @@
 			expect(errors).to.contain('1 of 2').and.contain('missing: b').and.contain('2 of 2');
 			expect(await run('status', '--wait', '--peer', peer, '--revision', '7', '--wait-seconds', '0.5')).to.equal(EXIT_CODES.timeout);
 			expect(errors).to.contain('missing: a, b');
+			standIn.setFaults({outage: 'refused'});
+			expect(await run('status', '--peer', peer, '--timeout', '0.3')).to.equal(EXIT_CODES.done);
+			expect(output).to.contain('Revision 1 is in force on 2 of 2 live members.');
 		} finally {
 			await peerServer.close();
 		}
