Refuse late requests for a while before a stopping agent closes

Ruled out: a request cut while it ran; the service never ran the order. Change: a stopping agent waits for its notices to the entries, then refuses new calls as not-run for 3 s (the bound for a leaving VM) before it closes; the peer server closes idle connections first and cuts others after 300 ms.

--- a/packages/common/src/constants.ts
+++ b/packages/common/src/constants.ts
@@ -9,3 +9,6 @@
 
 /** Connections kept to one peer. Calls over a fresh connection do not use them. */
 export const CONNECTIONS_PER_PEER = 2;
+
+/** Time that a closing peer server gives answers that are being written. Held requests of peers are cut after it. */
+export const CLOSE_GRACE_MS = 300;
--- a/packages/common/src/peer-server.ts
+++ b/packages/common/src/peer-server.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import {JSONRPCServer, type JSONRPCRequest} from 'json-rpc-2.0';
-import {MAX_RPC_BODY_BYTES} from './constants.js';
+import {CLOSE_GRACE_MS, MAX_RPC_BODY_BYTES} from './constants.js';
 import {describeError} from './errors.js';
 import {readBody, sendJson} from './http-bodies.js';
 
@@ -62,16 +62,24 @@
 		return typeof address === 'object' && address ? address.port : port;
 	}
 
-	/** Stops listening and closes all connections at once. Call it after requests in progress have ended. */
+	/**
+	Stops listening, closes idle connections and waits a moment for answers that are being written.
+
+	Call it after requests in progress have ended.
+	*/
 	async close(): Promise<void> {
+		const timer = setTimeout(() => {
+			for (const socket of this.#sockets) {
+				socket.destroy();
+			}
+		}, CLOSE_GRACE_MS);
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
 			});
-			for (const socket of this.#sockets) {
-				socket.destroy();
-			}
+			this.#server.closeIdleConnections();
 		});
+		clearTimeout(timer);
 	}
 
 	async #handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
--- a/packages/daemon/src/agent-process.ts
+++ b/packages/daemon/src/agent-process.ts
@@ -6,6 +6,9 @@
 import {stopAfterDrain} from './stop-after-drain.js';
 import type {AgentSettings} from './types.js';
 
+/** Time in which all entries learn that an agent leaves. */
+const LEAVE_NOTICE_MS = 3000;
+
 const initialSummary = ({upstream: {kind, service, capacity}}: AgentSettings): UpstreamSummary => ({
 	kind, service, capacity, ready: false, served: [], held: [],
 });
@@ -94,11 +97,20 @@
 			log: log.part('lifecycle'),
 			metrics,
 			steps: [
+				{
+					name: 'tell members',
+					run: async () => gossip.leave(),
+				},
 				{
 					name: 'finish requests',
 					run: async () => this.requests.drain(),
 					limitMs: stopLimitMs,
 				},
+				{
+					// An entry that has not heard of the leave gets a refusal; a closed connection would leave the outcome unknown.
+					name: 'refuse late requests',
+					run: async signal => clock.sleep(LEAVE_NOTICE_MS, signal),
+				},
 				{
 					name: 'end tasks',
 					run: async () => {
