--- a/packages/bench/src/golden/session-fleet.ts
+++ b/packages/bench/src/golden/session-fleet.ts
@@ -94,11 +94,16 @@
 	/** Moves time until the work has ended, for work that waits for timers of the held clock. */
 	async settle<Value>(work: Promise<Value>, stepMs = 100): Promise<Value> {
 		let isDone = false;
-		const watched = work.finally(() => {
-			isDone = true;
-		});
-		await this.advanceUntil(() => isDone, stepMs);
-		return watched;
+		const watch = async (): Promise<void> => {
+			try {
+				await work;
+			} finally {
+				isDone = true;
+			}
+		};
+
+		await Promise.all([watch(), this.advanceUntil(() => isDone, stepMs)]);
+		return work;
 	}
 
 	async close(): Promise<void> {
--- a/packages/bench/src/golden/sessions.ts
+++ b/packages/bench/src/golden/sessions.ts
@@ -3,7 +3,7 @@
 import {seededRandom} from '@yuccawood/common';
 import {modelSection} from '../fleet/document.js';
 import {recordCall} from './caller.js';
-import {MODEL, SessionFleet} from './session-fleet.js';
+import {MODEL, type SessionFleet} from './session-fleet.js';
 
 export type Session = {
 	/** Name of the golden file. */
@@ -11,7 +11,7 @@
 	readonly run: (fleet: SessionFleet) => Promise<void>;
 };
 
-const chat = (fleet: SessionFleet, entry: string, {content, stream = false, model = MODEL, tokens = 3}: {
+const chat = async (fleet: SessionFleet, entry: string, {content, stream = false, model = MODEL, tokens = 3}: {
 	readonly content: string;
 	readonly stream?: boolean;
 	readonly model?: string;
@@ -20,11 +20,11 @@
 	address: fleet.entryAddress(entry),
 	path: '/v1/chat/completions',
 	body: {
-		model, messages: [{role: 'user', content}], max_tokens: tokens, stream, // eslint-disable-line @typescript-eslint/naming-convention -- Name of the chat-completions format.
+		model, messages: [{role: 'user', content}], max_tokens: tokens, stream,
 	},
 });
 
-const order = (fleet: SessionFleet, entry: string, key: string) => recordCall(fleet.transcript, 'caller', {
+const order = async (fleet: SessionFleet, entry: string, key: string) => recordCall(fleet.transcript, 'caller', {
 	address: fleet.entryAddress(entry), path: '/orders/new', headers: {'idempotency-key': key}, body: {item: 'kit', key},
 });
 
@@ -127,7 +127,8 @@
 		});
 		await fleet.advanceUntil(() => [...fleet.entries.values()].every(({node}) => node.configuration.current?.revision === 4));
 		const limit = new TimeLimit({clock: fleet.clock, random: seededRandom('history'), milliseconds: 5000});
-		const {edits} = (await listHistory({keyValue: fleet.keyValue, limit})).unwrap();
+		const history = await listHistory({keyValue: fleet.keyValue, limit});
+		const {edits} = history.unwrap();
 		for (const {revision, author, section, baseRevision} of edits) {
 			fleet.transcript.add('operators', `history: revision ${revision} by ${author}, ${section} from revision ${baseRevision}`);
 		}
