--- a/packages/weights/src/chunk-server.ts
+++ b/packages/weights/src/chunk-server.ts
@@ -25,7 +25,6 @@
 	readonly uploads: UploadQueue;
 	readonly bucket: TokenBucket;
 	readonly metrics: Metrics;
-
 	readonly manifests: ManifestLibrary;
 };
 
