Admit requests by pool and read the incarnation on each use

An agent took its incarnation before joining, which may raise it when the clock ran back. Ruled out: a larger queue, which only moves the refusals. Change: admission and capacity by pool; the incarnation is read when used; the process signal takes any number of listeners.

--- a/packages/daemon/src/agent-process.ts
+++ b/packages/daemon/src/agent-process.ts
@@ -35,7 +35,12 @@
 		} = this.node;
 		const {upstream} = settings;
 		this.requests = new AgentRequests({
-			selfId: settings.id, incarnation: gossip.self.incarnation, upstreamAddress: upstream.address, kind: upstream.kind, service: upstream.service,
+			selfId: settings.id,
+			// Joining may raise the incarnation when the clock ran back over a restart, so it is read on each use.
+			get incarnation() {
+				return gossip.self.incarnation;
+			},
+			upstreamAddress: upstream.address, kind: upstream.kind, service: upstream.service,
 			capacity: upstream.capacity, serving: () => engine?.weights.serving ?? [], peerServer, log: log.part('requests'), metrics, clock,
 			onLiveLatency(milliseconds) {
 				engine?.weights.reportLiveLatency(milliseconds);
--- a/packages/daemon/src/fleet-capacity.ts
+++ b/packages/daemon/src/fleet-capacity.ts
@@ -4,21 +4,29 @@
 export class FleetCapacity {
 	readonly #members: MemberTable;
 	#seen: MemberTable['members'] | undefined;
-	#capacity = 0;
+	#byPool = new Map<string, number>();
 
 	constructor({members}: {readonly members: MemberTable}) {
 		this.#members = members;
 	}
 
-	readonly current = (): number => {
+	readonly current = (pool: string): number => {
 		const {members} = this.#members;
 		if (members !== this.#seen) {
 			this.#seen = members;
-			this.#capacity = members
-				.filter(({status, upstream}) => status === 'alive' && upstream?.ready)
-				.reduce((sum, {upstream}) => sum + (upstream?.capacity ?? 0), 0);
+			this.#byPool = new Map();
+			for (const {status, upstream} of members) {
+				if (status !== 'alive' || !upstream?.ready) {
+					continue;
+				}
+
+				const names = upstream.kind === 'service' ? [`service:${upstream.service}`] : upstream.served.map(({name}) => `model:${name}`);
+				for (const name of names) {
+					this.#byPool.set(name, (this.#byPool.get(name) ?? 0) + upstream.capacity);
+				}
+			}
 		}
 
-		return this.#capacity;
+		return this.#byPool.get(pool) ?? 0;
 	};
 }
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -1,4 +1,5 @@
 /** Parts that entries and agents have in common. */
+import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {
 	createLog, PeerClient, PeerServer, SystemClock, systemRandom, type Clock, type Log, type Random,
@@ -45,6 +46,8 @@
 	#clientBytes = 0;
 
 	constructor({settings, role, upstream, environment = {}}: NodeOptions) {
+		// Every task of the process listens to this one signal.
+		setMaxListeners(0, this.#ended.signal);
 		this.settings = settings;
 		this.#role = role;
 		this.log = environment.log ?? createLog({...settings.log, fields: {vm: settings.id}});
--- a/packages/requests/src/entry-server.ts
+++ b/packages/requests/src/entry-server.ts
@@ -205,8 +205,8 @@
 		return call.repeatable || call.idempotencyKey === undefined ? undefined : this.#claims.begin(call, account);
 	}
 
-	async #admit({bearer, deadlineAt}: Call): Promise<Permit> {
-		const admitted = await this.#options.admission.admit({bearer, deadlineMs: deadlineAt - this.#clock.monotonic()});
+	async #admit({bearer, deadlineAt, target}: Call): Promise<Permit> {
+		const admitted = await this.#options.admission.admit({bearer, pool: `${target.kind}:${target.name}`, deadlineMs: deadlineAt - this.#clock.monotonic()});
 		if (admitted.ok) {
 			return admitted.val;
 		}
