--- a/packages/common/src/peer-server.ts
+++ b/packages/common/src/peer-server.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import {JSONRPCServer, type JSONRPCRequest} from 'json-rpc-2.0';
-import {CLOSE_GRACE_MS, MAX_RPC_BODY_BYTES} from './constants.js';
+import {MAX_RPC_BODY_BYTES} from './constants.js';
 import {describeError} from './errors.js';
 import {readBody, sendJson} from './http-bodies.js';
 
@@ -63,22 +63,31 @@
 	}
 
 	/**
-	Stops listening, closes idle connections and waits a moment for answers that are being written.
+	Stops listening, closes idle connections, and after the grace the others.
 
-	Call it after requests in progress have ended.
+	@param graceMs time for answers that are being written, in milliseconds. Without it connections are cut at once.
 	*/
-	async close(): Promise<void> {
-		const timer = setTimeout(() => {
+	async close({graceMs = 0}: {readonly graceMs?: number} = {}): Promise<void> {
+		const cut = (): void => {
 			for (const socket of this.#sockets) {
 				socket.destroy();
 			}
-		}, CLOSE_GRACE_MS);
-		await new Promise<void>(resolve => {
+		};
+
+		const closed = new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
 			});
-			this.#server.closeIdleConnections();
 		});
+		if (graceMs === 0) {
+			cut();
+			await closed;
+			return;
+		}
+
+		this.#server.closeIdleConnections();
+		const timer = setTimeout(cut, graceMs);
+		await closed;
 		clearTimeout(timer);
 	}
 
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -2,7 +2,7 @@
 import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {
-	createLog, PeerClient, PeerServer, SystemClock, systemRandom, type Clock, type Log, type Random,
+	CLOSE_GRACE_MS, createLog, PeerClient, PeerServer, SystemClock, systemRandom, type Clock, type Log, type Random,
 } from '@yuccawood/common';
 import {ConfigurationDistributor} from '@yuccawood/configuration';
 import {ProcessLifecycle, type LeaveSign} from '@yuccawood/lifecycle';
@@ -95,7 +95,7 @@
 
 	/** Closes what the process still holds, after its tasks have ended. */
 	async close(): Promise<void> {
-		await this.peerServer.close();
+		await this.peerServer.close({graceMs: CLOSE_GRACE_MS});
 		await this.peerClient.close();
 		this.metrics.close();
 	}
