Accept answers of every verified version while an engine switches

Cause: an agent checked answers against the versions that it serves now. At a switch the new version answers before the agent has read the engine's state again, and calls in progress end on the old one; both were discarded as unverified and run again. Ruled out: accepting any version the engine names; only versions whose hash the engine confirmed to this agent count. Change: WeightManager.isVerified decides; a test sends an answer of the new and one of the old version during a switch. Conclusion: no good answer is thrown away at a switch.

--- a/packages/daemon/src/agent-process.ts
+++ b/packages/daemon/src/agent-process.ts
@@ -41,7 +41,9 @@
 				return gossip.self.incarnation;
 			},
 			upstreamAddress: upstream.address, kind: upstream.kind, service: upstream.service,
-			capacity: upstream.capacity, serving: () => engine?.weights.serving ?? [], peerServer, log: log.part('requests'), metrics, clock,
+			capacity: upstream.capacity, serving: () => engine?.weights.serving ?? [],
+			isVerified: (name, manifest) => engine?.weights.isVerified(name, manifest) ?? false,
+			peerServer, log: log.part('requests'), metrics, clock,
 			onLiveLatency(milliseconds) {
 				engine?.weights.reportLiveLatency(milliseconds);
 			},
--- a/packages/requests/src/agent-requests.ts
+++ b/packages/requests/src/agent-requests.ts
@@ -9,6 +9,7 @@
 import {readLimitedBody} from './call.js';
 import {MAX_FORWARDED_BODY_BYTES} from './constants.js';
 import {RequestError} from './errors.js';
+import type {VersionCheck} from './engine-response.js';
 import type {ExchangeRequest} from './exchange.js';
 import {parseForwardedHead, type ForwardedHead} from './forwarded-head.js';
 import {
@@ -45,6 +46,9 @@
 
 	/** Versions whose weights were verified and that the upstream answers with. */
 	readonly serving: () => readonly ServedVersion[];
+
+	/** Versions whose answers may be passed on; by default those of `serving`. */
+	readonly isVerified?: VersionCheck;
 	readonly peerServer: PeerServer;
 
 	/** Tells how many requests the engine has, which tells silent connections from a slow engine. By default the engine at `upstreamAddress`. */
@@ -77,8 +81,9 @@
 		this.#options = options;
 		this.#clock = clock;
 		this.#limit = capacity + queueLimit;
+		const isServed: VersionCheck = (name, manifest) => options.serving().some(version => version.name === name && version.manifest === manifest);
 		this.#upstream = new Upstream({
-			...options, address: upstreamAddress, clock, records: this.#records, onLiveLatency, onLiveBytes,
+			...options, isVerified: options.isVerified ?? isServed, address: upstreamAddress, clock, records: this.#records, onLiveLatency, onLiveBytes,
 		});
 		peerServer.handle(`${PREFIX}/`, async (request, response) => this.#handle(request, response));
 		peerServer.method('requests.settle', async (question: SettleQuestion) => this.#settle(question));
--- a/packages/requests/src/engine-response.ts
+++ b/packages/requests/src/engine-response.ts
@@ -1,11 +1,18 @@
 /** Checks of an engine's response before any of it is passed on. */
-import type {ServedVersion} from '@yuccawood/membership';
 import {RequestError, type RequestErrorKind} from './errors.js';
 import {single, type ResponseHeaders} from './headers.js';
 
 /** Header in which an engine names the manifest hash of the version that answers. */
 export const MODEL_VERSION = 'x-model-version';
 
+/**
+Tells whether the agent verified the version of a model with this manifest hash.
+
+Not the same as the version served now: at a switch, requests in progress end on the old version, and the new one answers
+before the agent has read the engine's state again.
+*/
+export type VersionCheck = (name: string, manifest: string) => boolean;
+
 /** Statuses with which an engine rejects a request without running it: model not active, and queue full. */
 const REJECTIONS: ReadonlyMap<number, RequestErrorKind> = new Map([[404, 'wrong-version'], [409, 'wrong-version'], [503, 'overloaded']]);
 
@@ -14,9 +21,9 @@
 });
 
 /** @returns why the response must not be passed on, or `undefined` when it may. Errors that the caller has to correct carry no version and are passed on. */
-export const checkEngineResponse = (status: number, headers: ResponseHeaders, {model, serving}: {
+export const checkEngineResponse = (status: number, headers: ResponseHeaders, {model, isVerified}: {
 	readonly model: string | undefined;
-	readonly serving: readonly ServedVersion[];
+	readonly isVerified: VersionCheck;
 }): RequestError | undefined => {
 	const rejection = REJECTIONS.get(status);
 	if (rejection) {
@@ -32,7 +39,7 @@
 	}
 
 	const version = single(headers[MODEL_VERSION]);
-	if (serving.some(({name, manifest}) => manifest === version && name === model)) {
+	if (version !== undefined && model !== undefined && isVerified(model, version)) {
 		return undefined;
 	}
 
--- a/packages/requests/src/run-types.ts
+++ b/packages/requests/src/run-types.ts
@@ -1,9 +1,9 @@
 /** What a run of one request at the upstream works on and how it ends. */
 import type {ServerResponse} from 'node:http';
-import type {ServedVersion} from '@yuccawood/membership';
 import type {Dispatcher} from 'undici';
 import type {RequestError} from './errors.js';
 import type {ExchangeRequest} from './exchange.js';
+import type {VersionCheck} from './engine-response.js';
 import type {ForwardedHead} from './forwarded-head.js';
 import type {RequestRecord, RequestRecords} from './request-records.js';
 
@@ -25,7 +25,7 @@
 export type RunEnvironment = {
 	readonly kind: 'engine' | 'service';
 	readonly records: RequestRecords;
-	readonly serving: () => readonly ServedVersion[];
+	readonly isVerified: VersionCheck;
 	readonly now: () => number;
 	readonly onFirstByte: (milliseconds: number) => void;
 	readonly onBytes: (bytes: number) => void;
--- a/packages/requests/src/upstream-run.ts
+++ b/packages/requests/src/upstream-run.ts
@@ -67,10 +67,10 @@
 	}
 
 	onHead(status: number, headers: ResponseHeaders): void {
-		const {kind, serving, now, onFirstByte} = this.#environment;
+		const {kind, isVerified, now, onFirstByte} = this.#environment;
 		const {head, response, record, identity} = this.#job;
 		onFirstByte(now() - this.#startedAt);
-		this.#refusal = kind === 'engine' ? checkEngineResponse(status, headers, {model: head.model, serving: serving()}) : undefined;
+		this.#refusal = kind === 'engine' ? checkEngineResponse(status, headers, {model: head.model, isVerified}) : undefined;
 		if (this.#refusal) {
 			return;
 		}
--- a/packages/requests/src/upstream.ts
+++ b/packages/requests/src/upstream.ts
@@ -2,10 +2,10 @@
 import {
 	withTimeout, type Clock, type Log, type Metrics,
 } from '@yuccawood/common';
-import type {ServedVersion} from '@yuccawood/membership';
 import {HttpModelEngine, type EngineState, type ModelEngine} from '@yuccawood/platform';
 import {ConnectionPools} from './connection-pools.js';
 import {MAX_SILENT_STATES, QUERY_TIMEOUT_MS, SILENCE_MS} from './constants.js';
+import type {VersionCheck} from './engine-response.js';
 import type {ForwardedHead} from './forwarded-head.js';
 import type {RequestRecords} from './request-records.js';
 import {Supervisor} from './supervisor.js';
@@ -20,7 +20,7 @@
 	readonly incarnation: number;
 	readonly address: string;
 	readonly kind: 'engine' | 'service';
-	readonly serving: () => readonly ServedVersion[];
+	readonly isVerified: VersionCheck;
 	readonly engine?: Pick<ModelEngine, 'state'>;
 	readonly records: RequestRecords;
 	readonly clock: Clock;
@@ -61,7 +61,7 @@
 			},
 		});
 		this.#environment = {
-			kind, records: options.records, serving: options.serving, now: clock.monotonic, onFirstByte: options.onLiveLatency, onBytes: options.onLiveBytes,
+			kind, records: options.records, isVerified: options.isVerified, now: clock.monotonic, onFirstByte: options.onLiveLatency, onBytes: options.onLiveBytes,
 			judgeSilence: async (head, hasHead) => this.#judgeSilence(head, hasHead),
 			replaceConnections: () => this.#replaceConnections(),
 		};
--- a/packages/requests/src/verification.test.ts
+++ b/packages/requests/src/verification.test.ts
@@ -50,6 +50,20 @@
 		expect(reply.json()).to.include({status: 502, outcome: 'unknown'});
 	});
 
+	it('passes on answers of both verified versions while the engine switches, instead of running the calls again', async () => {
+		const next = 'c'.repeat(64);
+		const upstream = await fleet.upstream((_request, response) => {
+			response.writeHead(200, {'content-type': 'application/json', 'x-model-version': upstream.seen.length === 1 ? next : MODEL_HASH});
+			response.end('{}');
+		});
+		await fleet.agent('engine-1', upstream, {isVerified: (_name, manifest) => [MODEL_HASH, next].includes(manifest)});
+		const entry = await fleet.entry();
+		const first = await chat(entry, 'answered by the new version');
+		const second = await chat(entry, 'finished by the old version');
+		expect([first.status, second.status]).to.deep.equal([200, 200]);
+		expect(upstream.seen).to.have.length(2);
+	});
+
 	it('rejects a request that insists on a version which is not served', async () => {
 		const upstream = await fleet.upstream(answerChat);
 		await fleet.agent('engine-1', upstream);
--- a/packages/weights/src/rollout.ts
+++ b/packages/weights/src/rollout.ts
@@ -34,7 +34,7 @@
 	readonly onHeld: () => void;
 
 	/** Called when the engine has confirmed the manifest hash. */
-	readonly onConfirmed: (manifest: string) => void;
+	readonly onConfirmed: (manifest: string, name: string) => void;
 
 	/** Whether the engine has loaded the version with this manifest. */
 	readonly isLoaded: (manifest: string) => Promise<boolean>;
@@ -83,7 +83,7 @@
 		}
 	}
 
-	onConfirmed(known.hash);
+	onConfirmed(known.hash, known.manifest.name);
 	await waitForTurn(target, options, signal);
 	if (signal.aborted) {
 		return undefined;
--- a/packages/weights/src/weight-manager.ts
+++ b/packages/weights/src/weight-manager.ts
@@ -30,8 +30,8 @@
 	readonly #published = new Publisher<readonly ServedVersion[]>();
 	readonly #rollouts = new Map<string, RunningRollout>();
 
-	/** Manifests whose version in the engine this agent has verified. */
-	readonly #verified = new Set<string>();
+	/** Manifests whose version in the engine this agent has verified, with the name of the model or adapter. */
+	readonly #verified = new Map<string, string>();
 	readonly #adopting = new Set<string>();
 	#serving: readonly ServedVersion[] = [];
 	#pauseEnd = new AbortController();
@@ -74,6 +74,11 @@
 		};
 	}
 
+	/** Tells whether this agent verified the version with this manifest hash, whether it is active now or not. */
+	isVerified(name: string, manifest: string): boolean {
+		return this.#verified.get(manifest) === name;
+	}
+
 	/** Records bytes of live requests and responses; transfers leave them their share of the link. */
 	reportLiveBytes(bytes: number): void {
 		this.#exchange.budget.reportBytes(bytes);
@@ -162,7 +167,7 @@
 			}
 
 			if (targets.some(target => target.manifest === manifest)) {
-				this.#verified.add(manifest);
+				this.#verified.set(manifest, version.name);
 				continue;
 			}
 
@@ -176,7 +181,7 @@
 		const known = await this.#exchange.manifests.fetch(version.manifest, version, signal);
 		this.#adopting.delete(version.manifest);
 		if (known) {
-			this.#verified.add(version.manifest);
+			this.#verified.set(version.manifest, version.name);
 			this.#wake();
 		}
 	}
@@ -222,8 +227,8 @@
 			onHeld: () => {
 				this.#publish();
 			},
-			onConfirmed: manifest => {
-				this.#verified.add(manifest);
+			onConfirmed: (manifest, name) => {
+				this.#verified.set(manifest, name);
 			},
 			isLoaded: async manifest => this.#monitor.isLoaded(manifest),
 		};
