Check invariants inside the daemons and fail the soak run on them

Ruled out: stopping the process on a violation, which would cut requests that are not affected. Change: Invariants counts and logs violations: a revision that does not rise, a planned stop with requests in progress, a request id that runs twice. The soak's observer reads the counter; a broken invariant is a violation. Conclusion: a soak run now also sees what only the process itself can see.

--- a/packages/bench/src/soak/checks.test.ts
+++ b/packages/bench/src/soak/checks.test.ts
@@ -65,6 +65,11 @@
 		expect(rules({revisions: [{process: 'e', at: 1, revision: 2}, {process: 'e', at: 2, revision: 0}, {process: 'e', at: 3, revision: 1}]})).to.deep.equal(['revision-reverted']);
 	});
 
+	it('reports a process that counted a broken invariant of its own, once', () => {
+		const broken = {process: 'e', revision: 1, brokenInvariants: 1};
+		expect(rules({revisions: [{...broken, at: 1}, {...broken, at: 2}]})).to.deep.equal(['invariant-broken']);
+	});
+
 	it('finds edits that were lost, made twice, or made although they were refused', () => {
 		const edits = [
 			{editId: 'a', result: 'accepted', reason: undefined}, {editId: 'b', result: 'refused', reason: 'conflict'}, {editId: 'c', result: 'unknown', reason: undefined},
--- a/packages/bench/src/soak/checks.ts
+++ b/packages/bench/src/soak/checks.ts
@@ -130,6 +130,12 @@
 	return [...duplicated, ...wrong];
 };
 
+/** Processes that counted a broken invariant of their own; one finding for each process. */
+const brokenInvariants = ({revisions}: Evidence): readonly Finding[] => {
+	const broken = new Map(revisions.filter(sample => (sample.brokenInvariants ?? 0) > 0).map(sample => [sample.process, sample]));
+	return [...broken.values()].map(({process, at, brokenInvariants: count}) => ({rule: 'invariant-broken', detail: `${process} counted ${count} broken invariants; see its log.`, at}));
+};
+
 /** All violations, each with its trace. */
 export const check = (evidence: Evidence): readonly Violation[] => {
 	const runs = runsByContent(evidence);
@@ -140,6 +146,7 @@
 		...duplicates(evidence, runs),
 		...unverifiedVersions(evidence),
 		...reverts(evidence),
+		...brokenInvariants(evidence),
 		...cutByStops(evidence),
 		...wrongEdits(evidence),
 	];
--- a/packages/bench/src/soak/evidence.ts
+++ b/packages/bench/src/soak/evidence.ts
@@ -63,6 +63,9 @@
 	readonly process: string;
 	readonly at: number;
 	readonly revision: number;
+
+	/** Violations that the process counted of itself. */
+	readonly brokenInvariants?: number;
 };
 
 /** An edit with what its author was told. */
--- a/packages/bench/src/soak/observer.ts
+++ b/packages/bench/src/soak/observer.ts
@@ -1,10 +1,14 @@
 /** Samples the configuration revision of every process. */
-import {repeatUntilAborted} from '@yuccawood/common';
+import {BROKEN_INVARIANTS_METRIC, repeatUntilAborted} from '@yuccawood/common';
 import type {RevisionSample} from './evidence.js';
 import type {SoakSystem} from './system.js';
 
 const SAMPLE_INTERVAL_MS = 250;
 
+const countBroken = (counters: Readonly<Record<string, number>>): number => Object.entries(counters)
+	.filter(([name]) => name.startsWith(BROKEN_INVARIANTS_METRIC))
+	.reduce((sum, [, count]) => sum + count, 0);
+
 export class Observer {
 	readonly #system: SoakSystem;
 	readonly #samples: RevisionSample[] = [];
@@ -33,9 +37,11 @@
 	async #sample(id: string): Promise<void> {
 		const at = Date.now();
 		try {
-			const {phase, revision} = await this.#system.fleet.status(id);
+			const {phase, revision, counters} = await this.#system.fleet.status(id);
 			if (phase !== 'starting') {
-				this.#samples.push({process: id, at, revision});
+				this.#samples.push({
+					process: id, at, revision, brokenInvariants: countBroken(counters),
+				});
 			}
 		} catch {
 			// The process is down or frozen.
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -21,6 +21,7 @@
 } from './metrics.js';
 export {PeerServer, type PeerHandler} from './peer-server.js';
 export {PeerClient, type PeerClientOptions} from './peer-client.js';
+export {Invariants, BROKEN_INVARIANTS_METRIC, type Invariant} from './invariants.js';
 export {RpcError} from './rpc-errors.js';
 export {repeatUntilAborted, delay, withTimeout} from './tasks.js';
 export {readBody, sendJson} from './http-bodies.js';
--- a/packages/daemon/src/agent-process.ts
+++ b/packages/daemon/src/agent-process.ts
@@ -36,6 +36,7 @@
 		const {upstream} = settings;
 		this.requests = new AgentRequests({
 			selfId: settings.id,
+			invariants: this.node.invariants,
 			// Joining may raise the incarnation when the clock ran back over a restart, so it is read on each use.
 			get incarnation() {
 				return gossip.self.incarnation;
@@ -121,6 +122,7 @@
 				{
 					name: 'end tasks',
 					run: async () => {
+						this.node.invariants.check('stop-cuts-nothing', this.requests.inProgress === 0, {inProgress: this.requests.inProgress});
 						this.node.endTasks();
 						await gossip.depart();
 						await this.#engine?.lease.stopped();
--- a/packages/daemon/src/entry-process.ts
+++ b/packages/daemon/src/entry-process.ts
@@ -65,6 +65,7 @@
 				{
 					name: 'end tasks',
 					run: async () => {
+						this.node.invariants.check('stop-cuts-nothing', this.server.inProgress === 0, {inProgress: this.server.inProgress});
 						this.node.endTasks();
 						await gossip.depart();
 					},
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -2,7 +2,7 @@
 import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {
-	CLOSE_GRACE_MS, createLog, PeerClient, PeerServer, SystemClock, systemRandom, type Clock, type Log, type Random,
+	CLOSE_GRACE_MS, createLog, Invariants, PeerClient, PeerServer, SystemClock, systemRandom, type Clock, type Log, type Random,
 } from '@yuccawood/common';
 import {ConfigurationDistributor} from '@yuccawood/configuration';
 import {ProcessLifecycle, type LeaveSign} from '@yuccawood/lifecycle';
@@ -41,6 +41,7 @@
 	readonly gossip: Gossip;
 	readonly configuration: ConfigurationDistributor;
 	readonly lifecycle: ProcessLifecycle;
+	readonly invariants: Invariants;
 	readonly #role: Role;
 	readonly #ended = new AbortController();
 	#clientBytes = 0;
@@ -60,6 +61,7 @@
 			},
 		});
 		this.keyValue = environment.keyValue ?? new HttpKeyValueService({address: settings.platform.keyValue});
+		this.invariants = new Invariants({log: this.log.part('invariants'), metrics: this.metrics});
 		this.lifecycle = new ProcessLifecycle({log: this.log.part('lifecycle')});
 		this.gossip = this.#createGossip(upstream);
 		this.configuration = new ConfigurationDistributor({
@@ -80,6 +82,7 @@
 		await this.gossip.start(this.signal);
 		await this.configuration.start(this.signal);
 		this.#followOwnRole();
+		this.#watchRevisions();
 	}
 
 	/** Leaves for good, also while the process is still starting. */
@@ -148,6 +151,14 @@
 		});
 	}
 
+	#watchRevisions(): void {
+		let highest = this.configuration.current?.revision ?? 0;
+		void this.configuration.changes.observe(({revision}) => {
+			this.invariants.check('revision-rises', revision > highest, {revision, highest});
+			highest = Math.max(highest, revision);
+		});
+	}
+
 	/** Drains and resumes as the section of this VM in the configuration says. */
 	#followOwnRole(): void {
 		const follow = (): void => {
--- a/packages/requests/src/agent-requests.ts
+++ b/packages/requests/src/agent-requests.ts
@@ -1,7 +1,7 @@
 /** Runs the requests that entries forward at the upstream of this VM, and settles them. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	SystemClock, type Clock, type Log, type Metrics, type PeerServer,
+	SystemClock, type Clock, type Invariants, type Log, type Metrics, type PeerServer,
 } from '@yuccawood/common';
 import type {ServedVersion} from '@yuccawood/membership';
 import type {ModelEngine} from '@yuccawood/platform';
@@ -55,6 +55,9 @@
 	readonly engine?: Pick<ModelEngine, 'state'>;
 	readonly log: Log;
 	readonly metrics: Metrics;
+
+	/** Checks that no request id is run twice. */
+	readonly invariants?: Pick<Invariants, 'check'>;
 	readonly clock?: Clock;
 
 	/** Time from forwarding a request to the first byte of its answer, in milliseconds. */
@@ -157,6 +160,8 @@
 
 	async #run(head: ForwardedHead, request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const deadlineAt = this.#clock.monotonic() + head.deadlineMs;
+		const earlier = this.#records.get(head.requestId);
+		this.#options.invariants?.check('runs-once', earlier === undefined, {requestId: head.requestId, state: earlier?.state});
 		const record = this.#records.begin(head.requestId, head.repeatable);
 		const body = await this.#receive(record, request);
 		if (record.isFinished || this.#clock.monotonic() >= deadlineAt) {
