--- a/packages/accounts/src/entries.test.ts
+++ b/packages/accounts/src/entries.test.ts
@@ -230,11 +230,11 @@
 		});
 
 		it('sheds the less urgent account first', async () => {
-			const accounts = [account('urgent', {priority: 9}), account('patient', {priority: 1})];
+			const accounts = [account('urgent', {priority: 9}), account('relaxed', {priority: 1})];
 			await startFleet(1, accounts, {fleetCapacity: () => 10});
-			const loads: readonly Load[] = ['urgent', 'patient'].map(name => ({account: name, perSecond: 60, serviceMs: 200}));
+			const loads: readonly Load[] = ['urgent', 'relaxed'].map(name => ({account: name, perSecond: 60, serviceMs: 200}));
 			await fleet.run(loads, {seconds: 20});
-			expect(fleet.refused.get('patient')).to.be.above(fleet.refused.get('urgent') ?? 0);
+			expect(fleet.refused.get('relaxed')).to.be.above(fleet.refused.get('urgent') ?? 0);
 		});
 	});
 });
--- a/packages/bench/src/soak/checks.test.ts
+++ b/packages/bench/src/soak/checks.test.ts
@@ -78,7 +78,7 @@
 		expect(rules({edits, history: ['b', 'c', 'c']})).to.have.members(['edit-lost', 'refused-edit-applied', 'edit-duplicated']);
 	});
 
-	it('blames a planned stop for what it cut only when nothing else was wrong', () => {
+	it('holds a planned stop responsible for what it cut only when nothing else was wrong', () => {
 		const calls = [call('chat', [{
 			result: 'broken', outcome: 'unknown', text: '', startedAt: 140,
 		}])];
--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -47,7 +47,7 @@
 export const RESERVE_BYTES = 16 * 1024;
 
 /** Part of the period after which a process with unsent changes contacts another member. */
-export const HURRY_FACTOR = 0.25;
+export const EARLY_EXCHANGE_FACTOR = 0.25;
 
 /** Times that a change is sent, for each decimal digit of the number of members. */
 export const TRANSMITS_PER_DIGIT = 2;
--- a/packages/membership/src/exchange-handler.ts
+++ b/packages/membership/src/exchange-handler.ts
@@ -58,7 +58,7 @@
 		return {owed: [...owed], wants: [...wants]};
 	}
 
-	/** Applies records that the others know already, so that they are not sent on as news. */
+	/** Applies records that the others know already, so that they are not sent on as changes. */
 	load(records: readonly MemberRecord[]): void {
 		for (const record of records) {
 			this.#wanted.remove(record.id);
--- a/packages/membership/src/gossip.test.ts
+++ b/packages/membership/src/gossip.test.ts
@@ -64,7 +64,7 @@
 			expect(sum('membership.deaths')).to.equal(0);
 		});
 
-		it('takes a process back that was frozen until it was declared dead, and that process blames nobody', async () => {
+		it('takes a process back that was frozen until it was declared dead, and that process declares nobody dead', async () => {
 			await startCluster(8);
 			node('n3').host.clock.freeze();
 			await reaches(() => cluster.count('n3', 'dead') === 7, 30_000);
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -15,7 +15,7 @@
 import {OwnIdContest} from './own-id-contest.js';
 import {OwnRecord, type Defence} from './own-record.js';
 import {reconnectUntilAborted} from './reconnection.js';
-import {hurryUntilAborted, pingUntilAborted} from './rounds.js';
+import {sendChangesUntilAborted, pingUntilAborted} from './rounds.js';
 import {readTable, TablePages, type PagedAnswer} from './table-pages.js';
 import type {MemberPatch, MemberRecord, MemberTable} from './types.js';
 import {UpdateQueue} from './update-queue.js';
@@ -120,7 +120,7 @@
 		this.#isStarting = false;
 		await this.#introduce();
 		void pingUntilAborted({...options, detector: this.#detector});
-		void hurryUntilAborted(options);
+		void sendChangesUntilAborted(options);
 		void reconnectUntilAborted(options);
 		const {vmList, clock, vmListPeriodMs} = this.#options;
 		if (vmList) {
--- a/packages/membership/src/member-directory.ts
+++ b/packages/membership/src/member-directory.ts
@@ -78,7 +78,7 @@
 	/**
 	Merges a record.
 
-	@returns `changed` if it was news, `stale` if a newer version is known, `same` otherwise.
+	@returns `changed` if it was new, `stale` if a newer version is known, `same` otherwise.
 	*/
 	apply(incoming: MemberRecord): 'changed' | 'same' | 'stale' {
 		const known = this.#records.get(incoming.id);
@@ -99,7 +99,7 @@
 	/**
 	Merges a version without its description.
 
-	@returns `changed` if it was news, `stale` if a newer version is known, `unknown` if the record has to be fetched, `same` otherwise.
+	@returns `changed` if it was new, `stale` if a newer version is known, `unknown` if the record has to be fetched, `same` otherwise.
 	*/
 	applyClaim(claim: Claim): 'changed' | 'same' | 'stale' | 'unknown' {
 		const [id, incarnation, sequence, status, revision] = claim;
--- a/packages/membership/src/own-record.ts
+++ b/packages/membership/src/own-record.ts
@@ -18,7 +18,7 @@
 		return this.#record;
 	}
 
-	/** A patch that changes nothing is not news. A changed revision alone keeps the sequence, because revisions travel with every message and are merged separately. */
+	/** A patch that changes nothing is not a change. A changed revision alone keeps the sequence, because revisions travel with every message and are merged separately. */
 	update(patch: MemberPatch): void {
 		const {status = this.#record.status, upstream = this.#record.upstream} = patch;
 		const isDescriptionChange = status !== this.#record.status || !isDeepStrictEqual(upstream, this.#record.upstream);
--- a/packages/membership/src/rounds.ts
+++ b/packages/membership/src/rounds.ts
@@ -3,7 +3,7 @@
 	describeError, type Clock, type Log, type Metrics, type Random,
 } from '@yuccawood/common';
 import type {ByteBudget} from './byte-budget.js';
-import {EXCHANGE_OVERHEAD_BYTES, HURRY_FACTOR, RESERVE_BYTES} from './constants.js';
+import {EXCHANGE_OVERHEAD_BYTES, EARLY_EXCHANGE_FACTOR, RESERVE_BYTES} from './constants.js';
 import type {FailureDetector} from './failure-detector.js';
 import type {MemberDirectory} from './member-directory.js';
 import type {UpdateQueue} from './update-queue.js';
@@ -52,13 +52,13 @@
 	}
 };
 
-/** Spreads news faster than by the regular pings, as long as the byte budget lasts. */
-export const hurryUntilAborted = async ({directory, queue, budget, exchange, clock, random, periodMs, signal}: RoundOptions & {
+/** Spreads changes faster than by the regular pings, as long as the byte budget lasts. */
+export const sendChangesUntilAborted = async ({directory, queue, budget, exchange, clock, random, periodMs, signal}: RoundOptions & {
 	readonly budget: ByteBudget;
 	readonly exchange: (address: string) => Promise<unknown>;
 }): Promise<void> => {
 	while (!signal.aborted) {
-		await clock.sleep(periodMs * HURRY_FACTOR, signal);
+		await clock.sleep(periodMs * EARLY_EXCHANGE_FACTOR, signal);
 		const [member] = random.sample(directory.live, 1);
 		if (signal.aborted || !member || !queue.hasUnsent || budget.available <= RESERVE_BYTES) {
 			continue;
--- a/packages/requests/src/death-reports.ts
+++ b/packages/requests/src/death-reports.ts
@@ -34,7 +34,7 @@
 		});
 	}
 
-	/** Records a death that this entry noticed and tells the other entries if it is news. */
+	/** Records a death that this entry noticed and tells the other entries if it is new. */
 	report(report: DeathReport): void {
 		if (!this.#quarantine.record(report)) {
 			return;
--- a/packages/requests/src/quarantine.test.ts
+++ b/packages/requests/src/quarantine.test.ts
@@ -31,7 +31,7 @@
 		expect(quarantine.isQuarantined('a')).to.equal(false);
 	});
 
-	it('withdraws the blame of a neighbour when a later part of the report names an earlier suspect', () => {
+	it('withdraws the death attributed to a neighbour when a later part of the report names an earlier suspect', () => {
 		quarantine.record(report('1', 'poison'));
 		quarantine.record(report('2', 'neighbour'));
 		quarantine.record(report('2', 'poison'));
--- a/packages/requests/src/quarantine.ts
+++ b/packages/requests/src/quarantine.ts
@@ -6,7 +6,7 @@
 type Death = {
 	/** Requests in progress at the upstream when it died. */
 	readonly fingerprints: ReadonlySet<string>;
-	readonly blamed: readonly string[];
+	readonly attributed: readonly string[];
 	readonly at: number;
 };
 
@@ -36,10 +36,10 @@
 		const at = known?.at ?? this.#clock.monotonic();
 		const all = new Set([...known?.fingerprints ?? [], ...fingerprints]);
 		this.#withdraw(deathId, known);
-		const blamed = this.#attribute(all);
-		this.#deaths.set(deathId, {fingerprints: all, blamed, at});
-		for (const item of blamed) {
-			this.#accuse(item, deathId);
+		const attributed = this.#attribute(all);
+		this.#deaths.set(deathId, {fingerprints: all, attributed, at});
+		for (const item of attributed) {
+			this.#addDeath(item, deathId);
 		}
 
 		return true;
@@ -61,7 +61,7 @@
 		}
 	}
 
-	/** Blames only those that were suspects before; with none, all are blamed. */
+	/** Attributes a death only to those that were suspects before; with none, to all. */
 	#attribute(fingerprints: ReadonlySet<string>): readonly string[] {
 		const earlier = [...fingerprints].filter(item => this.#find(item) !== undefined);
 		return earlier.length > 0 ? earlier : [...fingerprints];
@@ -72,7 +72,7 @@
 		return suspicion && suspicion.until > this.#clock.monotonic() ? suspicion : undefined;
 	}
 
-	#accuse(fingerprint: string, deathId: string): void {
+	#addDeath(fingerprint: string, deathId: string): void {
 		const suspicion = this.#find(fingerprint) ?? {deaths: new Set<string>(), until: 0};
 		suspicion.deaths.add(deathId);
 		suspicion.until = this.#clock.monotonic() + QUARANTINE_MS;
@@ -81,7 +81,7 @@
 
 	/** Takes back the attribution of a death before it is made anew with more fingerprints. */
 	#withdraw(deathId: string, death: Death | undefined): void {
-		for (const item of death?.blamed ?? []) {
+		for (const item of death?.attributed ?? []) {
 			const suspicion = this.#suspicions.get(item);
 			suspicion?.deaths.delete(deathId);
 			if (suspicion?.deaths.size === 0) {
--- a/packages/weights/src/chunk-fetcher.ts
+++ b/packages/weights/src/chunk-fetcher.ts
@@ -5,8 +5,8 @@
 import type {MemberTable} from '@yuccawood/membership';
 import type {WeightOrigin} from '@yuccawood/platform';
 import {
-	ABSENT_PATIENCE_MS, AVOID_ABSENT_MS, AVOID_CORRUPT_MS, AVOID_STALLED_MS, MAX_ORIGIN_RETRY_MS, ORIGIN_READERS_AT_BALANCE_1, ORIGIN_RETRY_MS,
-	PATIENCE_AT_BALANCE_0_MS, PATIENCE_AT_BALANCE_1_MS,
+	ABSENT_TIMEOUT_MS, AVOID_ABSENT_MS, AVOID_CORRUPT_MS, AVOID_STALLED_MS, MAX_ORIGIN_RETRY_MS, ORIGIN_READERS_AT_BALANCE_1, ORIGIN_RETRY_MS,
+	PARENT_TIMEOUT_AT_BALANCE_0_MS, PARENT_TIMEOUT_AT_BALANCE_1_MS,
 } from './constants.js';
 import type {Avoidance} from './avoidance.js';
 import {
@@ -62,7 +62,7 @@
 export const countOriginReaders = (balance: number): number => 1 + Math.round(Math.max(0, (balance - 0.5) * 2) * (ORIGIN_READERS_AT_BALANCE_1 - 1));
 
 /** Longest wait for a parent that answers but has not got the chunk, in milliseconds. */
-export const patienceMs = (balance: number): number => PATIENCE_AT_BALANCE_0_MS * ((PATIENCE_AT_BALANCE_1_MS / PATIENCE_AT_BALANCE_0_MS) ** balance);
+export const parentTimeoutMs = (balance: number): number => PARENT_TIMEOUT_AT_BALANCE_0_MS * ((PARENT_TIMEOUT_AT_BALANCE_1_MS / PARENT_TIMEOUT_AT_BALANCE_0_MS) ** balance);
 
 export class ChunkFetcher {
 	readonly #options: ChunkFetcherOptions;
@@ -206,7 +206,7 @@
 			}
 
 			case 'absent': {
-				if (waitedMs > ABSENT_PATIENCE_MS * spread) {
+				if (waitedMs > ABSENT_TIMEOUT_MS * spread) {
 					avoidance.avoid(id, AVOID_ABSENT_MS, manifest);
 				}
 
@@ -214,7 +214,7 @@
 			}
 
 			case 'pending': {
-				if (waitedMs > patienceMs(balance()) * spread) {
+				if (waitedMs > parentTimeoutMs(balance()) * spread) {
 					avoidance.avoid(id, AVOID_STALLED_MS, hash);
 				}
 			}
--- a/packages/weights/src/constants.ts
+++ b/packages/weights/src/constants.ts
@@ -26,11 +26,11 @@
 export const AVOID_ABSENT_MS = 10_000;
 
 /** Time after which a member that has not started on a version is passed over. Covers the spread of a configuration edit. */
-export const ABSENT_PATIENCE_MS = 3000;
+export const ABSENT_TIMEOUT_MS = 3000;
 
 /** Longest wait for a parent that answers but has not got the chunk, at `balance` 0 and 1. */
-export const PATIENCE_AT_BALANCE_0_MS = 30_000;
-export const PATIENCE_AT_BALANCE_1_MS = 2000;
+export const PARENT_TIMEOUT_AT_BALANCE_0_MS = 30_000;
+export const PARENT_TIMEOUT_AT_BALANCE_1_MS = 2000;
 
 /** Members of the store's region that may read a chunk from the origin, at `balance` 1. */
 export const ORIGIN_READERS_AT_BALANCE_1 = 4;
