--- a/packages/weights/src/chunk-fetcher.ts
+++ b/packages/weights/src/chunk-fetcher.ts
@@ -5,7 +5,7 @@
 import type {MemberTable} from '@yuccawood/membership';
 import type {WeightOrigin} from '@yuccawood/platform';
 import {
-	ABSENT_TIMEOUT_MS, AVOID_ABSENT_MS, AVOID_CORRUPT_MS, AVOID_STALLED_MS, MAX_ORIGIN_RETRY_MS, ORIGIN_READERS_AT_BALANCE_1, ORIGIN_RETRY_MS,
+	ABSENT_TIMEOUT_MS, AVOID_ABSENT_MS, AVOID_CORRUPT_MS, AVOID_STALLED_MS, MAX_ORIGIN_RETRY_MS, ORIGIN_RETRY_MS,
 	PARENT_TIMEOUT_AT_BALANCE_0_MS, PARENT_TIMEOUT_AT_BALANCE_1_MS,
 } from './constants.js';
 import type {Avoidance} from './avoidance.js';
@@ -58,9 +58,6 @@
 	asksSibling: boolean;
 };
 
-/** Members of the store's region that may read a chunk from the origin: one up to balance 0.5, then more. */
-export const countOriginReaders = (balance: number): number => 1 + Math.round(Math.max(0, (balance - 0.5) * 2) * (ORIGIN_READERS_AT_BALANCE_1 - 1));
-
 /** Longest wait for a parent that answers but has not got the chunk, in milliseconds. */
 export const parentTimeoutMs = (balance: number): number => PARENT_TIMEOUT_AT_BALANCE_0_MS * ((PARENT_TIMEOUT_AT_BALANCE_1_MS / PARENT_TIMEOUT_AT_BALANCE_0_MS) ** balance);
 
@@ -102,7 +99,6 @@
 			storeRegion,
 			participants: listParticipants(members.members, {selfId, service, manifest}),
 			isAvoided: id => avoidance.isAvoided(id) || avoidance.isAvoided(id, manifest) || avoidance.isAvoided(id, hash),
-			originReaders: countOriginReaders(balance()),
 			asksSibling,
 		});
 	}
--- a/packages/weights/src/constants.ts
+++ b/packages/weights/src/constants.ts
@@ -32,9 +32,6 @@
 export const PARENT_TIMEOUT_AT_BALANCE_0_MS = 30_000;
 export const PARENT_TIMEOUT_AT_BALANCE_1_MS = 2000;
 
-/** Members of the store's region that may read a chunk from the origin, at `balance` 1. */
-export const ORIGIN_READERS_AT_BALANCE_1 = 4;
-
 /** First and longest pause after a failed read from the origin. */
 export const ORIGIN_RETRY_MS = 200;
 export const MAX_ORIGIN_RETRY_MS = 5000;
--- a/packages/weights/src/fetch-plan.test.ts
+++ b/packages/weights/src/fetch-plan.test.ts
@@ -14,7 +14,7 @@
 });
 
 const planFor = (self: MemberRecord, participants: readonly MemberRecord[], tree: TreeKey, avoided: ReadonlySet<string> = new Set()): Plan => planSource({
-	tree, manifest: 'm', selfId: self.id, region: self.region, storeRegion: 'west', participants, isAvoided: id => avoided.has(id), originReaders: 1,
+	tree, manifest: 'm', selfId: self.id, region: self.region, storeRegion: 'west', participants, isAvoided: id => avoided.has(id),
 });
 
 const fleets = fc.record({
--- a/packages/weights/src/fetch-plan.ts
+++ b/packages/weights/src/fetch-plan.ts
@@ -26,9 +26,6 @@
 	/** Members that are passed over for now. */
 	readonly isAvoided: (id: string) => boolean;
 
-	/** Members of the store's region that may read the chunk from the origin. */
-	readonly originReaders: number;
-
 	/** Asks the parent's other child, because the parent is busy. */
 	readonly asksSibling?: boolean;
 };
@@ -85,15 +82,14 @@
 });
 
 /** Chooses the source of a chunk for this member. */
-export const planSource = ({tree, manifest, selfId, region, storeRegion, participants, isAvoided, originReaders, asksSibling = false}: PlanOptions): Plan => {
+export const planSource = ({tree, manifest, selfId, region, storeRegion, participants, isAvoided, asksSibling = false}: PlanOptions): Plan => {
 	const usable = participants.filter(({id}) => id === selfId || !isAvoided(id));
 	const byId = new Map(usable.map(member => [member.id, member]));
 	const orderOf = (members: readonly MemberRecord[]): readonly string[] => orderFor(tree, members);
 	const local = usable.filter(member => member.region === region || member.id === selfId);
 	const order = orderOf(local);
 	const position = order.indexOf(selfId);
-	const isReader = position === 0 || (region === storeRegion && position < originReaders);
-	if (!isReader) {
+	if (position > 0) {
 		const hasSibling = position % 2 === 0;
 		const sender = hasSibling && asksSibling ? position - 1 : parentPosition(position)!;
 		return {source: peerSource(byId.get(order[sender])!, region), position, hasSibling};
--- a/packages/weights/src/manifest-fetcher.ts
+++ b/packages/weights/src/manifest-fetcher.ts
@@ -61,7 +61,6 @@
 			storeRegion,
 			participants: listParticipants(members.members, {selfId, service, manifest: hash}),
 			isAvoided: id => avoidance.isAvoided(id) || avoidance.isAvoided(id, hash),
-			originReaders: 1,
 		}).source;
 	}
 
