--- a/packages/bench/src/configuration/edit-rounds.ts
+++ b/packages/bench/src/configuration/edit-rounds.ts
@@ -1,7 +1,8 @@
 /** Edits of a run, and how long each takes until it is in force. */
 import {delay, type Random} from '@yuccawood/common';
 import {setFaults} from '../fleet/stand-in-control.js';
-import type {Fleet, FleetVm} from '../fleet/fleet.js';
+import type {Fleet} from '../fleet/fleet.js';
+import type {FleetVm} from '../fleet/types.js';
 import {
 	EDITS_PER_WRITER, EDIT_IN_FREEZE_MS, EDIT_PAUSE_MS, FREEZE_MS, FROZEN_ONE_IN, RACING_WRITERS, SINGLE_EDITS,
 } from './constants.js';
--- a/packages/bench/src/configuration/revisions-in-force.ts
+++ b/packages/bench/src/configuration/revisions-in-force.ts
@@ -1,6 +1,6 @@
 /** When a revision came into force on a VM, read from the log of its daemon, so that nothing has to be asked meanwhile. */
 import {waitUntil} from '../fleet/child.js';
-import type {FleetVm} from '../fleet/fleet.js';
+import type {FleetVm} from '../fleet/types.js';
 import {IN_FORCE_LIMIT_MS} from './constants.js';
 
 /** One revision in force on one VM. */
--- a/packages/bench/src/soak/fault-injector.ts
+++ b/packages/bench/src/soak/fault-injector.ts
@@ -1,7 +1,7 @@
 /** Carries out the faults of a schedule and records when they may have had an effect. */
 import {delay} from '@yuccawood/common';
 import {waitUntil} from '../fleet/child.js';
-import type {FleetVm} from '../fleet/fleet.js';
+import type {FleetVm} from '../fleet/types.js';
 import {setFaults} from '../fleet/stand-in-control.js';
 import type {Callers} from './callers.js';
 import {QUIET_BEFORE_STOP_MS, type Interference, type PlannedStop} from './evidence.js';
--- a/packages/requests/src/agent-requests.ts
+++ b/packages/requests/src/agent-requests.ts
@@ -3,9 +3,8 @@
 import {
 	SystemClock, type Clock, type Invariants, type Log, type Metrics, type PeerServer,
 } from '@yuccawood/common';
-import type {ServedVersion} from '@yuccawood/membership';
-import type {ModelEngine} from '@yuccawood/platform';
 import {refuseForwarded} from './agent-admission.js';
+import type {AgentRequestsOptions} from './agent-requests-options.js';
 import {readLimitedBody} from './call.js';
 import {MAX_FORWARDED_BODY_BYTES} from './constants.js';
 import {RequestError} from './errors.js';
@@ -29,44 +28,6 @@
 	state: 'unknown', headSent: false, bytesSent: 0, kept: false,
 };
 
-export type AgentRequestsOptions = {
-	readonly selfId: string;
-	readonly incarnation: number;
-
-	/** `IP:port` of the upstream on this VM. */
-	readonly upstreamAddress: string;
-	readonly kind: 'engine' | 'service';
-	readonly service: string;
-
-	/** Requests that the upstream runs at the same time. */
-	readonly capacity: number;
-
-	/** Requests accepted beyond the capacity, which wait in the upstream. */
-	readonly queueLimit?: number;
-
-	/** Versions whose weights were verified and that the upstream answers with. */
-	readonly serving: () => readonly ServedVersion[];
-
-	/** Versions whose answers may be passed on; by default those of `serving`. */
-	readonly isVerified?: VersionCheck;
-	readonly peerServer: PeerServer;
-
-	/** Tells how many requests the engine has, which tells silent connections from a slow engine. By default the engine at `upstreamAddress`. */
-	readonly engine?: Pick<ModelEngine, 'state'>;
-	readonly log: Log;
-	readonly metrics: Metrics;
-
-	/** Checks that no request id is run twice. */
-	readonly invariants?: Pick<Invariants, 'check'>;
-	readonly clock?: Clock;
-
-	/** Time from forwarding a request to the first byte of its answer, in milliseconds. */
-	readonly onLiveLatency?: (milliseconds: number) => void;
-
-	/** Bytes of live requests on this VM's link. */
-	readonly onLiveBytes?: (bytes: number) => void;
-};
-
 export class AgentRequests {
 	readonly #options: AgentRequestsOptions;
 	readonly #clock: Clock;
--- a/packages/requests/src/fleet.test.ts
+++ b/packages/requests/src/fleet.test.ts
@@ -9,7 +9,8 @@
 import type {MemberRecord, MemberTable, ServedVersion} from '@yuccawood/membership';
 import type {KeyValueService} from '@yuccawood/platform';
 import {from, type Stream} from 'most';
-import {AgentRequests, type AgentRequestsOptions} from './agent-requests.js';
+import type {AgentRequestsOptions} from './agent-requests-options.js';
+import {AgentRequests} from './agent-requests.js';
 import {EntryServer, type EntryServerOptions} from './entry-server.js';
 
 export const MODEL_HASH = 'a'.repeat(64);
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -1,6 +1,7 @@
 /** Request path, routing, retries, settlement. */
 export {EntryServer, type EntryServerOptions} from './entry-server.js';
-export {AgentRequests, type AgentRequestsOptions} from './agent-requests.js';
+export {AgentRequests} from './agent-requests.js';
+export type {AgentRequestsOptions} from './agent-requests-options.js';
 export {RequestError, type ExecutionOutcome, type RequestErrorKind} from './errors.js';
 export type {
 	AnswerQuestion, AnswerReply, DeathReport, KeptAnswer, SettleAnswer, SettleQuestion,
