Keep the time limit of queued uploads and pass on a slot of an aborted one

The limit after which a queued request is sent away was an AbortSignal.timeout used only in AbortSignal.any, which Node.js 20 may collect before it fires. Reading the queue showed a second fault: a request aborted just after it was given a slot did not pass the slot on. Change: limitSignal holds its own timer; the queue starts the next request. Conclusion: collection as the cause is an inference from the code; the hang itself was not caught in a debugger.

--- a/packages/weights/src/chunk-server.ts
+++ b/packages/weights/src/chunk-server.ts
@@ -9,6 +9,7 @@
 import type {ManifestLibrary} from './manifest-library.js';
 import type {TokenBucket} from './token-bucket.js';
 import type {UploadQueue} from './upload-queue.js';
+import {limitSignal} from './limited-signal.js';
 import type {VerifiedChunk} from './verified-chunk.js';
 
 /**
@@ -114,8 +115,9 @@
 			}
 
 			const peer = String(request.headers[REQUESTER_HEADER] ?? request.socket.remoteAddress);
-			const queueLimit = target.mayYield ? AbortSignal.any([signal, AbortSignal.timeout(YIELD_AFTER_MS)]) : signal;
-			const free = await this.#options.uploads.acquire(peer, queueLimit);
+			const queueLimit = target.mayYield ? limitSignal(signal, YIELD_AFTER_MS) : undefined;
+			const free = await this.#options.uploads.acquire(peer, queueLimit?.signal ?? signal);
+			queueLimit?.release();
 			if (free) {
 				await this.#send(chunk, response, {peer, signal, free});
 			} else if (!signal.aborted) {
@@ -143,7 +145,12 @@
 				uploads.record(peer, slice.byteLength);
 				metrics.count('weights.uploaded_bytes', {}, slice.byteLength);
 				if (!response.write(slice)) {
-					await once(response, 'drain', {signal: AbortSignal.any([signal, AbortSignal.timeout(STALL_WINDOW_MS)])});
+					const stallLimit = limitSignal(signal, STALL_WINDOW_MS);
+					try {
+						await once(response, 'drain', {signal: stallLimit.signal});
+					} finally {
+						stallLimit.release();
+					}
 				}
 			}
 
--- a/packages/weights/src/upload-queue.ts
+++ b/packages/weights/src/upload-queue.ts
@@ -26,8 +26,13 @@
 		}
 
 		if (this.#active >= this.#slots) {
-			await this.#wait(peer, signal);
+			const isStarted = await this.#wait(peer, signal);
 			if (signal.aborted) {
+				// The slot was given to this request just before it was aborted; the next one must not miss it.
+				if (isStarted) {
+					this.#startNext();
+				}
+
 				return undefined;
 			}
 		}
@@ -48,13 +53,14 @@
 		this.#sent.set(peer, {bytes: this.#recentBytes(peer) + bytes, at: this.#clock.monotonic()});
 	}
 
-	async #wait(peer: string, signal: AbortSignal): Promise<void> {
-		await new Promise<void>(resolve => {
+	/** @returns whether a slot became free before the signal aborted. */
+	async #wait(peer: string, signal: AbortSignal): Promise<boolean> {
+		return new Promise<boolean>(resolve => {
 			const waiting: Waiting = {
 				peer,
 				start() {
 					signal.removeEventListener('abort', abandon);
-					resolve();
+					resolve(true);
 				},
 			};
 			const abandon = (): void => {
@@ -63,7 +69,7 @@
 					this.#waiting.splice(index, 1);
 				}
 
-				resolve();
+				resolve(false);
 			};
 
 			signal.addEventListener('abort', abandon, {once: true});
