--- a/packages/daemon/src/engine-parts.ts
+++ b/packages/daemon/src/engine-parts.ts
@@ -20,9 +20,9 @@
 		keyValue, vm: id, owner: `${id}/${gossip.self.incarnation}`, clock, log: log.part('lease'), metrics,
 		ttlMs: platform.leaseTtlMs, checksFencing: upstream.checksFencing, orderLock,
 	});
-	const {origin, ...settings} = weightSettings;
+	const {origin, storeRegion, ...settings} = weightSettings;
 	const weights = new WeightManager({
-		selfId: id, service: upstream.service, members: gossip, configuration, peerServer, settings, clock, random, log, metrics,
+		selfId: id, service: upstream.service, members: gossip, configuration, peerServer, settings: {...settings, storeRegion: () => storeRegion}, clock, random, log, metrics,
 		origin: new HttpWeightOrigin({address: origin}),
 		engine: new HttpModelEngine({address: upstream.address}),
 		fencing: lease.fencing,
