--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -35,7 +35,7 @@
 export const BUDGET_SAFETY = 0.7;
 
 /** Time before the bound on old versions after which only upstreams on the target version are used. */
-export const VERSION_MARGIN_MS = 1500;
+export const VERSION_MARGIN_MS = 1100;
 
 /** Deaths of upstreams after which the request that ran there each time is rejected. */
 export const CRASHES_BEFORE_REJECTION = 3;
--- a/packages/dispatch/src/required-version.ts
+++ b/packages/dispatch/src/required-version.ts
@@ -7,10 +7,5 @@
 import type {ModelTarget} from '@yuccawood/fleet';
 import {VERSION_MARGIN_MS} from './constants.js';
 
-export const requiredVersion = (target: ModelTarget | undefined, {now, boundMs}: {readonly now: number; readonly boundMs: number}): number | undefined => {
-	if (!target) {
-		return undefined;
-	}
-
-	return now - target.learnedAt >= boundMs - VERSION_MARGIN_MS ? target.version : undefined;
-};
+export const requiredVersion = (targets: readonly ModelTarget[], {now, boundMs}: {readonly now: number; readonly boundMs: number}): number | undefined =>
+	targets.findLast(({learnedAt}) => now - learnedAt >= boundMs - VERSION_MARGIN_MS)?.version;
--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -31,3 +31,6 @@
 
 /** Time after the store's return during which removals may be lapsed entries. */
 export const LAPSE_WINDOW_MS = 4000;
+
+/** Named versions of one model that are remembered with their times. */
+export const MAX_TARGETS = 16;
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -1,6 +1,6 @@
 /** What this process believes: configuration, upstreams, target versions, other entries. */
 import {Publisher, type Clock, type Log} from '@yuccawood/common';
-import {LAPSE_GRACE_MS} from './constants.js';
+import {LAPSE_GRACE_MS, MAX_TARGETS} from './constants.js';
 import type {
 	Announcement, ModelTarget, TrafficConfiguration, Upstream,
 } from './types.js';
@@ -19,15 +19,24 @@
 export class FleetView {
 	readonly #clock: Clock;
 	readonly #log: Log;
+	readonly #initialTargetAgeMs: number;
 	readonly #changes = new Publisher<FleetChange>();
 	readonly #upstreams = new Map<string, Upstream>();
 	readonly #lapses = new Map<string, NodeJS.Timeout>();
-	readonly #targets = new Map<string, ModelTarget>();
+	readonly #targets = new Map<string, readonly ModelTarget[]>();
 	readonly #entries = new Map<string, string>();
 	readonly #crashers = new Map<string, number>();
 	#inForce: ConfigurationInForce | undefined;
+	#isCatchingUp = true;
 
-	constructor({clock, log}: {readonly clock: Clock; readonly log: Log}) {
+	constructor({clock, log, initialTargetAgeMs = 0}: {
+		readonly clock: Clock;
+		readonly log: Log;
+
+		/** Age that versions have which were named before this process knew of any. */
+		readonly initialTargetAgeMs?: number;
+	}) {
+		this.#initialTargetAgeMs = initialTargetAgeMs;
 		this.#clock = clock;
 		this.#log = log.part('fleet');
 	}
@@ -40,10 +49,6 @@
 		return [...this.#upstreams.values()];
 	}
 
-	get targets(): readonly ModelTarget[] {
-		return [...this.#targets.values()];
-	}
-
 	/** Peer addresses of the other entries by id. */
 	get entries(): ReadonlyMap<string, string> {
 		return this.#entries;
@@ -54,8 +59,14 @@
 		return this.#crashers;
 	}
 
+	/** Newest named version of the model. */
 	targetOf(model: string): ModelTarget | undefined {
-		return this.#targets.get(model);
+		return this.targetsOf(model).at(-1);
+	}
+
+	/** Versions of the model that were named since this process started, oldest first. Each has its own bound. */
+	targetsOf(model: string): readonly ModelTarget[] {
+		return this.#targets.get(model) ?? [];
 	}
 
 	readonly onChange = (listener: (change: FleetChange) => void): (() => void) => this.#changes.subscribe(listener);
@@ -109,6 +120,11 @@
 		}
 	}
 
+	/** Notes that everything known to the store has been taken once. */
+	markCurrent(): void {
+		this.#isCatchingUp = false;
+	}
+
 	/** Stops the timers of lapsed entries. */
 	close(): void {
 		for (const timer of this.#lapses.values()) {
@@ -129,12 +145,15 @@
 	}
 
 	#takeTarget(model: string, version: number): void {
-		const known = this.#targets.get(model);
+		const known = this.targetOf(model);
 		if (known && known.version >= version) {
 			return;
 		}
 
-		this.#targets.set(model, {model, version, learnedAt: this.#clock.monotonic()});
+		// A process that starts does not know how long ago a version was named.
+		const ageMs = this.#isCatchingUp ? this.#initialTargetAgeMs : 0;
+		const targets = [...this.targetsOf(model), {model, version, learnedAt: this.#clock.monotonic() - ageMs}];
+		this.#targets.set(model, targets.slice(-MAX_TARGETS));
 		this.#log.info('New target version.', {model, version, previous: known?.version});
 		this.#changes.publish('targets');
 	}
--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -104,6 +104,7 @@
 		this.#noteReached();
 		this.take([...items, ...removed]);
 		this.items.advance(revision);
+		this.#options.view.markCurrent();
 		this.#watchFrom = revision;
 		return true;
 	}
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -136,7 +136,7 @@
 	readonly model: HeldModel | undefined;
 };
 
-/** Newest version of a model's weights that the operators named. */
+/** A version of a model's weights that the operators named. */
 export type ModelTarget = {
 	readonly model: string;
 	readonly version: number;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -44,3 +44,6 @@
 
 /** Breaks of connections to one upstream within this time belong to one death. */
 export const DEATH_WINDOW_MS = 150;
+
+/** A caller with less than this share of the route's time left has spent its goal on an earlier attempt. */
+export const RETURNING_SHARE = 0.8;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -36,6 +36,11 @@
 
 	/** Whether some send may have run. */
 	#mayHaveRun = false;
+
+	/** Times of the answer so far: first and latest data, and the longest pause, in milliseconds. */
+	#firstDataAt: number | undefined;
+	#lastDataAt = 0;
+	#longestGapMs = 0;
 	#expectedVersion: number | undefined;
 
 	constructor(context: GatewayContext, request: AcceptedRequest, response: ServerResponse) {
@@ -103,10 +108,11 @@
 			}
 
 			decisions.ordinary(requestId, 'Placed.', () => ({
-				route: route.name, upstream: placed.state.upstream.id, load: placed.load, waitedMs: Math.round(placed.waitedMs), sends: this.#sends + 1,
+				route: route.name, upstream: placed.state.upstream.id, load: placed.load, waitedMs: Math.round(placed.waitedMs), sends: this.#sends + 1, remainingMs: Math.round(deadlineAt - this.#context.clock.monotonic()),
 			}));
 			const result = await this.#send(placed.state);
 			if (result.kind === 'delivered') {
+				this.#noteDelivered(placed.state, placed.load, placed.waitedMs);
 				return;
 			}
 
@@ -129,7 +135,7 @@
 		const {service} = this.#request;
 		const hasEngine = view.inForce?.configuration.services.find(({name}) => name === service)?.engine !== undefined;
 		const model = hasEngine ? states.of(service).find(({upstream}) => upstream.model)?.upstream.model?.name : undefined;
-		const oldestVersion = model === undefined ? undefined : requiredVersion(view.targetOf(model), {now: clock.monotonic(), boundMs: versionBoundMs});
+		const oldestVersion = model === undefined ? undefined : requiredVersion(view.targetsOf(model), {now: clock.monotonic(), boundMs: versionBoundMs});
 		this.#expectedVersion = oldestVersion;
 		return {
 			failureDomain, excluded: this.#excluded, needsWeights: hasEngine, oldestVersion,
@@ -274,9 +280,11 @@
 				}
 			},
 			data: chunk => {
+				const now = clock.monotonic();
+				this.#noteData(now);
 				if (!hasFirst) {
 					hasFirst = true;
-					placer.noteStarted(service, clock.monotonic() - sentAt);
+					placer.noteStarted(service, now - sentAt);
 				}
 
 				if (!isStream) {
@@ -353,6 +361,29 @@
 		}
 	}
 
+	#noteData(now: number): void {
+		if (this.#firstDataAt === undefined) {
+			this.#firstDataAt = now;
+		} else {
+			this.#longestGapMs = Math.max(this.#longestGapMs, now - this.#lastDataAt);
+		}
+
+		this.#lastDataAt = now;
+	}
+
+	#noteDelivered(state: UpstreamState, load: number, waitedMs: number): void {
+		const {metrics, decisions, clock} = this.#context;
+		const {service, arrivedAt, goalAt, route, requestId} = this.#request;
+		const firstMs = (this.#firstDataAt ?? clock.monotonic()) - arrivedAt;
+		const isLate = arrivedAt + firstMs > goalAt || this.#longestGapMs > (route.gapGoalMs ?? Number.POSITIVE_INFINITY);
+		metrics.timing('gateway.first_data_ms', firstMs, {service});
+		metrics.count('gateway.delivered', {service, late: String(isLate)});
+		decisions.ordinary(requestId, 'Delivered.', () => ({
+			route: route.name, upstream: state.upstream.id, load, waitedMs: Math.round(waitedMs), firstMs: Math.round(firstMs), longestGapMs: Math.round(this.#longestGapMs),
+			sends: this.#sends, events: this.#relay?.events, late: isLate,
+		}));
+	}
+
 	/** Time without data after which the request goes to another upstream; none where that is not allowed. */
 	#silenceMs(): number | undefined {
 		const {route} = this.#request;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,7 @@
 import {describeError, type Clock, type Log, type Metrics, type Random} from '@yuccawood/common';
 import {pickBackend, ResendBudget, RouteTable} from '@yuccawood/dispatch';
 import type {FleetView, Route, UpstreamReport} from '@yuccawood/fleet';
-import {CONNECTION_CHECK_MS, DEFAULT_DEADLINE_MS, DEFAULT_HEADER_BYTES, UNAVAILABLE_RETRY_MS} from './constants.js';
+import {CONNECTION_CHECK_MS, DEFAULT_DEADLINE_MS, DEFAULT_HEADER_BYTES, RETURNING_SHARE, UNAVAILABLE_RETRY_MS} from './constants.js';
 import {CrashWatch} from './crash-watch.js';
 import {DecisionLog} from './decision-log.js';
 import {Exchange} from './exchange.js';
@@ -249,6 +249,6 @@
 Goal and deadline of a request. The caller's remaining time shows how much of it an earlier attempt has used.
 */
 const times = ({remainingMs = DEFAULT_DEADLINE_MS}: CallerHead, {goalMs, timeoutMs}: Route, arrivedAt: number): {readonly goalAt: number; readonly deadlineAt: number} => {
-	const usedMs = remainingMs < timeoutMs - goalMs ? goalMs : 0;
+	const usedMs = remainingMs < timeoutMs * RETURNING_SHARE ? goalMs : 0;
 	return {goalAt: arrivedAt + goalMs - usedMs, deadlineAt: arrivedAt + Math.min(remainingMs, timeoutMs)};
 };
--- a/packages/interfaces/src/http-caller.ts
+++ b/packages/interfaces/src/http-caller.ts
@@ -32,11 +32,17 @@
 	readonly #timeoutMs: number;
 	readonly #pool: Pool;
 
-	constructor({address, timeoutMs}: {readonly address: string; readonly timeoutMs: number}) {
+	constructor({address, timeoutMs, connections}: {
+		readonly address: string;
+		readonly timeoutMs: number;
+
+		/** Most connections at the same time; calls beyond them wait. Unlimited if absent. */
+		readonly connections?: number;
+	}) {
 		this.#address = address;
 		this.#timeoutMs = timeoutMs;
 		// The limits of undici have a granularity of one second, so this class keeps its own.
-		this.#pool = new Pool(`http://${address}`, {connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0});
+		this.#pool = new Pool(`http://${address}`, {connections: connections ?? null, connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0});
 	}
 
 	/** @returns the bytes of the answer, `undefined` for an empty one (204). */
--- a/packages/node/src/agent-node.ts
+++ b/packages/node/src/agent-node.ts
@@ -4,9 +4,9 @@
 import type {StoreItem} from '@yuccawood/fleet';
 import {OPERATOR_PREFIX, StagedEngineClient, UPSTREAM_PREFIX, VersionedOriginClient} from '@yuccawood/platform';
 import {ReportFeed} from '@yuccawood/reports';
-import {StagedWeightManager, TRANSFER_SHARE, type StagedTarget} from '@yuccawood/weights';
+import {StagedWeightManager, type StagedTarget} from '@yuccawood/weights';
 import {
-	ENGINE_TIMEOUT_MS, FIRST_VERSION, MEMBERS_REFRESH_MS, ORIGIN_TIMEOUT_MS,
+	ENGINE_TIMEOUT_MS, FIRST_VERSION, MEMBERS_REFRESH_MS, ORIGIN_CONNECTIONS, ORIGIN_TIMEOUT_MS,
 } from './constants.js';
 import {ListedMembers} from './listed-members.js';
 import {serveMetrics} from './metrics-endpoint.js';
@@ -34,7 +34,7 @@
 		const address = this.#origin?.address;
 		if (address !== this.#address) {
 			void this.#client?.close();
-			this.#client = address === undefined ? undefined : new VersionedOriginClient({address, timeoutMs: ORIGIN_TIMEOUT_MS});
+			this.#client = address === undefined ? undefined : new VersionedOriginClient({address, timeoutMs: ORIGIN_TIMEOUT_MS, connections: ORIGIN_CONNECTIONS});
 			this.#address = address;
 		}
 
@@ -46,17 +46,22 @@
 	}
 }
 
-/** Version that the engine of a service should hold now. */
-const targetOf = ({view, clock}: NodeContext, service: string): StagedTarget | undefined => {
+/** Versions that the engine of a service should have held since they were named, oldest first. */
+const targetsOf = ({view}: NodeContext, service: string, startedAt: number): readonly StagedTarget[] => {
 	const model = view.inForce?.configuration.services.find(({name}) => name === service)?.engine?.models[0];
 	if (model === undefined) {
-		return undefined;
+		return [];
 	}
 
-	const target = view.targetOf(model);
-	return {name: model, version: target?.version ?? FIRST_VERSION, learnedAt: target?.learnedAt ?? clock.monotonic()};
+	const named = view.targetsOf(model).map(({version, learnedAt}) => ({name: model, version, learnedAt}));
+	return named.length > 0 ? named : [{name: model, version: FIRST_VERSION, learnedAt: startedAt}];
 };
 
+/** Whether every route to the service lets its requests be continued or repeated. */
+const isRepeatable = ({view}: NodeContext, service: string): boolean => (view.inForce?.configuration.routes ?? [])
+	.filter(({backends}) => backends.some(backend => backend.service === service))
+	.every(({kind, isResumable}) => kind === 'idempotent' || (kind === 'stream' && isResumable));
+
 export const runAgent = async (): Promise<void> => {
 	const context = createNode({
 		prefix: OPERATOR_PREFIX,
@@ -69,6 +74,7 @@
 		throw new Error('The settings name no upstream on this VM; run this role beside one.');
 	}
 
+	const startedAt = clock.monotonic();
 	const stopping = new AbortController();
 	const origin = new ConfiguredOrigin(context);
 	const manager = await createManager({context, origin});
@@ -112,12 +118,14 @@
 			selfId,
 			service: upstreamService!,
 			members: memberTable,
-			target: () => targetOf(context, upstreamService!),
+			refreshMembers: async () => readMembers(context, 'fresh'),
+			targets: () => targetsOf(context, upstreamService!, startedAt),
+			mayCut: () => isRepeatable(context, upstreamService!),
 			engine: new StagedEngineClient({address: upstreamAddress!, timeoutMs: ENGINE_TIMEOUT_MS}),
 			origin: origin.client,
 			peerServer,
 			settings: {
-				linkBytesPerSecond: linkBytesPerSecond * TRANSFER_SHARE,
+				linkBytesPerSecond,
 				storeRegion: () => regions.get(origin.failureDomain ?? '') ?? region,
 			},
 			versionBoundMs, clock, random, log, metrics,
@@ -125,23 +133,26 @@
 	}
 };
 
-/** Reads the list of upstreams while the engine lacks its version; the list names the peers. Stale reads are cheap. */
-const refreshMembers = async ({store, follower, clock, view, log}: NodeContext, manager: StagedWeightManager, signal: AbortSignal): Promise<void> => {
-	let isFirst = true;
+/** Takes the list of upstreams from the store. A fresh read costs ten times as much as a stale one. */
+const readMembers = async ({store, follower, view, log}: NodeContext, kind: 'fresh' | 'stale'): Promise<void> => {
+	const items = kind === 'fresh' ? (await store.snapshot(UPSTREAM_PREFIX)).map(snapshot => snapshot.items) : await store.staleItems(UPSTREAM_PREFIX);
+	if (items.err) {
+		log.warn('The list of upstreams cannot be read; the last one is used.', {upstreams: view.upstreams.length, error: items.val.message});
+		return;
+	}
+
+	const present = new Set(items.val.map(({key}) => key));
+	const removed: readonly StoreItem[] = follower.items.keys.filter(key => key.startsWith(UPSTREAM_PREFIX) && !present.has(key))
+		.map(key => ({key, value: undefined, revision: follower.items.revision + 1}));
+	follower.take([...items.val, ...(kind === 'fresh' ? removed : [])]);
+};
+
+/** Keeps the list of upstreams current while the engine lacks its version: the list names the peers. */
+const refreshMembers = async (context: NodeContext, manager: StagedWeightManager, signal: AbortSignal): Promise<void> => {
 	while (!signal.aborted) {
-		if (isFirst || manager.isRollingOut) {
-			const items = await store.staleItems(UPSTREAM_PREFIX);
-			if (items.ok) {
-				isFirst = false;
-				const present = new Set(items.val.map(({key}) => key));
-				const removed: readonly StoreItem[] = follower.items.keys.filter(key => key.startsWith(UPSTREAM_PREFIX) && !present.has(key))
-					.map(key => ({key, value: undefined, revision: follower.items.revision}));
-				follower.take([...items.val, ...removed]);
-			} else {
-				log.warn('The list of upstreams cannot be read; the last one is used.', {upstreams: view.upstreams.length, error: items.val.message});
-			}
+		await context.clock.sleep(MEMBERS_REFRESH_MS, signal);
+		if (manager.isRollingOut) {
+			await readMembers(context, 'stale');
 		}
-
-		await clock.sleep(MEMBERS_REFRESH_MS, signal);
 	}
 };
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -8,6 +8,9 @@
 /** Time without data after which a read from the origin fails. */
 export const ORIGIN_TIMEOUT_MS = 2500;
 
+/** Connections of one agent to the origin, which resets those beyond its own limit. */
+export const ORIGIN_CONNECTIONS = 1;
+
 /** Lease of an entry's presence and the interval of its renewals. */
 export const PRESENCE_TTL_MS = 10_000;
 export const PRESENCE_RENEWAL_MS = 3000;
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -83,7 +83,7 @@
 
 	const metrics = new PrometheusMetrics();
 	const store = new StoreClient({address: settings.storeAddress, timeoutMs: STORE_TIMEOUT_MS, watchSlackMs: WATCH_SLACK_MS});
-	const view = new FleetView({clock, log});
+	const view = new FleetView({clock, log, initialTargetAgeMs: Math.max(0, settings.versionBoundMs - settings.stableMs)});
 	const peers = new PeerClient({connectTimeoutMs: PEER_CALL_TIMEOUT_MS});
 	const peerServer = new PeerServer();
 	const follower = new StoreFollower({
--- a/packages/weights/src/chunk-fetcher.ts
+++ b/packages/weights/src/chunk-fetcher.ts
@@ -10,7 +10,7 @@
 } from './constants.js';
 import type {Avoidance} from './avoidance.js';
 import {
-	listParticipants, planSource, type Plan, type Source, type TreeKey,
+	listParticipants, type ChunkPlace, type ChunkPlanner, type Plan, type Source, type TreeKey,
 } from './fetch-plan.js';
 import type {PeerChunkClient} from './peer-chunk-client.js';
 import type {TokenBucket} from './token-bucket.js';
@@ -22,6 +22,7 @@
 	readonly storeRegion: () => string;
 	readonly members: MemberTable;
 	readonly origin: WeightOrigin;
+	readonly planner: ChunkPlanner;
 	readonly peers: PeerChunkClient;
 	readonly avoidance: Avoidance;
 	readonly link: TokenBucket;
@@ -36,7 +37,7 @@
 	readonly balance: () => number;
 };
 
-export type ChunkTask = {
+export type ChunkTask = ChunkPlace & {
 	readonly manifest: string;
 	readonly hash: string;
 	readonly tree: TreeKey;
@@ -89,10 +90,17 @@
 		}
 	}
 
-	#plan({hash, tree, manifest}: ChunkTask, {asksSibling}: FetchState): Plan {
-		const {selfId, service, storeRegion, members, avoidance, balance} = this.#options;
-		return planSource({
+	/** Whether this member reads the chunk for its region and passes it on. */
+	isReader(place: ChunkPlace & Pick<ChunkTask, 'manifest' | 'tree'>): boolean {
+		return this.#plan({...place, hash: place.chunks[place.index]}, {asksSibling: false}).position === 0;
+	}
+
+	#plan({hash, tree, manifest, index, chunks}: Pick<ChunkTask, 'hash' | 'tree' | 'manifest' | 'index' | 'chunks'>, {asksSibling}: Pick<FetchState, 'asksSibling'>): Plan {
+		const {selfId, service, storeRegion, members, avoidance, planner} = this.#options;
+		return planner.plan({
 			tree,
+			index,
+			chunks,
 			manifest,
 			selfId,
 			region: members.self.region,
@@ -151,7 +159,7 @@
 
 		const buckets = source.isCrossRegion ? [link, crossRegionLink] : [link];
 		const answer = await peers.fetchChunk(source.address, {
-			hash, sizeBytes, buckets, signal, mayYield: plan.hasSibling && !state.asksSibling,
+			hash, sizeBytes, buckets, signal, mayYield: plan.hasSibling && !state.asksSibling, isRelay: plan.position === 0,
 		});
 		if (signal.aborted) {
 			return undefined;
--- a/packages/weights/src/chunk-server.ts
+++ b/packages/weights/src/chunk-server.ts
@@ -37,13 +37,16 @@
 
 	/** Whether the requester can ask another member when this one is busy. */
 	readonly mayYield: boolean;
+
+	/** Whether the requester passes the chunk on to its region. */
+	readonly isRelay: boolean;
 };
 
 const readTarget = (request: IncomingMessage): Target | undefined => {
 	const url = new URL(request.url ?? '/', 'http://peer');
 	const hash = HASH_PATH.exec(url.pathname)?.[1];
 	const waitMs = Number(url.searchParams.get('wait') ?? 0);
-	return hash === undefined || request.method !== 'GET' || !(waitMs >= 0) ? undefined : {hash, waitMs: Math.min(waitMs, MAX_HELD_WAIT_MS), mayYield: url.searchParams.has('yield')};
+	return hash === undefined || request.method !== 'GET' || !(waitMs >= 0) ? undefined : {hash, waitMs: Math.min(waitMs, MAX_HELD_WAIT_MS), mayYield: url.searchParams.has('yield'), isRelay: url.searchParams.has('relay')};
 };
 
 const refuse = (response: ServerResponse, status: number, headers: Readonly<Record<string, string>> = {}): void => {
@@ -116,7 +119,7 @@
 
 			const peer = String(request.headers[REQUESTER_HEADER] ?? request.socket.remoteAddress);
 			const queueLimit = target.mayYield ? limitSignal(signal, YIELD_AFTER_MS) : undefined;
-			const free = await this.#options.uploads.acquire(peer, queueLimit?.signal ?? signal);
+			const free = await this.#options.uploads.acquire(peer, queueLimit?.signal ?? signal, target.isRelay);
 			queueLimit?.release();
 			if (free) {
 				await this.#send(chunk, response, {peer, signal, free});
--- a/packages/weights/src/constants.ts
+++ b/packages/weights/src/constants.ts
@@ -43,7 +43,7 @@
 export const YIELD_AFTER_MS = 700;
 
 /** Bytes written to a peer between two looks at the rate limit. */
-export const UPLOAD_SLICE_BYTES = 32 * 1024;
+export const UPLOAD_SLICE_BYTES = 16 * 1024;
 
 /** Bytes hashed before the event loop gets its turn. */
 export const HASH_SLICE_BYTES = 256 * 1024;
--- a/packages/weights/src/exchange.ts
+++ b/packages/weights/src/exchange.ts
@@ -3,6 +3,7 @@
 import {ChunkFetcher} from './chunk-fetcher.js';
 import {ChunkServer} from './chunk-server.js';
 import {ChunkStore} from './chunk-store.js';
+import {TreePlanner} from './fetch-plan.js';
 import {LinkBudget} from './link-budget.js';
 import {ManifestFetcher} from './manifest-fetcher.js';
 import {ManifestLibrary} from './manifest-library.js';
@@ -46,6 +47,7 @@
 		const shared = {
 			...options,
 			storeRegion,
+			planner: options.planner ?? new TreePlanner(),
 			peers: this.#peers,
 			avoidance: new Avoidance(clock),
 		};
--- a/packages/weights/src/fetch-plan.ts
+++ b/packages/weights/src/fetch-plan.ts
@@ -30,6 +30,19 @@
 	readonly asksSibling?: boolean;
 };
 
+/** Where a chunk stands among all chunks of its version. */
+export type ChunkPlace = {
+	readonly index: number;
+
+	/** Hashes of all chunks. */
+	readonly chunks: readonly string[];
+};
+
+/** Chooses the source of a chunk for a member. */
+export interface ChunkPlanner {
+	readonly plan: (options: PlanOptions & ChunkPlace) => Plan;
+}
+
 export type Plan = {
 	readonly source: Source;
 
@@ -102,3 +115,8 @@
 	const first = orderOf(candidates).at(0);
 	return {source: first === undefined ? {kind: 'origin'} : peerSource(byId.get(first)!, region), position, hasSibling: false};
 };
+
+/** Plans by one tree for each chunk. */
+export class TreePlanner implements ChunkPlanner {
+	readonly plan = (options: PlanOptions): Plan => planSource(options);
+}
--- a/packages/weights/src/peer-chunk-client.ts
+++ b/packages/weights/src/peer-chunk-client.ts
@@ -46,7 +46,7 @@
 	}
 
 	/** Asks a peer for a chunk. The peer holds the request until it has the chunk or the wait ends. */
-	async fetchChunk(address: string, {hash, sizeBytes, buckets, mayYield = false, signal}: {
+	async fetchChunk(address: string, {hash, sizeBytes, buckets, mayYield = false, isRelay = false, signal}: {
 		readonly hash: string;
 		readonly sizeBytes: number;
 
@@ -55,13 +55,16 @@
 
 		/** Whether the peer may answer `busy`. */
 		readonly mayYield?: boolean;
+
+		/** Whether this member passes the chunk on to its region. */
+		readonly isRelay?: boolean;
 		readonly signal: AbortSignal;
 	}): Promise<PeerAnswer> {
 		const watch = new ProgressWatch(this.#stallWindowMs);
 		const combined = AbortSignal.any([signal, watch.signal]);
 		watch.restart();
 		try {
-			const {statusCode, headers, body} = await request(`http://${address}/chunks/${hash}?wait=${this.#heldWaitMs}${mayYield ? '&yield' : ''}`, {
+			const {statusCode, headers, body} = await request(`http://${address}/chunks/${hash}?wait=${this.#heldWaitMs}${mayYield ? '&yield' : ''}${isRelay ? '&relay' : ''}`, {
 				dispatcher: this.#agent, signal: combined, headers: {[REQUESTER_HEADER]: this.#selfId}, headersTimeout: 0, bodyTimeout: 0,
 				onInfo() {
 					watch.restart();
--- a/packages/weights/src/staged/constants.ts
+++ b/packages/weights/src/staged/constants.ts
@@ -4,23 +4,49 @@
 /** Pause before a failed step is repeated. */
 export const STEP_RETRY_MS = 250;
 
-/** Time between telling the entries of a switch and ordering it, so that they send nothing that would wait. */
-export const SWITCH_NOTICE_MS = 120;
+/** Least time between telling the entries of a switch and ordering it, so that they send nothing that would wait. */
+export const SWITCH_NOTICE_MS = 60;
 
 /** Oldest verification of the staged pieces with which an order is sent. */
 export const VERIFICATION_LIFE_MS = 1500;
 
-/** Share of the engines that switch versions at the same time. */
-export const SWITCHING_SHARE = 0.34;
+/** Groups of engines that switch versions one after the other. */
+export const SWITCH_WAVES = 3;
 
-/** Share of the bound on old versions after which an engine switches whatever the others do. */
-export const LATEST_SWITCH_SHARE = 0.6;
+/** Times of the first and the last group, as shares of the bound on old versions. */
+export const FIRST_WAVE_SHARE = 0.62;
+export const LAST_WAVE_SHARE = 0.85;
 
 /** Time after which an accepted order that had no effect is given up. */
 export const LOAD_TIMEOUT_MS = 20_000;
 
-/** Reads of the manifest before one with pieces that never verify is read again. */
-export const MANIFEST_DOUBT_MS = 3000;
+/** Most and least of the line rate that a transfer uses in each direction; the rest keeps live requests on time. */
+export const TRANSFER_SHARE = 0.68;
+export const LEAST_TRANSFER_SHARE = 0.35;
 
-/** Share of the line rate that transfers use; the rest keeps stream events on time. */
-export const TRANSFER_SHARE = 0.75;
+/** Time between the end of a transfer and the turn to switch. */
+export const TRANSFER_MARGIN_MS = 300;
+
+/**
+Share of the bound within which a newer version replaces the transfer of an older one: it can then still reach the
+engine before the bound of the older. Later the older transfer ends first.
+*/
+export const SUPERSEDE_SHARE = 0.3;
+
+/** Pieces that are requested from peers at the same time, besides those that this member passes on. */
+export const OUTSTANDING_PIECES = 4;
+
+/** Idle time that the pace of a transfer may make up for. */
+export const PACE_BURST_MS = 150;
+
+/** Trade-off between origin bytes (0) and time (1): the bound on old versions leaves no time to wait for a slow peer. */
+export const TIME_BALANCE = 1;
+
+/**
+Streams that are cut when an engine switches, at most; callers get the rest of them from other engines. Few enough that
+the repeated sends of a whole rollout stay within the budget.
+*/
+export const CUT_STREAMS = 3;
+
+/** Longest wait for the streams of an engine that switches to become that few. */
+export const DRAIN_TIMEOUT_MS = 2000;
--- a/packages/weights/src/staged/index.ts
+++ b/packages/weights/src/staged/index.ts
@@ -1,4 +1,3 @@
 /** Weights for engines that load what is staged beside them. */
 export type * from './types.js';
 export {StagedWeightManager, type EngineStatus, type StagedTarget, type StagedWeightManagerOptions} from './staged-weight-manager.js';
-export {TRANSFER_SHARE} from './constants.js';
--- a/packages/weights/src/staged/indexed-origin.ts
+++ b/packages/weights/src/staged/indexed-origin.ts
@@ -6,6 +6,9 @@
 
 type Place = {readonly model: string; readonly version: number; readonly index: number};
 
+/** Versions before the newest one whose chunks may still be asked for. */
+const KEPT_VERSIONS = 2;
+
 export class IndexedOrigin implements WeightOrigin {
 	readonly #origin: () => VersionedOrigin | undefined;
 	readonly #places = new Map<string, Place>();
@@ -17,9 +20,14 @@
 		this.#origin = origin;
 	}
 
-	/** Makes the chunks of a version readable, and forgets those of other versions. */
+	/** Makes the chunks of a version readable, and forgets those of versions that the origin no longer has. */
 	register({manifest, model, version}: StagedManifest): void {
-		this.#places.clear();
+		for (const [hash, place] of this.#places) {
+			if (place.version < version - KEPT_VERSIONS) {
+				this.#places.delete(hash);
+			}
+		}
+
 		for (const [index, hash] of manifest.chunks.entries()) {
 			this.#places.set(hash, {model, version, index});
 		}
--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -2,11 +2,13 @@
 import type {Clock, Log, Metrics} from '@yuccawood/common';
 import type {ChunkFetcher} from '../chunk-fetcher.js';
 import type {ChunkStore} from '../chunk-store.js';
-import {transferVersion} from '../version-transfer.js';
-import {LOAD_TIMEOUT_MS, STEP_RETRY_MS, SWITCH_NOTICE_MS, VERIFICATION_LIFE_MS} from './constants.js';
+import {
+	CUT_STREAMS, DRAIN_TIMEOUT_MS, LOAD_TIMEOUT_MS, STEP_RETRY_MS, SWITCH_NOTICE_MS, VERIFICATION_LIFE_MS,
+} from './constants.js';
 import type {IndexedOrigin} from './indexed-origin.js';
 import type {Stage} from './stage.js';
 import {toStagedManifest, type StagedManifest} from './staged-manifest.js';
+import {transferStaged} from './staged-transfer.js';
 import type {HeldVersion, StagedEngine, StagedEngineState, VersionedOrigin} from './types.js';
 
 export type StagedRolloutOptions = {
@@ -23,12 +25,29 @@
 	/** Reads the engine's state now. */
 	readonly refresh: () => Promise<StagedEngineState | undefined>;
 
-	/** Whether this engine may switch now, as far as the others are known. */
-	readonly isTurn: (manifest: StagedManifest) => boolean;
+	readonly selfId: string;
+
+	/** Reads who takes part, so that all members assign the same readers. */
+	readonly refreshMembers: () => Promise<void>;
+
+	/** Rate in bytes per second with which a transfer of this size that began then ends in time for this engine's turn. */
+	readonly paceOf: (bytes: number, startedAt: number) => number;
+
+	/** Whether this engine may switch now, as its group. */
+	readonly isTurn: () => boolean;
+
+	/** Whether all requests that the engine gets may be continued or repeated elsewhere. */
+	readonly mayCut: () => boolean;
 
 	/** Tells entries that the engine switches, or no longer does. */
 	readonly onSwitching: (isSwitching: boolean) => void;
 
+	/** Called when all pieces are held; resolves when the engine is free for this version. */
+	readonly onPieces: () => Promise<void>;
+
+	/** Manifest of the newest version whose transfer has begun; its pieces are kept. */
+	readonly newestManifest: () => string | undefined;
+
 	/** Called with the manifest when the transfer begins. */
 	readonly onManifest: (manifest: StagedManifest) => void;
 	readonly clock: Clock;
@@ -54,30 +73,30 @@
 		return;
 	}
 
-	for (const hash of store.retained) {
-		if (hash !== manifest.hash) {
-			store.release(hash);
-		}
-	}
-
 	pieces.register(manifest);
+	await options.refreshMembers();
 	options.onManifest(manifest);
 	const adopted = await stage.adopt(manifest, signal);
-	await transferVersion({
-		...manifest, store, fetcher, signal,
-		onChunk({hash}) {
-			if (adopted < manifest.manifest.chunks.length) {
-				void stage.put(manifest, hash);
-			}
-		},
+	const bytes = manifest.manifest.sizeBytes;
+	await transferStaged({
+		staged: manifest, store, fetcher, selfId: options.selfId, clock, signal,
+		bytesPerSecond: () => options.paceOf(bytes, startedAt),
 	});
 	if (signal.aborted) {
+		store.release(manifest.hash);
 		return;
 	}
 
 	log.info('All pieces are held.', {
 		model: target.name, version: target.version, adopted, milliseconds: Math.round(clock.monotonic() - startedAt),
 	});
+	await options.onPieces();
+	for (const hash of store.retained) {
+		if (hash !== manifest.hash && hash !== options.newestManifest()) {
+			store.release(hash);
+		}
+	}
+
 	while (!signal.aborted && !isHeld(await options.refresh(), target)) {
 		await switchOnce(target, manifest, options, signal);
 	}
@@ -113,32 +132,33 @@
 		return;
 	}
 
-	while (!signal.aborted && options.state()?.model && !isTurn(manifest)) {
+	while (!signal.aborted && options.state()?.model && !isTurn()) {
 		await clock.sleep(STEP_RETRY_MS / 2, signal);
 	}
 
-	const verifiedAt = clock.monotonic();
-	const check = await stage.verify(manifest, signal);
-	if (check.kind !== 'whole') {
-		await clock.sleep(check.kind === 'repaired' ? 0 : STEP_RETRY_MS, signal);
+	const staged = await stage.verify(manifest, signal);
+	if (staged.kind === 'incomplete') {
+		await clock.sleep(STEP_RETRY_MS, signal);
 		return;
 	}
 
 	onSwitching(true);
 	try {
-		if (options.state()?.model) {
-			await clock.sleep(SWITCH_NOTICE_MS, signal);
-		}
-
+		await drain(options, signal);
+		const verifiedAt = clock.monotonic();
+		const check = await stage.verify(manifest, signal);
 		const state = await refresh();
-		if (signal.aborted || !state || clock.monotonic() - verifiedAt > VERIFICATION_LIFE_MS) {
+		if (signal.aborted || !state || check.kind !== 'whole' || clock.monotonic() - verifiedAt > VERIFICATION_LIFE_MS) {
 			await clock.sleep(STEP_RETRY_MS, signal);
 			return;
 		}
 
-		const outcome = await engine.start({model: target.name, version: target.version, expectedOrders: state.orders});
+		const cutsRunning = options.mayCut() && state.running > 0 && state.running <= CUT_STREAMS;
+		const outcome = await engine.start({
+			model: target.name, version: target.version, expectedOrders: state.orders, cutsRunning,
+		});
 		log.audit('Order to load a version.', {
-			model: target.name, version: target.version, orders: state.orders, outcome: outcome.ok ? outcome.val : outcome.val.kind, running: state.running,
+			model: target.name, version: target.version, orders: state.orders, outcome: outcome.ok ? outcome.val : outcome.val.kind, running: state.running, cutsRunning,
 		});
 		metrics.count('weights.orders', {outcome: outcome.ok ? outcome.val : outcome.val.kind});
 		if (outcome.ok && outcome.val === 'conflict') {
@@ -153,6 +173,19 @@
 	}
 };
 
+/** Lets the running requests end, as far as the wait is short; entries send no new ones meanwhile. */
+const drain = async ({state, refresh, clock, mayCut}: StagedRolloutOptions, signal: AbortSignal): Promise<void> => {
+	if (!state()?.model) {
+		return;
+	}
+
+	const until = clock.monotonic() + DRAIN_TIMEOUT_MS;
+	do {
+		await clock.sleep(SWITCH_NOTICE_MS, signal);
+		await refresh();
+	} while (!signal.aborted && mayCut() && (state()?.running ?? 0) > CUT_STREAMS && clock.monotonic() < until);
+};
+
 /** Waits until the version is held, the engine is idle without it, or it started anew. */
 const waitForEffect = async (target: HeldVersion, before: StagedEngineState, {clock, refresh}: StagedRolloutOptions, signal: AbortSignal): Promise<void> => {
 	const until = clock.monotonic() + LOAD_TIMEOUT_MS;
--- /dev/null
+++ b/packages/weights/src/staged/staged-transfer.ts
@@ -0,0 +1,67 @@
+/**
+Fetches the pieces of a version: those that this member reads for its region at once, the others at a steady pace.
+
+Load pattern: a rollout to VMs that serve streams over the same narrow link. The pace is just fast enough for this
+member's turn to switch, so that live requests find the link free.
+*/
+import type {Clock} from '@yuccawood/common';
+import type {ChunkFetcher} from '../chunk-fetcher.js';
+import type {ChunkStore} from '../chunk-store.js';
+import {treeKeyOf} from '../fetch-plan.js';
+import {TokenBucket} from '../token-bucket.js';
+import {OUTSTANDING_PIECES, PACE_BURST_MS} from './constants.js';
+import type {StagedManifest} from './staged-manifest.js';
+
+export type StagedTransferOptions = {
+	readonly staged: StagedManifest;
+	readonly store: ChunkStore;
+	readonly fetcher: ChunkFetcher;
+	readonly selfId: string;
+
+	/** Rate at which this member fetches the pieces that it passes on to nobody, in bytes per second. */
+	readonly bytesPerSecond: () => number;
+	readonly clock: Clock;
+	readonly signal: AbortSignal;
+};
+
+/** Resolves when all pieces are held, or when the signal aborts. The manifest must be retained in the store. */
+export const transferStaged = async ({staged, store, fetcher, selfId, bytesPerSecond, clock, signal}: StagedTransferOptions): Promise<void> => {
+	const {hash: manifest, manifest: {chunks, chunkBytes}} = staged;
+	const pace = new TokenBucket({clock, bytesPerSecond, burstMs: PACE_BURST_MS});
+	const fetchOne = async (index: number): Promise<void> => {
+		const hash = chunks[index];
+		const chunk = store.get(hash) ?? await fetcher.fetch({
+			manifest, hash, tree: treeKeyOf(chunks, index), index, chunks, sizeBytes: chunkBytes, signal, originTurn: async () => undefined,
+		});
+		if (chunk) {
+			store.put(chunk);
+		}
+	};
+
+	const missing = [...chunks.keys()].filter(index => !store.has(chunks[index]));
+	const readHere = missing.filter(index => fetcher.isReader({index, chunks, manifest, tree: treeKeyOf(chunks, index)}));
+	const others = rotate(missing.filter(index => !readHere.includes(index)), selfId);
+	let next = 0;
+	const work = async (): Promise<void> => {
+		while (next < others.length && !signal.aborted) {
+			const index = others[next++];
+			await pace.take(chunkBytes, signal);
+			await fetchOne(index);
+		}
+	};
+
+	await Promise.all([
+		...readHere.map(async index => fetchOne(index)),
+		...Array.from({length: OUTSTANDING_PIECES}, async () => work()),
+	]);
+};
+
+/** Members begin at different pieces, so that they do not ask the same reader at the same time. */
+const rotate = (indices: readonly number[], selfId: string): readonly number[] => {
+	let start = 0;
+	for (const character of selfId) {
+		start = ((start * 31) + character.codePointAt(0)!) % Math.max(1, indices.length);
+	}
+
+	return [...indices.slice(start), ...indices.slice(0, start)];
+};
--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -1,18 +1,19 @@
 /** Keeps the engine beside this agent on the newest named version of its model. */
 import {setMaxListeners} from 'node:events';
 import {
-	Publisher, SystemClock, systemRandom, type Clock, type Log, type Metrics, type PeerServer, type Random,
+	delay, Publisher, SystemClock, systemRandom, type Clock, type Log, type Metrics, type PeerServer, type Random,
 } from '@yuccawood/common';
 import type {MemberTable} from '@yuccawood/membership';
-import {DEFAULT_BALANCE} from '../constants.js';
 import {Exchange} from '../exchange.js';
-import {maySwitch} from '../switch-turn.js';
+import {StarPlanner} from '../star-plan.js';
 import type {WeightSettings} from '../types.js';
-import {LATEST_SWITCH_SHARE, REPORT_POLL_MS, SWITCHING_SHARE} from './constants.js';
+import {
+	FIRST_WAVE_SHARE, LEAST_TRANSFER_SHARE, REPORT_POLL_MS, SUPERSEDE_SHARE, TIME_BALANCE, TRANSFER_MARGIN_MS, TRANSFER_SHARE,
+} from './constants.js';
 import {IndexedOrigin} from './indexed-origin.js';
 import {Stage} from './stage.js';
-import type {StagedManifest} from './staged-manifest.js';
 import {rollOutStaged} from './staged-rollout.js';
+import {switchWave} from './switch-wave.js';
 import type {HeldVersion, StagedEngine, StagedEngineState, VersionedOrigin} from './types.js';
 
 /** Version that the engine should hold, and since when this agent knows. */
@@ -30,7 +31,15 @@
 	readonly selfId: string;
 	readonly service: string;
 	readonly members: MemberTable;
-	readonly target: () => StagedTarget | undefined;
+
+	/** Brings the member table up to date; without success the last one is used. */
+	readonly refreshMembers: () => Promise<void>;
+
+	/** Versions that were named, oldest first; the last one is the target. */
+	readonly targets: () => readonly StagedTarget[];
+
+	/** Whether all requests that the engine gets may be continued or repeated elsewhere. */
+	readonly mayCut: () => boolean;
 	readonly engine: StagedEngine;
 	readonly origin: () => VersionedOrigin | undefined;
 
@@ -46,7 +55,16 @@
 	readonly metrics: Metrics;
 };
 
-type Running = {readonly target: HeldVersion; readonly controller: AbortController; readonly done: Promise<void>};
+/** A rollout in progress. One whose pieces are all held goes on beside that of a newer version, until the bound of its own. */
+type Running = {
+	readonly target: StagedTarget;
+	readonly controller: AbortController;
+	hasPieces: boolean;
+
+	/** Settles when all pieces are held or the rollout ended without. */
+	readonly pieces: Promise<void>;
+	readonly done: Promise<void>;
+};
 
 export class StagedWeightManager {
 	readonly #options: StagedWeightManagerOptions;
@@ -60,7 +78,7 @@
 	#state: StagedEngineState | undefined;
 	#isDown = false;
 	#isSwitching = false;
-	#running: Running | undefined;
+	#running: readonly Running[] = [];
 
 	constructor(options: StagedWeightManagerOptions) {
 		const {clock = new SystemClock(), random = systemRandom(), log, metrics, engine, origin} = options;
@@ -69,7 +87,7 @@
 		this.#log = log.part('weights');
 		this.#pieces = new IndexedOrigin({origin});
 		this.#exchange = new Exchange({
-			...options, origin: this.#pieces, clock, random, log: this.#log, balance: () => DEFAULT_BALANCE,
+			...options, settings: {...options.settings, linkBytesPerSecond: (options.settings.linkBytesPerSecond ?? Number.POSITIVE_INFINITY) * TRANSFER_SHARE}, origin: this.#pieces, clock, random, log: this.#log, balance: () => TIME_BALANCE, planner: new StarPlanner(),
 		});
 		this.#stage = new Stage({
 			engine, store: this.#exchange.store, log: this.#log, metrics,
@@ -82,7 +100,7 @@
 
 	/** Whether a version is being brought onto the engine. */
 	get isRollingOut(): boolean {
-		return this.#running !== undefined;
+		return this.#running.length > 0;
 	}
 
 	/** Hash of the manifest of a version; nothing before this agent has read it. */
@@ -102,8 +120,11 @@
 			await this.#clock.sleep(REPORT_POLL_MS, signal);
 		}
 
-		this.#running?.controller.abort();
-		await this.#running?.done;
+		for (const {controller} of this.#running) {
+			controller.abort();
+		}
+
+		await Promise.all(this.#running.map(async ({done}) => done));
 		await this.#exchange.close();
 	}
 
@@ -129,47 +150,72 @@
 		return this.#state;
 	}
 
-	/** Starts a rollout when the engine lacks the target, and replaces one for an older target. */
+	/**
+	Starts a rollout when the engine lacks the target, and replaces one for an older target.
+
+	An engine that held the target before this agent started goes through it, too: its staged pieces then serve the peers.
+	*/
 	#steer(signal: AbortSignal): void {
-		const target = this.#options.target();
+		const target = this.#options.targets().at(-1);
 		if (!target) {
 			return;
 		}
 
-		if (this.#running && this.#running.target.version !== target.version) {
-			this.#log.info('A newer version was named; the rollout of the older one ends.', {from: this.#running.target.version, to: target.version});
-			this.#running.controller.abort();
+		for (const {target: older, hasPieces, controller} of this.#running) {
+			const isEarly = target.learnedAt - older.learnedAt < this.#options.versionBoundMs * SUPERSEDE_SHARE;
+			if (older.version !== target.version && !hasPieces && isEarly && !controller.signal.aborted) {
+				this.#log.info('A newer version was named; the transfer of the older one ends.', {from: older.version, to: target.version});
+				controller.abort();
+			}
 		}
 
 		const isHeld = this.#state?.model?.name === target.name && this.#state.model.version === target.version;
-		if (!isHeld && this.#state && (!this.#running || this.#running.controller.signal.aborted)) {
+		const isKnown = isHeld && this.#hashes.has(target.version);
+		const isRunning = this.#running.some(({target: running, controller}) => running.version === target.version && !controller.signal.aborted);
+		if (!isKnown && this.#state && !isRunning) {
 			this.#start(target, signal);
 		}
 	}
 
 	#start(target: StagedTarget, signal: AbortSignal): void {
-		const previous = this.#running;
+		const previous = this.#running.map(({done}) => done);
+		const previousPieces = this.#running.map(({pieces}) => pieces);
+		let releasePieces = (): void => undefined;
+		const pieces = new Promise<void>(resolve => {
+			releasePieces = resolve;
+		});
 		const controller = new AbortController();
 		const combined = AbortSignal.any([controller.signal, signal]);
 		setMaxListeners(0, combined);
 		const run = async (): Promise<void> => {
-			await previous?.done;
 			try {
-				await rollOutStaged(target, this.#rolloutOptions(target), combined);
+				// One transfer at a time leaves each the whole pace.
+				await Promise.all(previousPieces);
+				await rollOutStaged(target, {
+					...this.#rolloutOptions(target),
+					onPieces: async () => {
+						running.hasPieces = true;
+						releasePieces();
+						// The stage and the engine take one version at a time.
+						await Promise.all(previous);
+					},
+				}, combined);
 			} catch (error) {
 				this.#log.error('A rollout failed; it starts again.', {error: String(error)});
 			} finally {
-				if (this.#running?.controller === controller) {
-					this.#running = undefined;
-				}
+				releasePieces();
+				this.#running = this.#running.filter(other => other !== running);
 			}
 		};
 
-		this.#running = {target, controller, done: run()};
+		const running: Running = {
+			target, controller, hasPieces: false, pieces, done: delay(0).then(run),
+		};
+		this.#running = [...this.#running, running];
 	}
 
-	#rolloutOptions(target: StagedTarget): Parameters<typeof rollOutStaged>[1] {
-		const {engine, origin, metrics} = this.#options;
+	#rolloutOptions(target: StagedTarget): Omit<Parameters<typeof rollOutStaged>[1], 'onPieces'> {
+		const {engine, origin, metrics, refreshMembers, mayCut} = this.#options;
 		return {
 			engine,
 			origin,
@@ -179,11 +225,16 @@
 			stage: this.#stage,
 			state: () => this.#state,
 			refresh: async () => this.#refresh(),
-			isTurn: manifest => this.#isTurn(target, manifest),
+			selfId: this.#options.selfId,
+			refreshMembers,
+			mayCut,
+			paceOf: (bytes, startedAt) => this.#paceOf(target, bytes, startedAt),
+			isTurn: () => this.#isTurn(target),
 			onSwitching: isSwitching => {
 				this.#isSwitching = isSwitching;
 				this.#published.publish(this.status);
 			},
+			newestManifest: () => [...this.#hashes].reduce<readonly [number, string] | undefined>((newest, entry) => newest && newest[0] > entry[0] ? newest : entry, undefined)?.[1],
 			onManifest: ({hash, version}) => {
 				this.#hashes.set(version, hash);
 				this.#log.info('Transfer begins.', {manifest: hash, version, origin: origin() !== undefined});
@@ -194,10 +245,35 @@
 		};
 	}
 
-	#isTurn(target: StagedTarget, {model, version}: StagedManifest): boolean {
-		const {members, selfId, service, versionBoundMs} = this.#options;
-		return this.#clock.monotonic() - target.learnedAt > versionBoundMs * LATEST_SWITCH_SHARE || maySwitch({
-			members: members.members, selfId, service, name: model, manifest: String(version), maxSwitchingShare: SWITCHING_SHARE,
-		});
+	/** Whether this engine's group may switch; an engine that serves nothing waits for nobody. */
+	#isTurn(target: StagedTarget): boolean {
+		return this.#clock.monotonic() - this.#boundStart(target) >= this.#switchDelayMs(target);
+	}
+
+	/** When the oldest version was named that is newer than what the engine holds: its bound comes first. */
+	#boundStart(target: StagedTarget): number {
+		const held = this.#state?.model?.version ?? 0;
+		return this.#options.targets().find(({version}) => version > held)?.learnedAt ?? target.learnedAt;
+	}
+
+	#switchDelayMs({version}: StagedTarget): number {
+		const {members, selfId, versionBoundMs} = this.#options;
+		const ids = members.members.filter(({upstream, id}) => id === selfId || (upstream?.served.length ?? 0) > 0).map(({id}) => id);
+		return switchWave({
+			selfId, ids, version, boundMs: versionBoundMs,
+		}).delayMs;
+	}
+
+	/** Fast enough for the turn of the first group; as fast as allowed while it serves nothing. */
+	#paceOf(target: StagedTarget, bytes: number, startedAt: number): number {
+		const {linkBytesPerSecond = Number.POSITIVE_INFINITY} = this.#options.settings;
+		const most = linkBytesPerSecond * TRANSFER_SHARE;
+		if (!this.#state?.model) {
+			return most;
+		}
+
+		const dueAt = this.#boundStart(target) + (this.#options.versionBoundMs * FIRST_WAVE_SHARE) - TRANSFER_MARGIN_MS;
+		const needed = dueAt > startedAt ? bytes * 1000 / (dueAt - startedAt) : most;
+		return Math.max(linkBytesPerSecond * LEAST_TRANSFER_SHARE, Math.min(most, needed));
 	}
 }
--- a/packages/weights/src/staged/types.ts
+++ b/packages/weights/src/staged/types.ts
@@ -26,6 +26,17 @@
 /** `conflict`: the order does not fit the state, or other orders came first. */
 export type StartOutcome = 'begun' | 'in-effect' | 'conflict';
 
+export type StartOrder = {
+	readonly model: string;
+	readonly version: number;
+
+	/** Orders accepted so far; the engine refuses when there were others. */
+	readonly expectedOrders: number;
+
+	/** Whether running requests are cut; otherwise the load begins after their end. */
+	readonly cutsRunning: boolean;
+};
+
 /** An engine that loads a version from pieces that are staged beside it. It does not check them. */
 export interface StagedEngine {
 	readonly state: () => Outcome<StagedEngineState>;
@@ -34,8 +45,8 @@
 	/** @returns nothing when no such piece is staged. */
 	readonly readPiece: (model: string, index: number) => Outcome<Uint8Array | undefined>;
 
-	/** Loads what is staged once the running requests have ended. */
-	readonly start: (order: {readonly model: string; readonly version: number; readonly expectedOrders: number}) => Outcome<StartOutcome>;
+	/** Loads what is staged. */
+	readonly start: (order: StartOrder) => Outcome<StartOutcome>;
 }
 
 /** SHA-256 of each piece of a version, in hexadecimal digits. */
--- a/packages/weights/src/types.ts
+++ b/packages/weights/src/types.ts
@@ -5,6 +5,7 @@
 import type {MemberTable, ServedVersion} from '@yuccawood/membership';
 import type {ModelEngine, WeightOrigin} from '@yuccawood/interfaces';
 import type {Stream} from 'most';
+import type {ChunkPlanner} from './fetch-plan.js';
 
 export type WeightSettings = {
 	/** Line rate of this VM in each direction, in bytes per second. */
@@ -40,6 +41,9 @@
 	readonly peerServer: PeerServer;
 	readonly settings: WeightSettings;
 
+	/** Chooses where each chunk comes from; by default one tree for each chunk. */
+	readonly planner?: ChunkPlanner;
+
 	/** Trade-off in force between origin bytes (0) and time (1). */
 	readonly balance: () => number;
 	readonly clock: Clock;
--- a/packages/weights/src/upload-queue.ts
+++ b/packages/weights/src/upload-queue.ts
@@ -1,8 +1,12 @@
-/** Slots for uploads to peers, shared fairly: the peer that has received the fewest bytes lately goes first. */
+/**
+Slots for uploads to peers, shared fairly: the peer that has received the fewest bytes lately goes first.
+
+Peers that pass the chunk on to a whole region go before the others.
+*/
 import type {Clock} from '@yuccawood/common';
 import {UPLOAD_SLOTS} from './constants.js';
 
-type Waiting = {readonly peer: string; readonly start: () => void};
+type Waiting = {readonly peer: string; readonly isRelay: boolean; readonly start: () => void};
 
 /** Half-life of the bytes counted for a peer. */
 const HALF_LIFE_MS = 1000;
@@ -20,13 +24,13 @@
 	}
 
 	/** Waits for a slot. @returns a function that frees it, or nothing when the signal aborted first. */
-	async acquire(peer: string, signal: AbortSignal): Promise<(() => void) | undefined> {
+	async acquire(peer: string, signal: AbortSignal, isRelay = false): Promise<(() => void) | undefined> {
 		if (signal.aborted) {
 			return undefined;
 		}
 
 		if (this.#active >= this.#slots) {
-			const isStarted = await this.#wait(peer, signal);
+			const isStarted = await this.#wait(peer, signal, isRelay);
 			if (signal.aborted) {
 				// The slot was given to this request just before it was aborted; the next one must not miss it.
 				if (isStarted) {
@@ -54,10 +58,11 @@
 	}
 
 	/** @returns whether a slot became free before the signal aborted. */
-	async #wait(peer: string, signal: AbortSignal): Promise<boolean> {
+	async #wait(peer: string, signal: AbortSignal, isRelay: boolean): Promise<boolean> {
 		return new Promise<boolean>(resolve => {
 			const waiting: Waiting = {
 				peer,
+				isRelay,
 				start() {
 					signal.removeEventListener('abort', abandon);
 					resolve(true);
@@ -82,7 +87,7 @@
 		let fewest = Number.POSITIVE_INFINITY;
 		for (const waiting of this.#waiting) {
 			const bytes = this.#recentBytes(waiting.peer);
-			if (bytes < fewest) {
+			if (best ? (waiting.isRelay === best.isRelay ? bytes < fewest : waiting.isRelay) : true) {
 				best = waiting;
 				fewest = bytes;
 			}
--- a/packages/weights/src/version-transfer.ts
+++ b/packages/weights/src/version-transfer.ts
@@ -64,7 +64,7 @@
 	const fetchNext = async (index: number): Promise<void> => {
 		const [hash, sizeBytes] = chunks[index];
 		const chunk = store.get(hash) ?? await fetcher.fetch({
-			manifest: manifestHash, hash, tree: treeKeyOf(hashes, index), sizeBytes, signal, originTurn: async () => turns.wait(index, signal),
+			manifest: manifestHash, hash, tree: treeKeyOf(hashes, index), index, chunks: hashes, sizeBytes, signal, originTurn: async () => turns.wait(index, signal),
 		});
 		if (!chunk || signal.aborted) {
 			return;
