--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -107,7 +107,7 @@
 			case 'crasher': {
 				this.#crashers.set(announcement.fingerprint, announcement.crashes);
 				this.#changes.publish('crashers');
-				return;
+				break;
 			}
 
 			case 'other': {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -1,6 +1,9 @@
 /** Time to connect to an upstream in the same network. */
 export const CONNECT_TIMEOUT_MS = 700;
 
+/** Idle time after which the kernel probes a connection. */
+export const KEEP_ALIVE_PROBE_MS = 1000;
+
 /** Idle time after which a connection to an upstream is closed, unless the upstream announces a shorter one. */
 export const UPSTREAM_IDLE_MS = 8000;
 
--- a/packages/gateway/src/upstream-link.ts
+++ b/packages/gateway/src/upstream-link.ts
@@ -1,7 +1,7 @@
 /** Connections to one upstream, and one send over them. */
 import {Buffer} from 'node:buffer';
-import {Pool, type Dispatcher} from 'undici';
-import {CONNECT_TIMEOUT_MS, UPSTREAM_IDLE_MS} from './constants.js';
+import {buildConnector, Pool, type Dispatcher} from 'undici';
+import {CONNECT_TIMEOUT_MS, KEEP_ALIVE_PROBE_MS, UPSTREAM_IDLE_MS} from './constants.js';
 
 export type SendRequest = {
 	readonly method: string;
@@ -33,11 +33,14 @@
 export class UpstreamLink {
 	readonly #pool: Pool;
 
+	/** Whether a connection is being reset at this moment. */
+	#isResetting = false;
+
 	constructor({address, connections}: {readonly address: string; readonly connections: number}) {
 		this.#pool = new Pool(`http://${address}`, {
 			connections,
 			pipelining: 1,
-			connect: {timeout: CONNECT_TIMEOUT_MS, keepAlive: true, keepAliveInitialDelay: 1000},
+			connect: this.#connector(),
 			keepAliveTimeout: UPSTREAM_IDLE_MS,
 			keepAliveMaxTimeout: UPSTREAM_IDLE_MS,
 			headersTimeout: 0,
@@ -79,9 +82,13 @@
 					started.pause();
 				}
 			},
-			onResponseEnd() {
+			onResponseEnd: () => {
 				finish(() => {
-					sink.end();
+					if (this.#isResetting) {
+						sink.error(new Error('the connection was reset within the answer'), wasSent);
+					} else {
+						sink.end();
+					}
 				});
 			},
 			onResponseError(_controller: Dispatcher.DispatchController, error: Error) {
@@ -109,6 +116,26 @@
 		void this.#end();
 	}
 
+	/**
+	Connects, and notices resets before undici does: it takes a reset as the end of an answer that has no length,
+	which would make a truncated answer look complete.
+	*/
+	#connector(): buildConnector.connector {
+		const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS});
+		return (options, callback) => {
+			connect(options, (...result) => {
+				const [, socket] = result;
+				socket?.on('error', () => {
+					this.#isResetting = true;
+					queueMicrotask(() => {
+						this.#isResetting = false;
+					});
+				});
+				callback(...result);
+			});
+		};
+	}
+
 	async #end(): Promise<void> {
 		try {
 			await this.#pool.close();
