--- a/packages/dispatch/src/choose-upstream.ts
+++ b/packages/dispatch/src/choose-upstream.ts
@@ -5,7 +5,7 @@
 an upstream that is slow, stuck behind a narrow link, switches its weights, leaves or fails; all places taken.
 */
 import {
-	DOMAIN_PENALTY, MIN_SILENT_MS, REPORT_LIFE_MS, SCORE_TOLERANCE, SILENT_STARTS,
+	DOMAIN_PENALTY, MIN_SILENT_MS, REPORT_LIFE_MS, SCORE_TOLERANCE, SILENT_STARTS, USUAL_START_SPREAD,
 } from './constants.js';
 import type {Placement, PlacementNeed, UpstreamView} from './types.js';
 
@@ -17,7 +17,9 @@
 
 const scoreOf = (view: UpstreamView, need: PlacementNeed): number => {
 	const share = (estimateLoad(view) + 1) / view.slots;
-	return (share * Math.max(1, view.pace)) + (view.failureDomain === need.failureDomain ? 0 : DOMAIN_PENALTY);
+	// A full upstream starts later than an empty one; only more than that shows a slow path or a slow upstream.
+	const slowness = (view.startMs ?? 0) / (need.usualStartMs * USUAL_START_SPREAD);
+	return (share * Math.max(1, view.pace, slowness)) + (view.failureDomain === need.failureDomain ? 0 : DOMAIN_PENALTY);
 };
 
 const holdsVersion = ({heldVersion}: UpstreamView, {needsWeights, oldestVersion}: PlacementNeed): boolean =>
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -43,3 +43,6 @@
 /** Silence after a send, as a multiple of the usual time and at least, after which nothing more is sent to the upstream. */
 export const SILENT_STARTS = 4;
 export const MIN_SILENT_MS = 500;
+
+/** Time to the first data, as a multiple of the usual one, that load alone explains. */
+export const USUAL_START_SPREAD = 2;
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -27,6 +27,9 @@
 	/** Loads weights now or is about to, and accepts nothing new meanwhile. */
 	readonly isSwitching: boolean;
 
+	/** Recent time from a send to the first data; nothing when there was none lately. */
+	readonly startMs: number | undefined;
+
 	/** Time since the oldest send that has had no data; 0 when there is none. */
 	readonly silentMs: number;
 
--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -19,6 +19,9 @@
 
 	/** Keys that this process follows; empty for all. */
 	readonly prefix: string;
+
+	/** Keys whose revisions show whether the watch went silent; all of the store if absent. A small part keeps the look cheap. */
+	readonly checkedPrefix?: string;
 	readonly askPeer?: AskPeer;
 	readonly clock: Clock;
 	readonly random: Random;
@@ -152,7 +155,7 @@
 				continue;
 			}
 
-			const result = await this.#options.source.recentRevision();
+			const result = await this.#options.source.recentRevision(this.#options.checkedPrefix);
 			if (result.err) {
 				this.#noteFailure(result.val);
 				continue;
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -195,8 +195,8 @@
 	/** Waits for changes after the revision. Error kind `history-lost` when they are no longer kept. */
 	readonly watch: (prefix: string, afterRevision: number, waitMs: number, signal: AbortSignal) => StoreOutcome<StoreSnapshot>;
 
-	/** A recent revision of the store; cheap, and possibly some seconds old. */
-	readonly recentRevision: () => StoreOutcome<number>;
+	/** A recent revision of the store, or the newest one under a prefix; cheap, and possibly some seconds old. */
+	readonly recentRevision: (prefix?: string) => StoreOutcome<number>;
 }
 
 /** Decodes items of the store. */
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -1,5 +1,5 @@
 /** Time to connect to an upstream in the same network. */
-export const CONNECT_TIMEOUT_MS = 700;
+export const CONNECT_TIMEOUT_MS = 300;
 
 /** Idle time after which the kernel probes a connection. */
 export const KEEP_ALIVE_PROBE_MS = 1000;
@@ -50,3 +50,9 @@
 
 /** A caller with less than this share of the route's time left has spent its goal on an earlier attempt. */
 export const RETURNING_SHARE = 0.8;
+
+/** Weight of the newest time to first data of one upstream; it forgets faster than the average of the service. */
+export const START_WEIGHT = 0.3;
+
+/** Time without an observation after which an upstream counts as usual again. */
+export const START_LIFE_MS = 3000;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -292,6 +292,7 @@
 				if (!hasFirst) {
 					hasFirst = true;
 					state.noteData(mark);
+					state.noteStarted(now - sentAt, now);
 					placer.noteStarted(service, now - sentAt);
 				}
 
--- a/packages/gateway/src/upstream-states.ts
+++ b/packages/gateway/src/upstream-states.ts
@@ -4,7 +4,9 @@
 	afterFailure, afterSuccess, afterTrialStart, HEALTHY, standing, type Health, type UpstreamView,
 } from '@yuccawood/dispatch';
 import type {FleetView, Upstream, UpstreamReport} from '@yuccawood/fleet';
-import {CONNECTION_SHARE, MIN_CONNECTIONS} from './constants.js';
+import {
+	CONNECTION_SHARE, MIN_CONNECTIONS, START_LIFE_MS, START_WEIGHT,
+} from './constants.js';
 import {UpstreamLink} from './upstream-link.js';
 
 /** Age up to which an agent's report of version and switching goes before the platform's list. */
@@ -21,6 +23,8 @@
 	#agentReport: UpstreamReport | undefined;
 	#agentReportAt = Number.NEGATIVE_INFINITY;
 	#answeredVersion: number | undefined;
+	#startMs: number | undefined;
+	#startAt = Number.NEGATIVE_INFINITY;
 	#health: Health = HEALTHY;
 
 	constructor(public upstream: Upstream, readonly link: UpstreamLink) {}
@@ -41,6 +45,12 @@
 		this.#silentSends.delete(mark);
 	}
 
+	/** Notes the time from a send to its first data. */
+	noteStarted(milliseconds: number, now: number): void {
+		this.#startMs = this.#startMs === undefined ? milliseconds : this.#startMs + ((milliseconds - this.#startMs) * START_WEIGHT);
+		this.#startAt = now;
+	}
+
 	begin(now: number): void {
 		this.ownRequests++;
 		this.#ownSinceReport++;
@@ -99,6 +109,7 @@
 			pace: agent?.pace ?? 1,
 			heldVersion: heldVersion === undefined ? undefined : Math.max(heldVersion, this.#answeredVersion ?? 0),
 			isSwitching: agent?.isSwitching ?? false,
+			startMs: now - this.#startAt <= START_LIFE_MS ? this.#startMs : undefined,
 			silentMs: oldestSilent === undefined ? 0 : now - oldestSilent,
 			isSuspended: state === 'suspended',
 			isOnTrial: state === 'trial',
--- a/packages/node/src/agent-node.ts
+++ b/packages/node/src/agent-node.ts
@@ -1,9 +1,9 @@
 /** An agent: keeps the engine on its VM on the newest version, shares pieces with its peers, reports to entries. */
 import process from 'node:process';
 import {delay} from '@yuccawood/common';
-import type {StoreItem} from '@yuccawood/fleet';
+import {PEER_CALL_TIMEOUT_MS, type StoreItem} from '@yuccawood/fleet';
 import {
-	OPERATOR_PREFIX, StagedEngineClient, UPSTREAM_PREFIX, VersionedOriginClient,
+	OPERATOR_PREFIX, StagedEngineClient, UPSTREAM_PREFIX, VersionedOriginClient, VERSION_PREFIX,
 } from '@yuccawood/platform';
 import {ReportFeed} from '@yuccawood/reports';
 import {StagedWeightManager, type StagedTarget} from '@yuccawood/weights';
@@ -67,6 +67,7 @@
 export const runAgent = async (): Promise<void> => {
 	const context = createNode({
 		prefix: OPERATOR_PREFIX,
+		checkedPrefix: VERSION_PREFIX,
 		peerAddresses: (view, {firstPeerPort, ip}) => view.upstreams.map(({address}) => address.split(':')[0])
 			.filter(host => host !== ip).map(host => `${host}:${firstPeerPort}`),
 	});
@@ -127,6 +128,7 @@
 			mayCut: () => isRepeatable(context, upstreamService!),
 			engine: new StagedEngineClient({address: upstreamAddress!, timeoutMs: ENGINE_TIMEOUT_MS}),
 			origin: origin.client,
+			askPeer: async <Answer>(address: string, method: string, parameters: unknown) => askPeer<Answer>(context, address, method, parameters),
 			peerServer,
 			settings: {
 				linkBytesPerSecond,
@@ -137,6 +139,15 @@
 	}
 };
 
+/** Calls a method of a peer. A peer that does not answer is no news: another one is asked. */
+const askPeer = async <Answer>({peers}: NodeContext, address: string, method: string, parameters: unknown): Promise<Answer | undefined> => {
+	try {
+		return await peers.call<Answer>(address, method, parameters, {timeoutMs: PEER_CALL_TIMEOUT_MS});
+	} catch {
+		return undefined;
+	}
+};
+
 /** Takes the list of upstreams from the store. A fresh read costs ten times as much as a stale one. */
 const readMembers = async ({store, follower, view, log}: NodeContext, kind: 'fresh' | 'stale'): Promise<void> => {
 	const snapshot = kind === 'fresh' ? await store.snapshot(UPSTREAM_PREFIX) : undefined;
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -73,8 +73,9 @@
 @param peerAddresses peers that may know changes while the store cannot be reached
 @throws {DecodeError} if there are no usable settings; the process cannot run without
 */
-export const createNode = ({prefix, peerAddresses}: {
+export const createNode = ({prefix, checkedPrefix, peerAddresses}: {
 	readonly prefix: string;
+	readonly checkedPrefix?: string;
 	readonly peerAddresses: (view: FleetView, settings: NodeSettings) => readonly string[];
 }): NodeContext => {
 	const clock = new SystemClock();
@@ -94,7 +95,7 @@
 	const peers = new PeerClient({connectTimeoutMs: PEER_CALL_TIMEOUT_MS});
 	const peerServer = new PeerServer();
 	const follower = new StoreFollower({
-		source: store, decoder: new PlatformItemDecoder(), view, prefix, clock, random, log, metrics,
+		source: store, decoder: new PlatformItemDecoder(), view, prefix, checkedPrefix, clock, random, log, metrics,
 		askPeer: peerQuestion(peers, random, () => peerAddresses(view, settings)),
 	});
 	peerServer.method(CHANGES_METHOD, ({afterRevision}: {readonly afterRevision: number}) => follower.items.changesSince(afterRevision));
--- a/packages/weights/src/staged/constants.ts
+++ b/packages/weights/src/staged/constants.ts
@@ -20,10 +20,22 @@
 /** Time after which an accepted order that had no effect is given up. */
 export const LOAD_TIMEOUT_MS = 20_000;
 
-/** Most and least of the line rate that a transfer uses in each direction; the rest keeps live requests on time. */
-export const TRANSFER_SHARE = 0.68;
+/**
+Most of the line rate that a transfer uses: for an engine that serves, so that live requests stay on time, and for one
+that serves nothing yet.
+*/
+export const SERVING_TRANSFER_SHARE = 0.68;
+export const IDLE_TRANSFER_SHARE = 0.95;
+
+/** Least of the line rate that a transfer uses. */
 export const LEAST_TRANSFER_SHARE = 0.35;
 
+/** Most of the line rate that uploads to peers use. */
+export const UPLOAD_SHARE = 0.85;
+
+/** Members that are asked for the digests of a version when the origin does not answer. */
+export const DIGEST_PEERS = 2;
+
 /** Time between the end of a transfer and the turn to switch. */
 export const TRANSFER_MARGIN_MS = 300;
 
--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -10,7 +10,7 @@
 import {toStagedManifest, type StagedManifest} from './staged-manifest.js';
 import {transferStaged} from './staged-transfer.js';
 import type {
-	HeldVersion, StagedEngine, StagedEngineState, VersionedOrigin,
+	HeldVersion, StagedEngine, StagedEngineState, VersionedOrigin, VersionDigests,
 } from './types.js';
 
 export type StagedRolloutOptions = {
@@ -44,6 +44,12 @@
 	/** Tells entries that the engine switches, or no longer does. */
 	readonly onSwitching: (isSwitching: boolean) => void;
 
+	/** Resolves when the pieces that this member passes on to nobody may be fetched. */
+	readonly onTurnToFetch: () => Promise<void>;
+
+	/** Asks members for the digests of a version. */
+	readonly askDigests: (model: string, version: number) => Promise<VersionDigests | undefined>;
+
 	/** Called when all pieces are held; resolves when the engine is free for this version. */
 	readonly onPieces: () => Promise<void>;
 
@@ -82,7 +88,7 @@
 	const bytes = manifest.manifest.sizeBytes;
 	await transferStaged({
 		staged: manifest, store, fetcher, selfId: options.selfId, clock, signal,
-		bytesPerSecond: () => options.paceOf(bytes, startedAt),
+		bytesPerSecond: () => options.paceOf(bytes, startedAt), onTurn: options.onTurnToFetch,
 	});
 	if (signal.aborted) {
 		store.release(manifest.hash);
@@ -109,10 +115,11 @@
 	}
 };
 
-const readManifest = async ({name, version}: HeldVersion, {origin, clock, log}: StagedRolloutOptions, signal: AbortSignal): Promise<StagedManifest | undefined> => {
+const readManifest = async ({name, version}: HeldVersion, {origin, askDigests, clock, log}: StagedRolloutOptions, signal: AbortSignal): Promise<StagedManifest | undefined> => {
 	while (!signal.aborted) {
 		const digests = await origin()?.digests(name, version);
-		const manifest = digests?.ok ? toStagedManifest(digests.val) : undefined;
+		const told = digests?.ok ? digests.val : await askDigests(name, version);
+		const manifest = told && toStagedManifest(told);
 		if (manifest) {
 			return manifest;
 		}
--- a/packages/weights/src/staged/staged-transfer.ts
+++ b/packages/weights/src/staged/staged-transfer.ts
@@ -20,12 +20,14 @@
 
 	/** Rate at which this member fetches the pieces that it passes on to nobody, in bytes per second. */
 	readonly bytesPerSecond: () => number;
+	/** Resolves when the other pieces may be fetched. */
+	readonly onTurn: () => Promise<void>;
 	readonly clock: Clock;
 	readonly signal: AbortSignal;
 };
 
 /** Resolves when all pieces are held, or when the signal aborts. The manifest must be retained in the store. */
-export const transferStaged = async ({staged, store, fetcher, selfId, bytesPerSecond, clock, signal}: StagedTransferOptions): Promise<void> => {
+export const transferStaged = async ({staged, store, fetcher, selfId, bytesPerSecond, onTurn, clock, signal}: StagedTransferOptions): Promise<void> => {
 	const {hash: manifest, manifest: {chunks, chunkBytes}} = staged;
 	const pace = new TokenBucket({clock, bytesPerSecond, burstMs: PACE_BURST_MS});
 	const fetchOne = async (index: number): Promise<void> => {
@@ -45,6 +47,7 @@
 	const others = rotate(missing.filter(index => !readHere.includes(index)), selfId);
 	let next = 0;
 	const work = async (): Promise<void> => {
+		await onTurn();
 		while (next < others.length && !signal.aborted) {
 			const index = others[next++];
 			await pace.take(chunkBytes, signal);
--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -8,14 +8,15 @@
 import {StarPlanner} from '../star-plan.js';
 import type {WeightSettings} from '../types.js';
 import {
-	FIRST_WAVE_SHARE, LEAST_TRANSFER_SHARE, REPORT_POLL_MS, SUPERSEDE_SHARE, TIME_BALANCE, TRANSFER_MARGIN_MS, TRANSFER_SHARE,
+	DIGEST_PEERS, FIRST_WAVE_SHARE, IDLE_TRANSFER_SHARE, LEAST_TRANSFER_SHARE, REPORT_POLL_MS, SERVING_TRANSFER_SHARE, SUPERSEDE_SHARE, TIME_BALANCE,
+	TRANSFER_MARGIN_MS, UPLOAD_SHARE,
 } from './constants.js';
 import {IndexedOrigin} from './indexed-origin.js';
 import {Stage} from './stage.js';
 import {rollOutStaged} from './staged-rollout.js';
 import {switchWave} from './switch-wave.js';
 import type {
-	HeldVersion, StagedEngine, StagedEngineState, VersionedOrigin,
+	HeldVersion, StagedEngine, StagedEngineState, VersionedOrigin, VersionDigests,
 } from './types.js';
 
 /** Version that the engine should hold, and since when this agent knows. */
@@ -24,6 +25,8 @@
 	readonly learnedAt: number;
 };
 
+const DIGESTS_METHOD = 'weights.digests';
+
 export type EngineStatus = {
 	readonly state: StagedEngineState | undefined;
 	readonly isSwitching: boolean;
@@ -45,6 +48,9 @@
 	readonly engine: StagedEngine;
 	readonly origin: () => VersionedOrigin | undefined;
 
+	/** Calls a method of a peer; nothing when it does not answer. */
+	readonly askPeer: <Answer>(address: string, method: string, parameters: unknown) => Promise<Answer | undefined>;
+
 	/** Handlers are registered by the constructor, so create the manager before the server listens. */
 	readonly peerServer: PeerServer;
 	readonly settings: WeightSettings;
@@ -77,6 +83,8 @@
 	readonly #stage: Stage;
 	readonly #published = new Publisher<EngineStatus>();
 	readonly #hashes = new Map<number, string>();
+	readonly #digests = new Map<number, readonly string[]>();
+	#pieceBytes = 0;
 	#state: StagedEngineState | undefined;
 	#isDown = false;
 	#isSwitching = false;
@@ -89,7 +97,15 @@
 		this.#log = log.part('weights');
 		this.#pieces = new IndexedOrigin({origin});
 		this.#exchange = new Exchange({
-			...options, settings: {...options.settings, linkBytesPerSecond: (options.settings.linkBytesPerSecond ?? Number.POSITIVE_INFINITY) * TRANSFER_SHARE}, origin: this.#pieces, clock, random, log: this.#log, balance: () => TIME_BALANCE, planner: new StarPlanner(),
+			...options, settings: {...options.settings, linkBytesPerSecond: (options.settings.linkBytesPerSecond ?? Number.POSITIVE_INFINITY) * UPLOAD_SHARE}, origin: this.#pieces, clock, random, log: this.#log, balance: () => TIME_BALANCE, planner: new StarPlanner(),
+		});
+		options.peerServer.method(DIGESTS_METHOD, ({model, version}: {readonly model: string; readonly version: number}) => {
+			const digests = this.#digests.get(version);
+			return digests
+				? {
+					model, version, pieceBytes: this.#pieceBytes, digests,
+				}
+				: null;
 		});
 		this.#stage = new Stage({
 			engine, store: this.#exchange.store, log: this.#log, metrics,
@@ -193,10 +209,12 @@
 			// The entry in the list exists only after this function has returned.
 			await delay(0);
 			try {
-				// One transfer at a time leaves each the whole pace.
-				await Promise.all(previousPieces);
 				await rollOutStaged(target, {
 					...this.#rolloutOptions(target),
+					// One paced transfer at a time leaves each the whole pace.
+					async onTurnToFetch() {
+						await Promise.all(previousPieces);
+					},
 					async onPieces() {
 						running.hasPieces = true;
 						releasePieces();
@@ -218,7 +236,7 @@
 		this.#running = [...this.#running, running];
 	}
 
-	#rolloutOptions(target: StagedTarget): Omit<Parameters<typeof rollOutStaged>[1], 'onPieces'> {
+	#rolloutOptions(target: StagedTarget): Omit<Parameters<typeof rollOutStaged>[1], 'onPieces' | 'onTurnToFetch'> {
 		const {engine, origin, metrics, refreshMembers, mayCut} = this.#options;
 		return {
 			engine,
@@ -239,8 +257,11 @@
 				this.#published.publish(this.status);
 			},
 			newestManifest: () => this.#hashes.get(Math.max(...this.#hashes.keys())),
-			onManifest: ({hash, version}) => {
+			askDigests: async (model, version) => this.#askDigests(model, version),
+			onManifest: ({hash, version, manifest}) => {
 				this.#hashes.set(version, hash);
+				this.#digests.set(version, manifest.chunks);
+				this.#pieceBytes = manifest.chunkBytes;
 				this.#log.info('Transfer begins.', {manifest: hash, version, origin: origin() !== undefined});
 			},
 			clock: this.#clock,
@@ -249,6 +270,20 @@
 		};
 	}
 
+	/** Asks members for the digests of a version. Wrong ones are harmless: no piece verifies against them. */
+	async #askDigests(model: string, version: number): Promise<VersionDigests | undefined> {
+		const {members, selfId, random = systemRandom(), askPeer} = this.#options;
+		const others = members.members.filter(({id}) => id !== selfId).map(({address}) => address);
+		for (const address of random.sample(others, DIGEST_PEERS)) {
+			const digests = await askPeer<VersionDigests | null>(address, DIGESTS_METHOD, {model, version}); // eslint-disable-line @typescript-eslint/no-restricted-types
+			if (digests) {
+				return digests;
+			}
+		}
+
+		return undefined;
+	}
+
 	/** Whether this engine's group may switch; an engine that serves nothing waits for nobody. */
 	#isTurn(target: StagedTarget): boolean {
 		return this.#clock.monotonic() - this.#boundStart(target) >= this.#switchDelayMs(target);
@@ -271,11 +306,12 @@
 	/** Fast enough for the turn of the first group; as fast as allowed while it serves nothing. */
 	#paceOf(target: StagedTarget, bytes: number, startedAt: number): number {
 		const {linkBytesPerSecond = Number.POSITIVE_INFINITY} = this.#options.settings;
-		const most = linkBytesPerSecond * TRANSFER_SHARE;
 		if (!this.#state?.model) {
-			return most;
+			return linkBytesPerSecond * IDLE_TRANSFER_SHARE;
 		}
 
+		const most = linkBytesPerSecond * SERVING_TRANSFER_SHARE;
+
 		const dueAt = this.#boundStart(target) + (this.#options.versionBoundMs * FIRST_WAVE_SHARE) - TRANSFER_MARGIN_MS;
 		const needed = dueAt > startedAt ? bytes * 1000 / (dueAt - startedAt) : most;
 		return Math.max(linkBytesPerSecond * LEAST_TRANSFER_SHARE, Math.min(most, needed));
