--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -19,7 +19,7 @@
 export class FleetView {
 	readonly #clock: Clock;
 	readonly #log: Log;
-	readonly #initialTargetAgeMs: number;
+	readonly #initialTargetAgeMs: () => number;
 	readonly #changes = new Publisher<FleetChange>();
 	readonly #upstreams = new Map<string, Upstream>();
 	readonly #lapses = new Map<string, NodeJS.Timeout>();
@@ -29,12 +29,12 @@
 	#inForce: ConfigurationInForce | undefined;
 	#isCatchingUp = true;
 
-	constructor({clock, log, initialTargetAgeMs = 0}: {
+	constructor({clock, log, initialTargetAgeMs = () => 0}: {
 		readonly clock: Clock;
 		readonly log: Log;
 
-		/** Age that versions have which were named before this process knew of any. */
-		readonly initialTargetAgeMs?: number;
+		/** Age of the versions that were named before this process knew of any, in milliseconds. */
+		readonly initialTargetAgeMs?: () => number;
 	}) {
 		this.#initialTargetAgeMs = initialTargetAgeMs;
 		this.#clock = clock;
@@ -149,7 +149,7 @@
 		}
 
 		// A process that starts does not know how long ago a version was named.
-		const ageMs = this.#isCatchingUp ? this.#initialTargetAgeMs : 0;
+		const ageMs = this.#isCatchingUp ? this.#initialTargetAgeMs() : 0;
 		const targets = [...this.targetsOf(model), {model, version, learnedAt: this.#clock.monotonic() - ageMs}];
 		this.#targets.set(model, targets.slice(-MAX_TARGETS));
 		this.#log.info('New target version.', {model, version, previous: known?.version});
--- a/packages/gateway/src/upstream-link.test.ts
+++ b/packages/gateway/src/upstream-link.test.ts
@@ -65,6 +65,17 @@
 			expect(seen).to.deep.equal({kind: 'error', body: 'half of', wasSent: true});
 		});
 
+		it('reports it as broken, too, when the bytes and the reset arrive together', async () => {
+			const link = await serve(socket => {
+				socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf of');
+				setImmediate(() => {
+					socket.resetAndDestroy();
+				});
+			});
+			const seen = await sendOnce(link);
+			expect(seen.kind).to.equal('error');
+		});
+
 		it('takes an answer without a length that is closed as complete', async () => {
 			const link = await serve(socket => {
 				socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nall of it');
--- a/packages/gateway/src/upstream-link.ts
+++ b/packages/gateway/src/upstream-link.ts
@@ -1,5 +1,6 @@
 /** Connections to one upstream, and one send over them. */
 import {Buffer} from 'node:buffer';
+import type {Socket} from 'node:net';
 import {buildConnector, Pool, type Dispatcher} from 'undici';
 import {CONNECT_TIMEOUT_MS, KEEP_ALIVE_PROBE_MS, UPSTREAM_IDLE_MS} from './constants.js';
 
@@ -33,8 +34,8 @@
 export class UpstreamLink {
 	readonly #pool: Pool;
 
-	/** Whether a connection is being reset at this moment. */
-	#isResetting = false;
+	/** Connections that failed and are not closed yet. */
+	#failing = 0;
 
 	constructor({address, connections}: {readonly address: string; readonly connections: number}) {
 		this.#pool = new Pool(`http://${address}`, {
@@ -84,7 +85,7 @@
 			},
 			onResponseEnd: () => {
 				finish(() => {
-					if (this.#isResetting) {
+					if (this.#failing > 0) {
 						sink.error(new Error('the connection was reset within the answer'), wasSent);
 					} else {
 						sink.end();
@@ -117,25 +118,48 @@
 	}
 
 	/**
-	Connects, and notices resets before undici does: it takes a reset as the end of an answer that has no length,
-	which would make a truncated answer look complete.
+	Connects, and notices failures before undici does: between the failure of a connection and its close, undici takes
+	the bytes so far of an answer without a length for the whole, which would make a truncated answer look complete.
 	*/
 	#connector(): buildConnector.connector {
 		const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS});
 		return (options, callback) => {
 			connect(options, (...result) => {
 				const [, socket] = result;
-				socket?.on('error', () => {
-					this.#isResetting = true;
-					queueMicrotask(() => {
-						this.#isResetting = false;
-					});
-				});
+				if (socket) {
+					this.#watchFailure(socket);
+				}
+
 				callback(...result);
 			});
 		};
 	}
 
+	#watchFailure(socket: Socket): void {
+		let hasFailed = false;
+		const fail = (): void => {
+			if (hasFailed) {
+				return;
+			}
+
+			hasFailed = true;
+			this.#failing++;
+			socket.once('close', () => {
+				queueMicrotask(() => {
+					this.#failing--;
+				});
+			});
+		};
+
+		socket.once('error', fail);
+		socket.once('end', () => {
+			// Data and a reset that arrive together end the stream without an error; only a closed connection has a peer then.
+			if (socket.remoteAddress === undefined) {
+				fail();
+			}
+		});
+	}
+
 	async #end(): Promise<void> {
 		try {
 			await this.#pool.close();
--- a/packages/node/src/agent-node.ts
+++ b/packages/node/src/agent-node.ts
@@ -68,7 +68,7 @@
 	const context = createNode({
 		prefix: OPERATOR_PREFIX,
 		checkedPrefix: VERSION_PREFIX,
-		peerAddresses: (view, {firstPeerPort, ip}) => view.upstreams.map(({address}) => address.split(':')[0])
+		peerAddresses: (view, {firstPeerPort, seeds, ip}) => [...seeds, ...view.upstreams.map(({address}) => address.split(':')[0])]
 			.filter(host => host !== ip).map(host => `${host}:${firstPeerPort}`),
 	});
 	const {settings, view, store, log, metrics, clock, random, follower, peerServer, peerAddress} = context;
--- a/packages/node/src/entry-node.ts
+++ b/packages/node/src/entry-node.ts
@@ -22,7 +22,8 @@
 export const runEntry = async (): Promise<void> => {
 	const context = createNode({
 		prefix: ALL_KEYS,
-		peerAddresses: (view, {firstPeerPort}) => [
+		peerAddresses: (view, {firstPeerPort, seeds, ip}) => [
+			...seeds.filter(seed => seed !== ip).map(seed => `${seed}:${firstPeerPort}`),
 			...view.entries.values(),
 			...view.upstreams.filter(({model}) => model !== undefined).map(({address}) => `${splitAddress(address).host}:${firstPeerPort}`),
 		],
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -79,6 +79,7 @@
 	readonly peerAddresses: (view: FleetView, settings: NodeSettings) => readonly string[];
 }): NodeContext => {
 	const clock = new SystemClock();
+	const startedAt = clock.monotonic();
 	const random = systemRandom();
 	const output = new BoundedOutput(process.stdout);
 	const log = createLog({format: 'json', destination: output});
@@ -91,7 +92,11 @@
 
 	const metrics = new PrometheusMetrics();
 	const store = new StoreClient({address: settings.storeAddress, timeoutMs: STORE_TIMEOUT_MS, watchSlackMs: WATCH_SLACK_MS});
-	const view = new FleetView({clock, log, initialTargetAgeMs: Math.max(0, settings.versionBoundMs - settings.stableMs)});
+	const view = new FleetView({
+		clock, log,
+		// Bounds hold for a process from `stableMs` after its start on, however late it learns of a version.
+		initialTargetAgeMs: () => settings.versionBoundMs - Math.max(0, startedAt + settings.stableMs - clock.monotonic()),
+	});
 	const peers = new PeerClient({connectTimeoutMs: PEER_CALL_TIMEOUT_MS});
 	const peerServer = new PeerServer();
 	const follower = new StoreFollower({
