--- a/packages/dispatch/src/admit-waiting.ts
+++ b/packages/dispatch/src/admit-waiting.ts
@@ -5,7 +5,7 @@
 waits only as long as it can still meet its goal; the others are told when to come back.
 */
 import {
-	DEFAULT_RETRY_AFTER_MS, LATE_WAIT_SHARE, MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS, RETRY_AFTER_SHARE,
+	DEFAULT_RETRY_AFTER_MS, LATE_WAIT_SHARE, LEAST_SPREAD_SHARE, MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS, RETRY_AFTER_SHARE,
 } from './constants.js';
 import type {Admission, WaitingNeed} from './types.js';
 
@@ -19,10 +19,11 @@
 @param random a number from 0 up to but not including 1
 */
 export const retryAfterMs = (need: WaitingNeed, random: number): number => {
-	const drainMs = predictWaitMs(need) ?? DEFAULT_RETRY_AFTER_MS;
-	const spread = Math.max(drainMs, DEFAULT_RETRY_AFTER_MS) * (0.5 + random);
+	const drainMs = Math.max(predictWaitMs(need) ?? 0, DEFAULT_RETRY_AFTER_MS);
 	const usefulMs = Math.max(MIN_RETRY_AFTER_MS, need.remainingMs * RETRY_AFTER_SHARE);
-	return Math.round(Math.min(spread, usefulMs, MAX_RETRY_AFTER_MS));
+	const mostMs = Math.min(drainMs * 1.5, usefulMs, MAX_RETRY_AFTER_MS);
+	const leastMs = Math.min(drainMs * 0.5, mostMs * LEAST_SPREAD_SHARE);
+	return Math.round(leastMs + ((mostMs - leastMs) * random));
 };
 
 export const admitWaiting = (need: WaitingNeed, random: number): Admission => {
--- /dev/null
+++ b/packages/dispatch/src/choose-upstream.test.ts
@@ -0,0 +1,94 @@
+import {expect} from 'chai';
+import {chooseUpstream, estimateLoad} from './choose-upstream.js';
+import type {PlacementNeed, UpstreamView} from './types.js';
+
+const view = (key: string, changes: Partial<UpstreamView> = {}): UpstreamView => ({
+	key,
+	failureDomain: 'a',
+	slots: 4,
+	isLeaving: false,
+	ownRequests: 0,
+	reportedRequests: 0,
+	reportAgeMs: 50,
+	ownSinceReport: 0,
+	pace: 1,
+	heldVersion: 1,
+	isSwitching: false,
+	startMs: 100,
+	silentMs: 0,
+	isSuspended: false,
+	isOnTrial: false,
+	...changes,
+});
+
+const need = (changes: Partial<PlacementNeed> = {}): PlacementNeed => ({
+	failureDomain: 'a', excluded: new Set(), oldestVersion: undefined, usualStartMs: 100, needsWeights: true, ...changes,
+});
+
+const keyOf = (upstreams: readonly UpstreamView[], changes: Partial<PlacementNeed> = {}, random = 0): string | undefined => {
+	const placement = chooseUpstream(upstreams, need(changes), random);
+	return placement.kind === 'send' ? placement.key : undefined;
+};
+
+describe('chooseUpstream', () => {
+	describe('even load', () => {
+		it('sends to the least loaded, not to the first', () => {
+			expect(keyOf([view('full', {reportedRequests: 3}), view('idle')])).to.equal('idle');
+		});
+
+		it('counts its own sends since a report, so that a burst does not land on one upstream', () => {
+			expect(keyOf([view('just-used', {reportedRequests: 0, ownSinceReport: 3}), view('busy', {reportedRequests: 1})])).to.equal('busy');
+		});
+
+		it('trusts its own count when the report is old', () => {
+			expect(estimateLoad(view('old', {reportedRequests: 9, reportAgeMs: 60_000, ownRequests: 1}))).to.equal(1);
+		});
+
+		it('spreads entries that decide at the same time over equal upstreams', () => {
+			const equal = [view('one'), view('two'), view('three')];
+			expect(new Set([0, 0.4, 0.9].map(random => keyOf(equal, {}, random))).size).to.equal(3);
+		});
+
+		it('stays in its failure domain unless that costs a place', () => {
+			expect(keyOf([view('far', {failureDomain: 'b'}), view('near', {reportedRequests: 0})])).to.equal('near');
+			expect(keyOf([view('far', {failureDomain: 'b'}), view('near', {reportedRequests: 3})])).to.equal('far');
+		});
+	});
+
+	describe('all places taken', () => {
+		it('reports busy instead of filling the queue of an upstream', () => {
+			const placement = chooseUpstream([view('one', {reportedRequests: 4}), view('two', {reportedRequests: 5})], need(), 0);
+			expect(placement).to.deep.equal({kind: 'busy', usable: 2, reason: 'all-places-taken'});
+		});
+	});
+
+	describe('rollout of a version', () => {
+		it('sends nothing to an upstream that switches, leaves or holds no weights', () => {
+			const upstreams = [view('switching', {isSwitching: true}), view('leaving', {isLeaving: true}), view('empty', {heldVersion: undefined}), view('ready', {reportedRequests: 3})];
+			expect(keyOf(upstreams)).to.equal('ready');
+		});
+
+		it('sends nothing to an older version once the bound is near', () => {
+			expect(keyOf([view('old', {heldVersion: 1}), view('new', {heldVersion: 2, reportedRequests: 3})], {oldestVersion: 2})).to.equal('new');
+			expect(chooseUpstream([view('old', {heldVersion: 1})], need({oldestVersion: 2}), 0)).to.deep.equal({kind: 'unavailable', reason: 'no-version'});
+		});
+	});
+
+	describe('failing upstreams', () => {
+		it('avoids an upstream whose sends stay silent, before any of them has failed', () => {
+			expect(keyOf([view('stuck', {silentMs: 900}), view('busy', {reportedRequests: 3})])).to.equal('busy');
+		});
+
+		it('avoids a slow path while faster ones have places', () => {
+			expect(keyOf([view('slow', {startMs: 900}), view('busy', {reportedRequests: 2})])).to.equal('busy');
+		});
+
+		it('uses a suspended upstream rather than none', () => {
+			expect(keyOf([view('suspended', {isSuspended: true})])).to.equal('suspended');
+		});
+
+		it('does not repeat a request at an upstream that had it', () => {
+			expect(chooseUpstream([view('had')], need({excluded: new Set(['had'])}), 0)).to.deep.equal({kind: 'unavailable', reason: 'all-tried'});
+		});
+	});
+});
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -46,3 +46,6 @@
 
 /** Time to the first data, as a multiple of the usual one, that load alone explains. */
 export const USUAL_START_SPREAD = 2;
+
+/** Shortest pause told, as a share of the longest one, so that a limit on the pause does not bunch the callers. */
+export const LEAST_SPREAD_SHARE = 0.5;
--- a/packages/weights/src/staged/constants.ts
+++ b/packages/weights/src/staged/constants.ts
@@ -25,13 +25,13 @@
 that serves nothing yet.
 */
 export const SERVING_TRANSFER_SHARE = 0.68;
-export const IDLE_TRANSFER_SHARE = 0.95;
+export const IDLE_TRANSFER_SHARE = 0.9;
 
 /** Least of the line rate that a transfer uses. */
 export const LEAST_TRANSFER_SHARE = 0.35;
 
 /** Most of the line rate that uploads to peers use. */
-export const UPLOAD_SHARE = 0.85;
+export const UPLOAD_SHARE = 0.72;
 
 /** Members that are asked for the digests of a version when the origin does not answer. */
 export const DIGEST_PEERS = 2;
