--- a/packages/dispatch/src/choose-upstream.ts
+++ b/packages/dispatch/src/choose-upstream.ts
@@ -55,7 +55,10 @@
 	// With every upstream suspended, one that works now and then is better than none.
 	const trusted = untried.filter(view => !view.isSuspended && !isStuck(view, need));
 	const usable = trusted.length > 0 ? trusted : untried;
-	const free = usable.filter(view => !view.isSwitching && estimateLoad(view) < view.slots);
+	// Several paths often fail together; a repeat into another silent one would reach its upstream after the caller has left.
+	const proven = need.isRepeat ? usable.filter(({startMs}) => startMs !== undefined) : usable;
+	const candidates = proven.length > 0 ? proven : usable;
+	const free = candidates.filter(view => !view.isSwitching && estimateLoad(view) < view.slots);
 	if (free.length === 0) {
 		return {kind: 'busy', usable: usable.length, reason: 'all-places-taken'};
 	}
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -53,6 +53,9 @@
 	/** Usual time from a send to the first data of the service's upstreams. */
 	readonly usualStartMs: number;
 
+	/** Whether an earlier send failed, so that an upstream that answered lately goes before one that nothing is known of. */
+	readonly isRepeat: boolean;
+
 	/** Whether the service has weights, so that an upstream without any cannot answer. */
 	readonly needsWeights: boolean;
 };
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -55,4 +55,4 @@
 export const START_WEIGHT = 0.3;
 
 /** Time without an observation after which an upstream counts as usual again. */
-export const START_LIFE_MS = 3000;
+export const START_LIFE_MS = 1500;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -140,7 +140,7 @@
 		const oldestVersion = model === undefined ? undefined : requiredVersion(view.targetsOf(model), {now: clock.monotonic(), boundMs: versionBoundMs});
 		this.#expectedVersion = oldestVersion;
 		return {
-			failureDomain, excluded: this.#excluded, needsWeights: hasEngine, oldestVersion,
+			failureDomain, excluded: this.#excluded, isRepeat: this.#sends > 0, needsWeights: hasEngine, oldestVersion,
 		};
 	}
 
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -53,6 +53,11 @@
 	async place(request: PlaceRequest): Promise<Placed> {
 		const now = this.#options.clock.monotonic();
 		const service = this.#serviceOf(request.service);
+		// Places may have become free without a sign; those that wait go first.
+		if (service.line.length > 0) {
+			this.wake(request.service);
+		}
+
 		const isLineEmpty = service.line.length === 0;
 		const placement = this.#choose(request, now);
 		if (placement.kind === 'send' && (isLineEmpty || !request.mayWait)) {
--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -44,6 +44,9 @@
 	/** Tells entries that the engine switches, or no longer does. */
 	readonly onSwitching: (isSwitching: boolean) => void;
 
+	/** Called when the pieces are held that this member reads for its region. */
+	readonly onOwnPieces: () => void;
+
 	/** Resolves when the pieces that this member passes on to nobody may be fetched. */
 	readonly onTurnToFetch: () => Promise<void>;
 
@@ -88,7 +91,7 @@
 	const bytes = manifest.manifest.sizeBytes;
 	await transferStaged({
 		staged: manifest, store, fetcher, selfId: options.selfId, clock, signal,
-		bytesPerSecond: () => options.paceOf(bytes, startedAt), onTurn: options.onTurnToFetch,
+		bytesPerSecond: () => options.paceOf(bytes, startedAt), onOwnPieces: options.onOwnPieces, onTurn: options.onTurnToFetch,
 	});
 	if (signal.aborted) {
 		store.release(manifest.hash);
--- a/packages/weights/src/staged/staged-transfer.ts
+++ b/packages/weights/src/staged/staged-transfer.ts
@@ -20,6 +20,9 @@
 
 	/** Rate at which this member fetches the pieces that it passes on to nobody, in bytes per second. */
 	readonly bytesPerSecond: () => number;
+	/** Called when the pieces are held that this member reads for its region. */
+	readonly onOwnPieces: () => void;
+
 	/** Resolves when the other pieces may be fetched. */
 	readonly onTurn: () => Promise<void>;
 	readonly clock: Clock;
@@ -27,7 +30,7 @@
 };
 
 /** Resolves when all pieces are held, or when the signal aborts. The manifest must be retained in the store. */
-export const transferStaged = async ({staged, store, fetcher, selfId, bytesPerSecond, onTurn, clock, signal}: StagedTransferOptions): Promise<void> => {
+export const transferStaged = async ({staged, store, fetcher, selfId, bytesPerSecond, onOwnPieces, onTurn, clock, signal}: StagedTransferOptions): Promise<void> => {
 	const {hash: manifest, manifest: {chunks, chunkBytes}} = staged;
 	const pace = new TokenBucket({clock, bytesPerSecond, burstMs: PACE_BURST_MS});
 	const fetchOne = async (index: number): Promise<void> => {
@@ -55,8 +58,15 @@
 		}
 	};
 
+	const readOwn = async (): Promise<void> => {
+		await Promise.all(readHere.map(async index => fetchOne(index)));
+		if (!signal.aborted) {
+			onOwnPieces();
+		}
+	};
+
 	await Promise.all([
-		...readHere.map(async index => fetchOne(index)),
+		readOwn(),
 		...Array.from({length: OUTSTANDING_PIECES}, async () => work()),
 	]);
 };
--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -179,14 +179,6 @@
 			return;
 		}
 
-		for (const {target: older, hasPieces, controller} of this.#running) {
-			const isEarly = target.learnedAt - older.learnedAt < this.#options.versionBoundMs * SUPERSEDE_SHARE;
-			if (older.version !== target.version && !hasPieces && isEarly && !controller.signal.aborted) {
-				this.#log.info('A newer version was named; the transfer of the older one ends.', {from: older.version, to: target.version});
-				controller.abort();
-			}
-		}
-
 		const isHeld = this.#state?.model?.name === target.name && this.#state.model.version === target.version;
 		const isKnown = isHeld && this.#hashes.has(target.version);
 		const isRunning = this.#running.some(({target: running, controller}) => running.version === target.version && !controller.signal.aborted);
@@ -195,6 +187,20 @@
 		}
 	}
 
+	/**
+	Ends transfers of older versions that the newer one can still replace before their bound. Called once the newer one is
+	sure to arrive: until then the origin may go away, and the older version is better than none.
+	*/
+	#supersede(target: StagedTarget): void {
+		for (const {target: older, hasPieces, controller} of this.#running) {
+			const isEarly = target.learnedAt - older.learnedAt < this.#options.versionBoundMs * SUPERSEDE_SHARE;
+			if (older.version < target.version && !hasPieces && isEarly && !controller.signal.aborted) {
+				this.#log.info('A newer version arrives; the transfer of the older one ends.', {from: older.version, to: target.version});
+				controller.abort();
+			}
+		}
+	}
+
 	#start(target: StagedTarget, signal: AbortSignal): void {
 		const previous = this.#running.map(async ({done}) => done);
 		const previousPieces = this.#running.map(async ({pieces}) => pieces);
@@ -211,6 +217,9 @@
 			try {
 				await rollOutStaged(target, {
 					...this.#rolloutOptions(target),
+					onOwnPieces: () => {
+						this.#supersede(target);
+					},
 					// One paced transfer at a time leaves each the whole pace.
 					async onTurnToFetch() {
 						await Promise.all(previousPieces);
@@ -236,7 +245,7 @@
 		this.#running = [...this.#running, running];
 	}
 
-	#rolloutOptions(target: StagedTarget): Omit<Parameters<typeof rollOutStaged>[1], 'onPieces' | 'onTurnToFetch'> {
+	#rolloutOptions(target: StagedTarget): Omit<Parameters<typeof rollOutStaged>[1], 'onPieces' | 'onOwnPieces' | 'onTurnToFetch'> {
 		const {engine, origin, metrics, refreshMembers, mayCut} = this.#options;
 		return {
 			engine,
@@ -303,10 +312,11 @@
 		}).delayMs;
 	}
 
-	/** Fast enough for the turn of the first group; as fast as allowed while it serves nothing. */
+	/** Fast enough for the turn of the first group; as fast as allowed while it serves nothing, as on a version past its bound. */
 	#paceOf(target: StagedTarget, bytes: number, startedAt: number): number {
 		const {linkBytesPerSecond = Number.POSITIVE_INFINITY} = this.#options.settings;
-		if (!this.#state?.model) {
+		const isPastBound = this.#clock.monotonic() - this.#boundStart(target) >= this.#options.versionBoundMs;
+		if (!this.#state?.model || isPastBound) {
 			return linkBytesPerSecond * IDLE_TRANSFER_SHARE;
 		}
 
