--- a/packages/node/src/agent-node.ts
+++ b/packages/node/src/agent-node.ts
@@ -8,7 +8,7 @@
 import {ReportFeed} from '@yuccawood/reports';
 import {StagedWeightManager, type StagedTarget} from '@yuccawood/weights';
 import {
-	ENGINE_TIMEOUT_MS, FIRST_VERSION, MEMBERS_REFRESH_MS, ORIGIN_CONNECTIONS, ORIGIN_TIMEOUT_MS,
+	ENGINE_TIMEOUT_MS, FIRST_VERSION, MEMBERS_REFRESH_MS, ORIGIN_CONNECTIONS, ORIGIN_TIMEOUT_MS, OWN_ENTRY_CHECK_MS, OWN_ENTRY_TIMEOUT_MS,
 } from './constants.js';
 import {ListedMembers} from './listed-members.js';
 import {serveMetrics} from './metrics-endpoint.js';
@@ -123,7 +123,7 @@
 			selfId,
 			service: upstreamService!,
 			members: memberTable,
-			refreshMembers: async () => readMembers(context, 'fresh'),
+			refreshMembers: async () => awaitOwnEntry(context, () => manager.status.state?.startedAt),
 			targets: () => targetsOf(context, upstreamService!, startedAt),
 			mayCut: () => isRepeatable(context, upstreamService!),
 			engine: new StagedEngineClient({address: upstreamAddress!, timeoutMs: ENGINE_TIMEOUT_MS}),
@@ -163,6 +163,25 @@
 	follower.take([...items.val, ...(kind === 'fresh' ? removed : [])]);
 };
 
+/**
+Reads the list until it names the present start of this engine. An older list is from before a restart: after a loss of
+power it names no neighbour, and every agent would read all pieces at the origin.
+*/
+const awaitOwnEntry = async (context: NodeContext, startedAt: () => number | undefined): Promise<void> => {
+	const {clock, settings, view} = context;
+	const until = clock.monotonic() + OWN_ENTRY_TIMEOUT_MS;
+	for (;;) {
+		await readMembers(context, 'fresh');
+		const own = view.upstreams.find(({address}) => address === settings().upstreamAddress);
+		const isListed = own !== undefined && (startedAt() === undefined || own.startedAt === startedAt());
+		if (isListed || clock.monotonic() >= until) {
+			return;
+		}
+
+		await clock.sleep(OWN_ENTRY_CHECK_MS);
+	}
+};
+
 /** Keeps the list of upstreams current while the engine lacks its version: the list names the peers. */
 const refreshMembers = async (context: NodeContext, manager: StagedWeightManager, signal: AbortSignal): Promise<void> => {
 	while (!signal.aborted) {
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -6,7 +6,7 @@
 export const ENGINE_TIMEOUT_MS = 1500;
 
 /** Time without data after which a read from the origin fails. */
-export const ORIGIN_TIMEOUT_MS = 2500;
+export const ORIGIN_TIMEOUT_MS = 4000;
 
 /** Connections of one agent to the origin, which resets those beyond its own limit. */
 export const ORIGIN_CONNECTIONS = 1;
@@ -35,3 +35,7 @@
 
 /** Version of the weights that upstreams hold before the operators name one. */
 export const FIRST_VERSION = 1;
+
+/** Longest wait for the entry of a started engine in the list, and the interval of the looks. */
+export const OWN_ENTRY_TIMEOUT_MS = 1500;
+export const OWN_ENTRY_CHECK_MS = 200;
--- a/packages/weights/src/staged/constants.ts
+++ b/packages/weights/src/staged/constants.ts
@@ -62,3 +62,9 @@
 
 /** Longest wait for the streams of an engine that switches to become that few. */
 export const DRAIN_TIMEOUT_MS = 2000;
+
+/** Pieces that one member reads for its region at the same time: few, so that the origin answers each within its time limit. */
+export const OWN_READS = 8;
+
+/** Pause before the plan is asked again when it has nothing to fetch now. */
+export const REPLAN_MS = 50;
--- a/packages/weights/src/staged/staged-transfer.ts
+++ b/packages/weights/src/staged/staged-transfer.ts
@@ -9,7 +9,9 @@
 import type {ChunkStore} from '../chunk-store.js';
 import {treeKeyOf} from '../fetch-plan.js';
 import {TokenBucket} from '../token-bucket.js';
-import {OUTSTANDING_PIECES, PACE_BURST_MS} from './constants.js';
+import {
+	OUTSTANDING_PIECES, OWN_READS, PACE_BURST_MS, REPLAN_MS,
+} from './constants.js';
 import type {StagedManifest} from './staged-manifest.js';
 
 export type StagedTransferOptions = {
@@ -43,31 +45,60 @@
 		}
 	};
 
-	const missing = [...chunks.keys()].filter(index => !store.has(chunks[index]));
-	const readHere = missing.filter(index => fetcher.isReader({
+	// The plan is asked again for each piece: members that just started become known one by one.
+	const pending = new Set(rotate([...chunks.keys()].filter(index => !store.has(chunks[index])), selfId));
+	const isOwn = (index: number): boolean => fetcher.isReader({
 		index, chunks, manifest, tree: treeKeyOf(chunks, index),
-	}));
-	const others = rotate(missing.filter(index => !readHere.includes(index)), selfId);
-	let next = 0;
-	const work = async (): Promise<void> => {
-		await onTurn();
-		while (next < others.length && !signal.aborted) {
-			const index = others[next++];
-			await pace.take(chunkBytes, signal);
-			await fetchOne(index);
+	});
+	const takeNext = (wantsOwn: boolean): number | undefined => {
+		for (const index of pending) {
+			if (isOwn(index) === wantsOwn) {
+				pending.delete(index);
+				return index;
+			}
 		}
+
+		return undefined;
 	};
 
+	let ownReads = 0;
+	let hasToldOwn = false;
 	const readOwn = async (): Promise<void> => {
-		await Promise.all(readHere.map(async index => fetchOne(index)));
-		if (!signal.aborted) {
-			onOwnPieces();
+		while (pending.size > 0 && !signal.aborted) {
+			const index = takeNext(true);
+			if (index !== undefined) {
+				ownReads++;
+				await fetchOne(index);
+				ownReads--;
+				continue;
+			}
+
+			if (ownReads === 0 && !hasToldOwn) {
+				hasToldOwn = true;
+				onOwnPieces();
+			}
+
+			await clock.sleep(REPLAN_MS, signal);
+		}
+	};
+
+	const readOthers = async (): Promise<void> => {
+		await onTurn();
+		while (pending.size > 0 && !signal.aborted) {
+			const index = takeNext(false);
+			if (index === undefined) {
+				await clock.sleep(REPLAN_MS, signal);
+				continue;
+			}
+
+			await pace.take(chunkBytes, signal);
+			await fetchOne(index);
 		}
 	};
 
 	await Promise.all([
-		readOwn(),
-		...Array.from({length: OUTSTANDING_PIECES}, async () => work()),
+		...Array.from({length: OWN_READS}, async () => readOwn()),
+		...Array.from({length: OUTSTANDING_PIECES}, async () => readOthers()),
 	]);
 };
 
--- /dev/null
+++ b/packages/weights/src/star-plan.test.ts
@@ -0,0 +1,70 @@
+import type {MemberRecord} from '@yuccawood/membership';
+import {expect} from 'chai';
+import {assignReaders, StarPlanner} from './star-plan.js';
+
+const MANIFEST = 'manifest';
+const chunks = Array.from({length: 48}, (_, index) => `chunk-${index}`);
+
+const member = (id: string, region: string, isHolder = false): MemberRecord => ({
+	id, role: 'agent', address: id, region, failureDomain: region, incarnation: 1, sequence: 0, status: 'alive', revision: 0,
+	upstream: {
+		kind: 'engine', service: 's', ready: true, capacity: 1, served: [], held: isHolder ? [MANIFEST] : [],
+	},
+});
+
+const fleet = (sizes: Readonly<Record<string, number>>, holders: readonly string[] = []): readonly MemberRecord[] => Object.entries(sizes)
+	.flatMap(([region, size]) => Array.from({length: size}, (_, index) => member(`${region}-${index}`, region, holders.includes(`${region}-${index}`))));
+
+/** Chunks that each source sends when every member that lacks the version fetches all of it. */
+const uploads = (participants: readonly MemberRecord[], storeRegion: string): ReadonlyMap<string, number> => {
+	const planner = new StarPlanner();
+	const counts = new Map<string, number>();
+	for (const {id, region, upstream} of participants) {
+		if (upstream!.held.includes(MANIFEST)) {
+			continue;
+		}
+
+		for (const index of chunks.keys()) {
+			const {source} = planner.plan({
+				index, chunks, manifest: MANIFEST, selfId: id, region, storeRegion, participants, isAvoided: () => false, tree: {key: chunks[index], isReversed: false},
+			});
+			const sender = source.kind === 'origin' ? 'origin' : source.id;
+			counts.set(sender, (counts.get(sender) ?? 0) + 1);
+		}
+	}
+
+	return counts;
+};
+
+describe('StarPlanner', () => {
+	describe('a rollout to all members', () => {
+		it('reads each chunk at the origin once, and lets no uplink carry much more than one copy', () => {
+			const counts = uploads(fleet({east: 8, north: 6, west: 6}), 'east');
+			expect(counts.get('origin')).to.equal(48);
+			const most = Math.max(...[...counts].filter(([id]) => id !== 'origin').map(([, count]) => count));
+			expect(most).to.be.at.most(48 * 1.35);
+		});
+
+		it('spreads the readers evenly', () => {
+			const counts = new Map<string, number>();
+			for (const reader of assignReaders(chunks, ['a', 'b', 'c', 'd', 'e', 'f', 'g'])) {
+				counts.set(reader, (counts.get(reader) ?? 0) + 1);
+			}
+
+			expect(Math.max(...counts.values())).to.be.at.most(7);
+		});
+	});
+
+	describe('members that hold the version already', () => {
+		it('serve new members without the origin', () => {
+			const counts = uploads(fleet({east: 6}, ['east-0', 'east-1', 'east-2', 'east-3']), 'east');
+			expect([...counts.keys()].sort()).to.deep.equal(['east-0', 'east-1', 'east-2', 'east-3']);
+		});
+
+		it('do not send every copy themselves when they are few, as after a loss of power', () => {
+			const counts = uploads(fleet({east: 8}, ['east-0']), 'east');
+			expect(counts.get('east-0')).to.be.at.most(48 * 2);
+			expect(counts.get('origin') ?? 0).to.be.at.most(48);
+		});
+	});
+});
--- a/packages/weights/src/star-plan.ts
+++ b/packages/weights/src/star-plan.ts
@@ -17,11 +17,14 @@
 
 const isHolder = ({upstream}: MemberRecord, manifest: string): boolean => upstream?.held.includes(manifest) ?? false;
 
-/** Members that may read for a region: those that hold the version already, or else all. */
+/** Share of a region's members that must hold a version before they alone serve the others: fewer uplinks would be too slow. */
+const HOLDER_SHARE = 0.5;
+
+/** Members that may read for a region: those that hold the version already, if they are many, or else all. */
 const candidatesOf = (members: readonly MemberRecord[], region: string, manifest: string): readonly string[] => {
 	const local = members.filter(member => member.region === region);
 	const holders = local.filter(member => isHolder(member, manifest));
-	return (holders.length > 0 ? holders : local).map(({id}) => id);
+	return (holders.length > 0 && holders.length >= local.length * HOLDER_SHARE ? holders : local).map(({id}) => id);
 };
 
 /**
@@ -69,6 +72,8 @@
 			return {source: sourceOf(local), position: 1, hasSibling: false};
 		}
 
+		const holderAmong = (members: readonly MemberRecord[]): string | undefined => rank(chunks[index], members
+			.filter(member => member.id !== selfId && isHolder(member, manifest) && !isAvoided(member.id)).map(({id}) => id)).at(0);
 		const chain = [storeRegion, ...[...new Set(participants.map(member => member.region))].filter(other => other !== storeRegion).sort()];
 		for (const before of chain.slice(0, Math.max(0, chain.indexOf(region))).reverse()) {
 			const reader = readerIn(before);
@@ -77,9 +82,10 @@
 			}
 		}
 
-		// A holder anywhere spares the origin a copy.
-		const holder = participants.find(member => member.id !== selfId && isHolder(member, manifest) && !isAvoided(member.id));
-		return {source: holder ? sourceOf(holder.id) : {kind: 'origin'}, position: 0, hasSibling: false};
+		// Holders spare the origin a copy, but a few of them would be slower than the origin.
+		const isWidelyHeld = participants.filter(member => isHolder(member, manifest)).length >= participants.length * HOLDER_SHARE;
+		const holder = isWidelyHeld ? holderAmong(participants) : undefined;
+		return {source: holder === undefined ? {kind: 'origin'} : sourceOf(holder), position: 0, hasSibling: false};
 	};
 
 	#readers(chunks: readonly string[], candidates: readonly string[]): readonly string[] {
