--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -28,3 +28,4 @@
 export * from './constants.js';
 export {BoundedOutput} from './bounded-output.js';
 export {PrometheusMetrics} from './prometheus-metrics.js';
+export {limitSignal} from './limited-signal.js';
--- a/packages/configuration/src/head-watcher.ts
+++ b/packages/configuration/src/head-watcher.ts
@@ -1,5 +1,5 @@
 import {
-	topRanked, type Clock, type Log, type Metrics, type Random,
+	topRanked, type Clock, type Log, type Metrics, type Random, limitSignal,
 } from '@yuccawood/common';
 import type {MemberTable} from '@yuccawood/membership';
 import type {KeyValueEntry, KeyValueService} from '@yuccawood/interfaces';
@@ -80,8 +80,9 @@
 		const limitMs = watchTimeoutMs + WATCH_MARGIN_MS;
 
 		// A watch whose connection has gone silent never ends by itself.
-		const limited = AbortSignal.any([signal, AbortSignal.timeout(limitMs)]);
-		const outcome = await boundedCall(async () => keyValue.watch(HEAD_KEY, this.#version, watchTimeoutMs, limited), limitMs);
+		const limited = limitSignal(signal, limitMs);
+		const outcome = await boundedCall(async () => keyValue.watch(HEAD_KEY, this.#version, watchTimeoutMs, limited.signal), limitMs);
+		limited.release();
 		if (signal.aborted) {
 			return true;
 		}
--- a/packages/weights/src/chunk-server.ts
+++ b/packages/weights/src/chunk-server.ts
@@ -1,7 +1,7 @@
 /** Serves chunks and manifests to peers: `GET /chunks/<sha256>?wait=ms` and `GET /manifests/<sha256>`. */
 import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Metrics, PeerServer} from '@yuccawood/common';
+import {limitSignal, type Metrics, type PeerServer} from '@yuccawood/common';
 import {
 	HEARTBEAT_MS, MAX_HELD_WAIT_MS, STALL_WINDOW_MS, UPLOAD_SLICE_BYTES, YIELD_AFTER_MS,
 } from './constants.js';
@@ -9,7 +9,6 @@
 import type {ManifestLibrary} from './manifest-library.js';
 import type {TokenBucket} from './token-bucket.js';
 import type {UploadQueue} from './upload-queue.js';
-import {limitSignal} from './limited-signal.js';
 import type {VerifiedChunk} from './verified-chunk.js';
 
 /**
--- a/packages/weights/src/peer-chunk-client.ts
+++ b/packages/weights/src/peer-chunk-client.ts
@@ -1,6 +1,6 @@
 /** Fetches chunks and manifests from peers. */
 import {Agent, request} from 'undici';
-import {describeError, readBody} from '@yuccawood/common';
+import {describeError, readBody, limitSignal} from '@yuccawood/common';
 import {
 	HELD_WAIT_MS, MAX_MANIFEST_BYTES, STALL_WINDOW_MS,
 } from './constants.js';
@@ -101,9 +101,10 @@
 
 	/** @returns the bytes of a manifest as the peer sent them, or nothing when it does not know or does not answer. */
 	async fetchManifest(address: string, hash: string, signal: AbortSignal): Promise<Uint8Array | undefined> {
+		const limited = limitSignal(signal, this.#heldWaitMs + this.#stallWindowMs);
 		try {
 			const {statusCode, body} = await request(`http://${address}/manifests/${hash}?wait=${this.#heldWaitMs}`, {
-				dispatcher: this.#agent, signal: AbortSignal.any([signal, AbortSignal.timeout(this.#heldWaitMs + this.#stallWindowMs)]),
+				dispatcher: this.#agent, signal: limited.signal,
 			});
 			if (statusCode === 200) {
 				return await readBody(body, MAX_MANIFEST_BYTES);
@@ -113,6 +114,8 @@
 			return undefined;
 		} catch {
 			return undefined;
+		} finally {
+			limited.release();
 		}
 	}
 
