--- a/packages/dispatch/src/waiting-line.test.ts
+++ b/packages/dispatch/src/waiting-line.test.ts
@@ -2,7 +2,7 @@
 import {WaitingLine, type Waiting} from './waiting-line.js';
 
 const waiting = (item: string, changes: Partial<Waiting<string>> = {}): Waiting<string> => ({
-	item, account: item, priority: 1, goalAt: 1000, expiresAt: 5000, ...changes,
+	item, account: item, priority: 1, goalAt: 1000, ...changes,
 });
 
 const drainAll = (line: WaitingLine<string>, now = 0): readonly string[] => {
@@ -46,14 +46,4 @@
 			expect(line.ahead(0, {isLate: true, now: 0})).to.equal(2);
 		});
 	});
-
-	describe('takeExpired', () => {
-		it('gives back what has waited its time, so that it can be rejected', () => {
-			const line = new WaitingLine<string>();
-			line.add(waiting('old', {expiresAt: 10}));
-			line.add(waiting('new', {expiresAt: 100}));
-			expect(line.takeExpired(50).map(({item}) => item)).to.deep.equal(['old']);
-			expect(line.length).to.equal(1);
-		});
-	});
 });
--- a/packages/dispatch/src/waiting-line.ts
+++ b/packages/dispatch/src/waiting-line.ts
@@ -11,9 +11,6 @@
 
 	/** Monotonic time at which the goal is missed, in milliseconds. */
 	readonly goalAt: number;
-
-	/** Monotonic time at which the request is rejected. */
-	readonly expiresAt: number;
 };
 
 export class WaitingLine<Item> {
@@ -47,16 +44,6 @@
 		return this.#waiting.delete(waiting);
 	}
 
-	/** Takes the requests whose time to wait is over. */
-	takeExpired(now: number): ReadonlyArray<Waiting<Item>> {
-		const expired = [...this.#waiting].filter(({expiresAt}) => expiresAt <= now);
-		for (const waiting of expired) {
-			this.#waiting.delete(waiting);
-		}
-
-		return expired;
-	}
-
 	/** The request that goes next; it stays in the line until it is removed. */
 	peek(now: number): Waiting<Item> | undefined {
 		let best: Waiting<Item> | undefined;
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -168,7 +168,7 @@
 		return new Promise(resolve => {
 			const item: Item = {request, resolve, since: now};
 			const waiting: Waiting<Item> = {
-				item, account: request.account, priority: request.priority, goalAt: request.goalAt - service.startMs, expiresAt: now + forMs,
+				item, account: request.account, priority: request.priority, goalAt: request.goalAt - service.startMs,
 			};
 			const cancel = (): void => {
 				if (service.line.remove(waiting)) {
--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -118,15 +118,25 @@
 	}
 };
 
+/**
+Reads the digests until two answers agree. A corrupt answer may be well formed; with a wrong digest the version would
+never be complete.
+*/
 const readManifest = async ({name, version}: HeldVersion, {origin, askDigests, clock, log}: StagedRolloutOptions, signal: AbortSignal): Promise<StagedManifest | undefined> => {
+	const seen = new Set<string>();
 	while (!signal.aborted) {
 		const digests = await origin()?.digests(name, version);
 		const told = digests?.ok ? digests.val : await askDigests(name, version);
 		const manifest = told && toStagedManifest(told);
-		if (manifest) {
+		if (manifest && seen.has(manifest.hash)) {
 			return manifest;
 		}
 
+		if (manifest) {
+			seen.add(manifest.hash);
+			continue;
+		}
+
 		log.warn('The digests of a version cannot be read; trying again.', {
 			model: name, version, error: digests?.err ? digests.val.message : 'no usable answer',
 		});
--- a/xo.config.js
+++ b/xo.config.js
@@ -44,6 +44,13 @@
 			],
 		},
 	},
+	{
+		files: ['packages/*/bin/*.js'],
+		rules: {
+			// A launcher only runs the compiled program.
+			'import-x/no-unassigned-import': 'off',
+		},
+	},
 	{
 		files: ['**/*.test.ts'],
 		rules: {
