--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -110,7 +110,8 @@
 			}
 
 			decisions.ordinary(requestId, 'Placed.', () => ({
-				route: route.name, upstream: placed.state.upstream.id, load: placed.load, waitedMs: Math.round(placed.waitedMs), sends: this.#sends + 1, remainingMs: Math.round(deadlineAt - this.#context.clock.monotonic()),
+				route: route.name, upstream: placed.state.upstream.id, load: placed.load, waitedMs: Math.round(placed.waitedMs),
+				sends: this.#sends + 1, remainingMs: Math.round(deadlineAt - this.#context.clock.monotonic()),
 			}));
 			const result = await this.#send(placed.state);
 			if (result.kind === 'delivered') {
--- a/packages/weights/src/chunk-fetcher.ts
+++ b/packages/weights/src/chunk-fetcher.ts
@@ -5,7 +5,7 @@
 import type {MemberTable} from '@yuccawood/membership';
 import type {WeightOrigin} from '@yuccawood/interfaces';
 import {
-	ABSENT_TIMEOUT_MS, AVOID_ABSENT_MS, AVOID_CORRUPT_MS, AVOID_STALLED_MS, MAX_ORIGIN_RETRY_MS, ORIGIN_RETRY_MS,
+	ABSENT_TIMEOUT_MS, AVOID_ABSENT_MS, AVOID_CORRUPT_MS, AVOID_STALLED_MS, ORIGIN_RETRY_MS,
 	PARENT_TIMEOUT_AT_BALANCE_0_MS, PARENT_TIMEOUT_AT_BALANCE_1_MS,
 } from './constants.js';
 import type {Avoidance} from './avoidance.js';
@@ -28,6 +28,9 @@
 	readonly link: TokenBucket;
 	readonly crossRegionLink: TokenBucket;
 	readonly originLink: TokenBucket;
+
+	/** Longest pause after a failed read from the origin, in milliseconds. */
+	readonly maxOriginRetryMs: number;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Log;
@@ -143,7 +146,7 @@
 	/** Pauses after a failed read, and asks members again that were passed over for this chunk: they may have it by now. */
 	async #pauseForOrigin(hash: string, state: FetchState, signal: AbortSignal): Promise<void> {
 		const {clock, random, avoidance} = this.#options;
-		const pauseMs = Math.min(MAX_ORIGIN_RETRY_MS, ORIGIN_RETRY_MS * (2 ** state.originFailures));
+		const pauseMs = Math.min(this.#options.maxOriginRetryMs, ORIGIN_RETRY_MS * (2 ** state.originFailures));
 		state.originFailures++;
 		await clock.sleep(pauseMs * (0.5 + random.next()), signal);
 		avoidance.clear(hash);
--- a/packages/weights/src/exchange.ts
+++ b/packages/weights/src/exchange.ts
@@ -1,4 +1,5 @@
 /** Assembles the parts that move manifests and chunks between the origin, the peers and this process. */
+import {MAX_ORIGIN_RETRY_MS} from './constants.js';
 import {Avoidance} from './avoidance.js';
 import {ChunkFetcher} from './chunk-fetcher.js';
 import {ChunkServer} from './chunk-server.js';
@@ -24,7 +25,7 @@
 		const {selfId, members, peerServer, settings, clock, metrics} = options;
 		const {
 			linkBytesPerSecond = Number.POSITIVE_INFINITY, crossRegionBytesPerSecond = Number.POSITIVE_INFINITY,
-			originBytesPerSecond = Number.POSITIVE_INFINITY, storeRegion, storeBytes,
+			originBytesPerSecond = Number.POSITIVE_INFINITY, storeRegion, storeBytes, maxOriginRetryMs = MAX_ORIGIN_RETRY_MS,
 		} = settings;
 		this.store = new ChunkStore({limitBytes: storeBytes});
 		this.budget = new LinkBudget({
@@ -47,6 +48,7 @@
 		const shared = {
 			...options,
 			storeRegion,
+			maxOriginRetryMs,
 			planner: options.planner ?? new TreePlanner(),
 			peers: this.#peers,
 			avoidance: new Avoidance(clock),
--- a/packages/weights/src/staged/constants.ts
+++ b/packages/weights/src/staged/constants.ts
@@ -68,3 +68,6 @@
 
 /** Pause before the plan is asked again when it has nothing to fetch now. */
 export const REPLAN_MS = 50;
+
+/** Longest pause after a failed read from the origin: the bound on old versions runs on while it is away. */
+export const ORIGIN_RETRY_LIMIT_MS = 400;
--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -8,7 +8,7 @@
 import {StarPlanner} from '../star-plan.js';
 import type {WeightSettings} from '../types.js';
 import {
-	DIGEST_PEERS, FIRST_WAVE_SHARE, IDLE_TRANSFER_SHARE, LEAST_TRANSFER_SHARE, REPORT_POLL_MS, SERVING_TRANSFER_SHARE, SUPERSEDE_SHARE, TIME_BALANCE,
+	DIGEST_PEERS, FIRST_WAVE_SHARE, IDLE_TRANSFER_SHARE, LEAST_TRANSFER_SHARE, ORIGIN_RETRY_LIMIT_MS, REPORT_POLL_MS, SERVING_TRANSFER_SHARE, SUPERSEDE_SHARE, TIME_BALANCE,
 	TRANSFER_MARGIN_MS, UPLOAD_SHARE,
 } from './constants.js';
 import {IndexedOrigin} from './indexed-origin.js';
@@ -97,7 +97,13 @@
 		this.#log = log.part('weights');
 		this.#pieces = new IndexedOrigin({origin});
 		this.#exchange = new Exchange({
-			...options, settings: {...options.settings, linkBytesPerSecond: (options.settings.linkBytesPerSecond ?? Number.POSITIVE_INFINITY) * UPLOAD_SHARE}, origin: this.#pieces, clock, random, log: this.#log, balance: () => TIME_BALANCE, planner: new StarPlanner(),
+			...options,
+			settings: {
+				...options.settings,
+				linkBytesPerSecond: (options.settings.linkBytesPerSecond ?? Number.POSITIVE_INFINITY) * UPLOAD_SHARE,
+				maxOriginRetryMs: ORIGIN_RETRY_LIMIT_MS,
+			},
+			origin: this.#pieces, clock, random, log: this.#log, balance: () => TIME_BALANCE, planner: new StarPlanner(),
 		});
 		options.peerServer.method(DIGESTS_METHOD, ({model, version}: {readonly model: string; readonly version: number}) => {
 			const digests = this.#digests.get(version);
--- a/packages/weights/src/types.ts
+++ b/packages/weights/src/types.ts
@@ -17,6 +17,9 @@
 	/** Rate at which this agent may read from the origin, in bytes per second. */
 	readonly originBytesPerSecond?: number;
 
+	/** Longest pause after a failed read from the origin, in milliseconds. */
+	readonly maxOriginRetryMs?: number;
+
 	/** Region of the origin, as the configuration in force names it. */
 	readonly storeRegion: () => string;
 
