--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,9 +2,9 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {
-	decideResend, requiredVersion, type PlacementNeed, type SendFailure,
+	decideResend, requiredVersion, type PlacementNeed,
 } from '@yuccawood/dispatch';
-import {EventRelay, HeldAnswer} from './answer-sinks.js';
+import {EventRelay} from './answer-sinks.js';
 import {
 	MIN_SILENCE_MS, MIN_SLOW_ANSWER_MS, SILENCE_GOALS, SLOW_ANSWER_GOALS, UNAVAILABLE_RETRY_MS,
 } from './constants.js';
@@ -12,18 +12,10 @@
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
 import {sendOwnAnswer} from './own-answer.js';
 import type {Placed} from './placer.js';
-import type {AnswerHead, OwnAnswer} from './types.js';
-import type {Send} from './upstream-link.js';
+import type {OwnAnswer} from './types.js';
+import {AnswerTiming, transmit, type SendResult} from './transmit.js';
 import type {UpstreamState} from './upstream-states.js';
 
-/** What became of one send. */
-type SendResult =
-	{readonly kind: 'delivered'}
-	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly detail: string; readonly held?: HeldAnswer}
-	| {readonly kind: 'ended'; readonly by: 'caller' | 'deadline'};
-
-class SilenceError extends Error {}
-
 export class Exchange {
 	readonly #context: GatewayContext;
 	readonly #request: AcceptedRequest;
@@ -39,10 +31,7 @@
 	/** Whether some send may have run. */
 	#mayHaveRun = false;
 
-	/** Times of the answer so far: first and latest data, and the longest pause, in milliseconds. */
-	#firstDataAt: number | undefined;
-	#lastDataAt = 0;
-	#longestGapMs = 0;
+	readonly #timing = new AnswerTiming();
 	#expectedVersion: number | undefined;
 
 	constructor(context: GatewayContext, request: AcceptedRequest, response: ServerResponse) {
@@ -181,21 +170,35 @@
 	async #send(state: UpstreamState): Promise<SendResult> {
 		const {clock, codec, placer, states} = this.#context;
 		const {method, path, rawHeaders, body, account, deadlineAt, service} = this.#request;
-		const sentAt = clock.monotonic();
 		this.#sends++;
-		this.#runs++;
 		const headers = codec.forward(rawHeaders, {
 			upstreamId: state.upstream.id,
 			account,
-			remainingMs: Math.max(1, Math.floor(deadlineAt - sentAt)),
+			remainingMs: Math.max(1, Math.floor(deadlineAt - clock.monotonic())),
 			lastEventId: this.#relay?.lastId ?? this.#request.lastEventId,
 			expectedVersion: this.#expectedVersion,
 		});
-		const result = await new Promise<SendResult>(resolve => {
-			this.#transmit(state, {
+		const result = await transmit({
+			context: this.#context,
+			request: this.#request,
+			response: this.#response,
+			relay: this.#relay,
+			timing: this.#timing,
+			state,
+			sent: {
 				method, path, headers, body: body && Buffer.from(body.buffer, body.byteOffset, body.byteLength),
-			}, resolve);
+			},
+			fingerprint: this.#fingerprint,
+			ended: this.#ended.signal,
+			endedBy: () => this.#endedBy,
+			silenceMs: this.#silenceMs(),
+			isWorthMoving: () => this.#isWorthMoving(),
 		});
+		if (result.mayHaveRun) {
+			this.#runs++;
+			this.#mayHaveRun = true;
+		}
+
 		state.end();
 		this.#judge(state, result);
 		if (states.has(state.upstream.key)) {
@@ -205,191 +208,15 @@
 		return result;
 	}
 
-	/** Sends once and relays the answer; resolves when the send is over. */
-	#transmit(state: UpstreamState, sent: Parameters<UpstreamState['link']['send']>[0], resolve: (result: SendResult) => void): void {
-		const {clock, codec, placer} = this.#context;
-		const {requestId, service, route} = this.#request;
-		const response = this.#response;
-		const relay = this.#relay;
-		const sentAt = clock.monotonic();
-		let held: HeldAnswer | undefined;
-		let head: AnswerHead | undefined;
-		let isStream = false;
-		let silence: NodeJS.Timeout | undefined;
-		let isWrong = false;
-		let hasFirst = false;
-		const mark = state.markSent(sentAt);
-
-		const watchSilence = (milliseconds: number): void => {
-			clearTimeout(silence);
-			silence = setTimeout(() => {
-				if (this.#isWorthMoving()) {
-					send.abort(new SilenceError(`no data for ${milliseconds} ms`));
-				} else {
-					watchSilence(milliseconds);
-				}
-			}, milliseconds);
-		};
-
-		const onEnded = (): void => {
-			send.abort(new Error('the exchange ended'));
-		};
-
-		const onDrain = (): void => {
-			send.resume();
-		};
-
-		const finish = (result: SendResult): void => {
-			clearTimeout(silence);
-			state.noteData(mark);
-			this.#ended.signal.removeEventListener('abort', onEnded);
-			response.off('drain', onDrain);
-			resolve(result);
-		};
-
-		if (this.#ended.signal.aborted) {
-			this.#runs--;
-			finish({kind: 'ended', by: this.#endedBy!});
-			return;
-		}
-
-		this.#ended.signal.addEventListener('abort', onEnded, {once: true});
-		response.on('drain', onDrain);
-		const silenceMs = this.#silenceMs();
-		if (silenceMs !== undefined) {
-			watchSilence(silenceMs);
-		}
-
-		const send: Send = state.link.send(sent, {
-			head: (status, headers, rawHeaders) => {
-				const now = clock.monotonic();
-				head = codec.readAnswer(headers, status);
-				if (head.load) {
-					state.takeLoad(head.load.running + head.load.waiting, now);
-				}
-
-				if (head.version !== undefined) {
-					state.takeVersion(head.version);
-				}
-
-				if (!head.isNotRun && head.requestId !== requestId) {
-					isWrong = true;
-					send.abort(new Error(`the answer belongs to request ${head.requestId ?? 'unknown'}`));
-					return;
-				}
-
-				isStream = relay !== undefined && status === 200;
-				if (isStream) {
-					relay!.start(rawHeaders);
-				} else {
-					held = new HeldAnswer({
-						response, status, rawHeaders, mustClose: this.#context.isLeaving,
-					});
-				}
-			},
-			data: chunk => {
-				const now = clock.monotonic();
-				this.#noteData(now);
-				if (!hasFirst) {
-					hasFirst = true;
-					state.noteData(mark);
-					state.noteStarted(now - sentAt, now);
-					placer.noteStarted(service, now - sentAt);
-				}
-
-				if (!isStream) {
-					return held?.add(chunk) ?? true;
-				}
-
-				if (silenceMs !== undefined) {
-					watchSilence(silenceMs);
-				}
-
-				const wantsMore = relay!.add(chunk);
-				if (wantsMore === undefined) {
-					send.abort(new Error('events are missing'));
-					return true;
-				}
-
-				return wantsMore;
-			},
-			end: () => {
-				if (head?.isNotRun) {
-					this.#runs--;
-					finish({kind: 'failed', failure: 'not-run', detail: `status ${held?.status ?? 0}`});
-					return;
-				}
-
-				if (isStream) {
-					if (relay!.hasPartial) {
-						this.#mayHaveRun = true;
-						finish({kind: 'failed', failure: 'unknown', detail: 'the stream ended within an event'});
-						return;
-					}
-
-					relay!.end();
-					finish({kind: 'delivered'});
-					return;
-				}
-
-				this.#mayHaveRun = true;
-				if (held && held.status >= 500 && !held.isPassing) {
-					finish({
-						kind: 'failed', failure: 'answered-error', detail: `status ${held.status}`, held,
-					});
-					return;
-				}
-
-				held?.deliver();
-				finish({kind: 'delivered'});
-			},
-			error: (error, wasSent) => {
-				if (this.#endedBy) {
-					this.#mayHaveRun ||= wasSent;
-					finish({kind: 'ended', by: this.#endedBy});
-					return;
-				}
-
-				if (!wasSent || head?.isNotRun) {
-					this.#runs--;
-					finish({kind: 'failed', failure: wasSent ? 'not-run' : 'not-sent', detail: error.message});
-					return;
-				}
-
-				this.#mayHaveRun = true;
-				if (!isWrong && !(error instanceof SilenceError)) {
-					this.#context.crashes.noteBreak(state.upstream.key, this.#fingerprint, state.ownRequests - 1);
-				}
-
-				finish({
-					kind: 'failed', failure: 'unknown', detail: error.message, held,
-				});
-			},
-		});
-		if (route.kind === 'once') {
-			clearTimeout(silence);
-		}
-	}
-
-	#noteData(now: number): void {
-		if (this.#firstDataAt === undefined) {
-			this.#firstDataAt = now;
-		} else {
-			this.#longestGapMs = Math.max(this.#longestGapMs, now - this.#lastDataAt);
-		}
-
-		this.#lastDataAt = now;
-	}
-
 	#noteDelivered(state: UpstreamState, load: number, waitedMs: number): void {
 		const {metrics, decisions, clock} = this.#context;
 		const {service, arrivedAt, goalAt, route, requestId} = this.#request;
-		const firstMs = (this.#firstDataAt ?? clock.monotonic()) - arrivedAt;
-		const isLate = arrivedAt + firstMs > goalAt || this.#longestGapMs > (route.gapGoalMs ?? Number.POSITIVE_INFINITY);
+		const firstMs = (this.#timing.firstDataAt ?? clock.monotonic()) - arrivedAt;
+		const isLate = arrivedAt + firstMs > goalAt || this.#timing.longestGapMs > (route.gapGoalMs ?? Number.POSITIVE_INFINITY);
 		metrics.timing('gateway.first_data_ms', firstMs, {service});
 		metrics.count('gateway.delivered', {service, late: String(isLate)});
 		decisions.ordinary(requestId, 'Delivered.', () => ({
-			route: route.name, upstream: state.upstream.id, load, waitedMs: Math.round(waitedMs), firstMs: Math.round(firstMs), longestGapMs: Math.round(this.#longestGapMs),
+			route: route.name, upstream: state.upstream.id, load, waitedMs: Math.round(waitedMs), firstMs: Math.round(firstMs), longestGapMs: Math.round(this.#timing.longestGapMs),
 			sends: this.#sends, events: this.#relay?.events, late: isLate,
 		}));
 	}
@@ -412,7 +239,7 @@
 		const {route, service, deadlineAt} = this.#request;
 		const now = clock.monotonic();
 		return decideResend({
-			kind: route.kind, isResumable: route.isResumable, failure: 'unknown', runs: this.#runs, sends: this.#sends,
+			kind: route.kind, isResumable: route.isResumable, failure: 'unknown', runs: this.#runs + 1, sends: this.#sends,
 			attempts: route.attempts, remainingMs: deadlineAt - now, hasBudget: budgetOf(service).hasRoom(now),
 		}).kind === 'resend';
 	}
--- /dev/null
+++ b/packages/gateway/src/transmit.ts
@@ -0,0 +1,256 @@
+/** One send of a request to an upstream, and the relay of its answer. */
+import type {ServerResponse} from 'node:http';
+import type {SendFailure} from '@yuccawood/dispatch';
+import {HeldAnswer, type EventRelay} from './answer-sinks.js';
+import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
+import type {AnswerHead} from './types.js';
+import type {Send, SendRequest} from './upstream-link.js';
+import type {UpstreamState} from './upstream-states.js';
+
+/** Why an exchange is over before its answer. */
+export type EarlyEnd = 'caller' | 'deadline';
+
+/** What became of one send. `mayHaveRun` is false only on proof. */
+export type SendResult = {readonly mayHaveRun: boolean} & (
+	{readonly kind: 'delivered'}
+	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly detail: string; readonly held?: HeldAnswer}
+	| {readonly kind: 'ended'; readonly by: EarlyEnd}
+);
+
+/** Times of the data of one answer, over all sends that contribute to it. Monotonic milliseconds. */
+export class AnswerTiming {
+	#firstDataAt: number | undefined;
+	#lastDataAt = 0;
+	#longestGapMs = 0;
+
+	get firstDataAt(): number | undefined {
+		return this.#firstDataAt;
+	}
+
+	get longestGapMs(): number {
+		return this.#longestGapMs;
+	}
+
+	noteData(now: number): void {
+		if (this.#firstDataAt === undefined) {
+			this.#firstDataAt = now;
+		} else {
+			this.#longestGapMs = Math.max(this.#longestGapMs, now - this.#lastDataAt);
+		}
+
+		this.#lastDataAt = now;
+	}
+}
+
+export type TransmitOptions = {
+	readonly context: GatewayContext;
+	readonly request: AcceptedRequest;
+	readonly response: ServerResponse;
+
+	/** Passes events on; nothing for requests that are no streams. */
+	readonly relay: EventRelay | undefined;
+	readonly timing: AnswerTiming;
+	readonly state: UpstreamState;
+	readonly sent: SendRequest;
+	readonly fingerprint: string;
+
+	/** Aborts when the exchange is over. */
+	readonly ended: AbortSignal;
+	readonly endedBy: () => EarlyEnd | undefined;
+
+	/** Time without data after which the request may move to another upstream; nothing where that is not allowed. */
+	readonly silenceMs: number | undefined;
+	readonly isWorthMoving: () => boolean;
+};
+
+class SilenceError extends Error {}
+
+/** Resolves when the send is over. */
+export const transmit = async (options: TransmitOptions): Promise<SendResult> => new Promise(resolve => {
+	new Transmission(options, resolve).start();
+});
+
+class Transmission {
+	readonly #options: TransmitOptions;
+	readonly #resolve: (result: SendResult) => void;
+	readonly #sentAt: number;
+	readonly #mark: symbol;
+	#send: Send | undefined;
+	#held: HeldAnswer | undefined;
+	#head: AnswerHead | undefined;
+	#isStream = false;
+	#isWrong = false;
+	#hasData = false;
+	#silence: NodeJS.Timeout | undefined;
+
+	constructor(options: TransmitOptions, resolve: (result: SendResult) => void) {
+		this.#options = options;
+		this.#resolve = resolve;
+		this.#sentAt = options.context.clock.monotonic();
+		this.#mark = options.state.markSent(this.#sentAt);
+	}
+
+	start(): void {
+		const {ended, endedBy, response, state, sent} = this.#options;
+		if (ended.aborted) {
+			this.#finish({kind: 'ended', by: endedBy()!, mayHaveRun: false});
+			return;
+		}
+
+		ended.addEventListener('abort', this.#onEnded, {once: true});
+		response.on('drain', this.#onDrain);
+		this.#watchSilence();
+		this.#send = state.link.send(sent, {
+			head: (status, headers, rawHeaders) => {
+				this.#takeHead(status, headers, rawHeaders);
+			},
+			data: chunk => this.#takeData(chunk),
+			end: () => {
+				this.#finish(this.#resultOfEnd());
+			},
+			error: (error, wasSent) => {
+				this.#finish(this.#resultOfError(error, wasSent));
+			},
+		});
+	}
+
+	readonly #onEnded = (): void => {
+		this.#send?.abort(new Error('the exchange ended'));
+	};
+
+	readonly #onDrain = (): void => {
+		this.#send?.resume();
+	};
+
+	#finish(result: SendResult): void {
+		const {state, ended, response} = this.#options;
+		clearTimeout(this.#silence);
+		state.noteData(this.#mark);
+		ended.removeEventListener('abort', this.#onEnded);
+		response.off('drain', this.#onDrain);
+		this.#resolve(result);
+	}
+
+	/** Aborts the send when nothing arrives for too long and another upstream could take over. */
+	#watchSilence(): void {
+		const {silenceMs, isWorthMoving} = this.#options;
+		clearTimeout(this.#silence);
+		if (silenceMs === undefined) {
+			return;
+		}
+
+		this.#silence = setTimeout(() => {
+			if (isWorthMoving()) {
+				this.#send?.abort(new SilenceError(`no data for ${silenceMs} ms`));
+			} else {
+				this.#watchSilence();
+			}
+		}, silenceMs);
+	}
+
+	#takeHead(status: number, headers: Readonly<Record<string, string | readonly string[] | undefined>>, rawHeaders: readonly string[]): void {
+		const {context, request, response, relay, state} = this.#options;
+		const head = context.codec.readAnswer(headers, status);
+		this.#head = head;
+		if (head.load) {
+			state.takeLoad(head.load.running + head.load.waiting, context.clock.monotonic());
+		}
+
+		if (head.version !== undefined) {
+			state.takeVersion(head.version);
+		}
+
+		if (!head.isNotRun && head.requestId !== request.requestId) {
+			this.#isWrong = true;
+			this.#send?.abort(new Error(`the answer belongs to request ${head.requestId ?? 'unknown'}`));
+			return;
+		}
+
+		this.#isStream = relay !== undefined && status === 200;
+		if (this.#isStream) {
+			relay!.start(rawHeaders);
+		} else {
+			this.#held = new HeldAnswer({
+				response, status, rawHeaders, mustClose: context.isLeaving,
+			});
+		}
+	}
+
+	/** @returns whether more is wanted now */
+	#takeData(chunk: Uint8Array): boolean {
+		const {context, request, relay, state, timing} = this.#options;
+		const now = context.clock.monotonic();
+		timing.noteData(now);
+		if (!this.#hasData) {
+			this.#hasData = true;
+			state.noteData(this.#mark);
+			state.noteStarted(now - this.#sentAt, now);
+			context.placer.noteStarted(request.service, now - this.#sentAt);
+		}
+
+		if (!this.#isStream) {
+			return this.#held?.add(chunk) ?? true;
+		}
+
+		this.#watchSilence();
+		const wantsMore = relay!.add(chunk);
+		if (wantsMore === undefined) {
+			this.#send?.abort(new Error('events are missing'));
+			return true;
+		}
+
+		return wantsMore;
+	}
+
+	#resultOfEnd(): SendResult {
+		const held = this.#held;
+		if (this.#head?.isNotRun) {
+			return {
+				kind: 'failed', failure: 'not-run', detail: `status ${held?.status ?? 0}`, mayHaveRun: false,
+			};
+		}
+
+		if (this.#isStream) {
+			const {relay} = this.#options;
+			if (relay!.hasPartial) {
+				return {
+					kind: 'failed', failure: 'unknown', detail: 'the stream ended within an event', mayHaveRun: true,
+				};
+			}
+
+			relay!.end();
+			return {kind: 'delivered', mayHaveRun: true};
+		}
+
+		if (held && held.status >= 500 && !held.isPassing) {
+			return {
+				kind: 'failed', failure: 'answered-error', detail: `status ${held.status}`, held, mayHaveRun: true,
+			};
+		}
+
+		held?.deliver();
+		return {kind: 'delivered', mayHaveRun: true};
+	}
+
+	#resultOfError(error: Error, wasSent: boolean): SendResult {
+		const {endedBy, context, state, fingerprint} = this.#options;
+		const by = endedBy();
+		if (by) {
+			return {kind: 'ended', by, mayHaveRun: wasSent};
+		}
+
+		if (!wasSent || this.#head?.isNotRun) {
+			return {
+				kind: 'failed', failure: wasSent ? 'not-run' : 'not-sent', detail: error.message, mayHaveRun: false,
+			};
+		}
+
+		if (!this.#isWrong && !(error instanceof SilenceError)) {
+			context.crashes.noteBreak(state.upstream.key, fingerprint, state.ownRequests - 1);
+		}
+
+		return {
+			kind: 'failed', failure: 'unknown', detail: error.message, held: this.#held, mayHaveRun: true,
+		};
+	}
+}
