Assume several entries while the others are unknown

A restarted entry that the store refuses took the whole budget of repeats and the connections of an upstream for its own. The test fails with one entry assumed.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -56,3 +56,6 @@
 
 /** Time without an observation after which an upstream counts as usual again. */
 export const START_LIFE_MS = 1500;
+
+/** Entries that are assumed to share limits while this entry does not know the others, as after a restart without the store. */
+export const ASSUMED_ENTRIES = 8;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,7 +17,7 @@
 import {Placer} from './placer.js';
 import {readRequestBody} from './read-request-body.js';
 import type {CallerHead, HeaderCodec, OwnAnswer} from './types.js';
-import {UpstreamStates} from './upstream-states.js';
+import {sharingEntries, UpstreamStates} from './upstream-states.js';
 
 export type GatewayOptions = {
 	readonly view: FleetView;
@@ -164,7 +164,7 @@
 		let budget = this.#budgets.get(service);
 		if (!budget) {
 			const {resends, view} = this.#options;
-			budget = new ResendBudget({...resends, entries: () => view.entries.size});
+			budget = new ResendBudget({...resends, entries: () => sharingEntries(view)});
 			this.#budgets.set(service, budget);
 		}
 
--- a/packages/gateway/src/upstream-states.ts
+++ b/packages/gateway/src/upstream-states.ts
@@ -5,13 +5,16 @@
 } from '@yuccawood/dispatch';
 import type {FleetView, Upstream, UpstreamReport} from '@yuccawood/fleet';
 import {
-	CONNECTION_SHARE, MIN_CONNECTIONS, START_LIFE_MS, START_WEIGHT,
+	ASSUMED_ENTRIES, CONNECTION_SHARE, MIN_CONNECTIONS, START_LIFE_MS, START_WEIGHT,
 } from './constants.js';
 import {UpstreamLink} from './upstream-link.js';
 
 /** Age up to which an agent's report of version and switching goes before the platform's list. */
 const AGENT_REPORT_LIFE_MS = 2500;
 
+/** Entries that share the limits of upstreams and services. One that lists nobody else does not know the others yet. */
+export const sharingEntries = ({entries}: Pick<FleetView, 'entries'>): number => entries.size > 1 ? entries.size : ASSUMED_ENTRIES;
+
 export class UpstreamState {
 	ownRequests = 0;
 
@@ -183,8 +186,7 @@
 	#connect({address, service}: Upstream): UpstreamLink {
 		const {view} = this.#options;
 		const limit = view.inForce?.configuration.services.find(({name}) => name === service)?.maxConnections ?? MIN_CONNECTIONS;
-		const entries = Math.max(1, view.entries.size);
-		const connections = Math.max(MIN_CONNECTIONS, Math.floor(limit * CONNECTION_SHARE / entries));
+		const connections = Math.max(MIN_CONNECTIONS, Math.floor(limit * CONNECTION_SHARE / sharingEntries(view)));
 		return new UpstreamLink({address, connections});
 	}
 }
