--- a/packages/node/src/agent-node.ts
+++ b/packages/node/src/agent-node.ts
@@ -1,6 +1,6 @@
 /** An agent: keeps the engine on its VM on the newest version, shares pieces with its peers, reports to entries. */
 import process from 'node:process';
-import {delay} from '@yuccawood/common';
+import {delay, describeError} from '@yuccawood/common';
 import {PEER_CALL_TIMEOUT_MS, type StoreItem} from '@yuccawood/fleet';
 import {
 	OPERATOR_PREFIX, StagedEngineClient, UPSTREAM_PREFIX, VersionedOriginClient, VERSION_PREFIX,
@@ -28,10 +28,6 @@
 		return this.#origin?.failureDomain;
 	}
 
-	get linkMegabitsPerSecond(): number | undefined {
-		return this.#origin?.linkMegabitsPerSecond;
-	}
-
 	readonly client = (): VersionedOriginClient | undefined => {
 		const address = this.#origin?.address;
 		if (address !== this.#address) {
@@ -139,11 +135,12 @@
 	}
 };
 
-/** Calls a method of a peer. A peer that does not answer is no news: another one is asked. */
-const askPeer = async <Answer>({peers}: NodeContext, address: string, method: string, parameters: unknown): Promise<Answer | undefined> => {
+/** Calls a method of a peer; nothing when it does not answer. */
+const askPeer = async <Answer>({peers, log}: NodeContext, address: string, method: string, parameters: unknown): Promise<Answer | undefined> => {
 	try {
 		return await peers.call<Answer>(address, method, parameters, {timeoutMs: PEER_CALL_TIMEOUT_MS});
-	} catch {
+	} catch (error) {
+		log.info('A peer did not answer; another one is asked.', {address, method, error: describeError(error)});
 		return undefined;
 	}
 };
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -2,7 +2,7 @@
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {
-	BoundedOutput, createLog, PeerClient, PeerServer, PrometheusMetrics, SystemClock, systemRandom, type Clock, type Log, type Random,
+	BoundedOutput, createLog, describeError, PeerClient, PeerServer, PrometheusMetrics, SystemClock, systemRandom, type Clock, type Log, type Random,
 } from '@yuccawood/common';
 import {
 	FleetView, PEER_CALL_TIMEOUT_MS, StoreFollower, type AskPeer, type StoreItem,
@@ -54,7 +54,12 @@
 };
 
 /** Asks one random peer for changes; nothing when none answered. */
-const peerQuestion = (peers: PeerClient, random: Random, addresses: () => readonly string[]): AskPeer => async afterRevision => {
+const peerQuestion = ({peers, random, log, addresses}: {
+	readonly peers: PeerClient;
+	readonly random: Random;
+	readonly log: Log;
+	readonly addresses: () => readonly string[];
+}): AskPeer => async afterRevision => {
 	const [address] = random.sample(addresses(), 1);
 	if (address === undefined) {
 		return undefined;
@@ -62,8 +67,8 @@
 
 	try {
 		return await peers.call<readonly StoreItem[]>(address, CHANGES_METHOD, {afterRevision}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
-	} catch {
-		// Another peer is asked next; a peer that cannot be reached is no news.
+	} catch (error) {
+		log.info('A peer did not answer; another one is asked.', {address, method: CHANGES_METHOD, error: describeError(error)});
 		return undefined;
 	}
 };
@@ -101,7 +106,9 @@
 	const peerServer = new PeerServer();
 	const follower = new StoreFollower({
 		source: store, decoder: new PlatformItemDecoder(), view, prefix, checkedPrefix, clock, random, log, metrics,
-		askPeer: peerQuestion(peers, random, () => peerAddresses(view, settings)),
+		askPeer: peerQuestion({
+			peers, random, log, addresses: () => peerAddresses(view, settings),
+		}),
 	});
 	peerServer.method(CHANGES_METHOD, ({afterRevision}: {readonly afterRevision: number}) => follower.items.changesSince(afterRevision));
 	const reload = (cause: string): void => {
--- a/packages/weights/src/staged/constants.ts
+++ b/packages/weights/src/staged/constants.ts
@@ -71,3 +71,6 @@
 
 /** Longest pause after a failed read from the origin: the bound on old versions runs on while it is away. */
 export const ORIGIN_RETRY_LIMIT_MS = 400;
+
+/** Versions before the newest one whose digests are kept for peers. */
+export const REMEMBERED_VERSIONS = 3;
--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -8,11 +8,12 @@
 import {StarPlanner} from '../star-plan.js';
 import type {WeightSettings} from '../types.js';
 import {
-	DIGEST_PEERS, FIRST_WAVE_SHARE, IDLE_TRANSFER_SHARE, LEAST_TRANSFER_SHARE, ORIGIN_RETRY_LIMIT_MS, REPORT_POLL_MS, SERVING_TRANSFER_SHARE, SUPERSEDE_SHARE, TIME_BALANCE,
-	TRANSFER_MARGIN_MS, UPLOAD_SHARE,
+	DIGEST_PEERS, FIRST_WAVE_SHARE, IDLE_TRANSFER_SHARE, LEAST_TRANSFER_SHARE, ORIGIN_RETRY_LIMIT_MS, REMEMBERED_VERSIONS, REPORT_POLL_MS,
+	SERVING_TRANSFER_SHARE, SUPERSEDE_SHARE, TIME_BALANCE, TRANSFER_MARGIN_MS, UPLOAD_SHARE,
 } from './constants.js';
 import {IndexedOrigin} from './indexed-origin.js';
 import {Stage} from './stage.js';
+import type {StagedManifest} from './staged-manifest.js';
 import {rollOutStaged} from './staged-rollout.js';
 import {switchWave} from './switch-wave.js';
 import type {
@@ -152,6 +153,19 @@
 		await this.#exchange.close();
 	}
 
+	/** Remembers what peers may ask for, of the newest versions only. */
+	#remember({hash, version, manifest}: StagedManifest): void {
+		this.#hashes.set(version, hash);
+		this.#digests.set(version, manifest.chunks);
+		this.#pieceBytes = manifest.chunkBytes;
+		for (const known of this.#hashes.keys()) {
+			if (known < version - REMEMBERED_VERSIONS) {
+				this.#hashes.delete(known);
+				this.#digests.delete(known);
+			}
+		}
+	}
+
 	async #refresh(): Promise<StagedEngineState | undefined> {
 		const result = await this.#options.engine.state();
 		if (result.ok) {
@@ -273,11 +287,9 @@
 			},
 			newestManifest: () => this.#hashes.get(Math.max(...this.#hashes.keys())),
 			askDigests: async (model, version) => this.#askDigests(model, version),
-			onManifest: ({hash, version, manifest}) => {
-				this.#hashes.set(version, hash);
-				this.#digests.set(version, manifest.chunks);
-				this.#pieceBytes = manifest.chunkBytes;
-				this.#log.info('Transfer begins.', {manifest: hash, version, origin: origin() !== undefined});
+			onManifest: staged => {
+				this.#remember(staged);
+				this.#log.info('Transfer begins.', {manifest: staged.hash, version: staged.version, origin: origin() !== undefined});
 			},
 			clock: this.#clock,
 			log: this.#log,
