Explain one request from the logs of several processes

`yuccawood explain REQUEST-ID [FILE...]` reads the logs of entries and agents and prints the decisions on the request in order of time, what the entry knew when it came, and what happened meanwhile to the upstreams that it met. Every line now names its VM, so that merged logs can be told apart.

--- a/packages/cli/src/inspect-actions.ts
+++ b/packages/cli/src/inspect-actions.ts
@@ -1,6 +1,7 @@
-/** Actions that compare revisions, go back to one and follow one into force. */
+/** Actions that compare revisions, go back to one, follow one into force, and explain a request. */
 import type {Command} from 'commander';
 import {diffDocument} from './diff-document.js';
+import {explainRequest} from './explain/explain-request.js';
 import {revertToRevision} from './revert-to-revision.js';
 import {seconds, wholeNumber, type RunAction} from './run-action.js';
 import {showHistory} from './show-history.js';
@@ -31,4 +32,7 @@
 		.option('--revision <revision>', 'revision to wait for; default: the newest', wholeNumber)
 		.option('--wait-seconds <seconds>', 'longest wait', seconds)
 		.action(async (options: StatusOptions) => run(async context => showStatus(context, options)));
+	program.command('explain <request-id> [files...]')
+		.description('tell the story of one request from the logs of entries and agents, given as files or on standard input')
+		.action(async (requestId: string, files: readonly string[]) => run(async context => explainRequest(context, requestId, files)));
 };
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -86,14 +86,14 @@
 	const clock = new SystemClock();
 	const startedAt = clock.monotonic();
 	const random = systemRandom();
-	const output = new BoundedOutput(process.stdout);
-	const log = createLog({format: 'json', destination: output});
 	const first = readSettings();
 	if (first.err) {
 		throw first.val;
 	}
 
 	let settings = first.val;
+	const output = new BoundedOutput(process.stdout);
+	const log = createLog({format: 'json', destination: output, fields: {vm: settings.vm}});
 
 	const metrics = new PrometheusMetrics();
 	const store = new StoreClient({address: settings.storeAddress, timeoutMs: STORE_TIMEOUT_MS, watchSlackMs: WATCH_SLACK_MS});
