Name an engine once among the members while an earlier start is listed

Cause: after a restart the list holds the entry of the earlier start until its lease ends. Both became members with one id, each got half of its share of the pieces, and the other half had no reader: every agent read it at the origin.

Ruled out: peers that refuse connections or stall (none did after the restart), members of other regions (each agent listed all).

--- a/packages/node/src/listed-members.test.ts
+++ b/packages/node/src/listed-members.test.ts
@@ -30,6 +30,23 @@
 		},
 	});
 
+	it('names an engine once while an earlier start of it is still listed, so that every piece has a reader', () => {
+		const view = new FleetView({clock: new SystemClock(), log: SILENT_LOG});
+		const members = new ListedMembers({
+			view, selfId: '10.0.0.1:7700', region: 'r', failureDomain: 'a', service: 'pool', regions: new Map([['a', 'r']]),
+			peerAddress: ip => `${ip}:7700`, manifestHash: () => undefined,
+		});
+		for (const [id, startedAt] of [['b', 2], ['a', 1]] as const) {
+			view.apply({
+				kind: 'upstream', id, upstream: {
+					...startOf(startedAt), id, key: id, model: startedAt === 1 ? {name: 'm', version: 1} : undefined,
+				},
+			}, {revision: startedAt, mayBeLapse: false});
+		}
+
+		expect(members.members.map(({upstream}) => upstream?.served.length)).to.deep.equal([0]);
+	});
+
 	it('shows a change of the list and a manifest that became known, although a transfer asks for each piece', () => {
 		const view = new FleetView({clock: new SystemClock(), log: SILENT_LOG});
 		const hashes = new Map<number, string>();
--- a/packages/node/src/listed-members.ts
+++ b/packages/node/src/listed-members.ts
@@ -19,6 +19,19 @@
 	readonly manifestHash: (version: number) => string | undefined;
 };
 
+/** One start for each address: the entry of an earlier start stays listed until its lease ends. */
+const newestStarts = (upstreams: readonly Upstream[]): readonly Upstream[] => {
+	const newest = new Map<string, Upstream>();
+	for (const upstream of upstreams) {
+		const other = newest.get(upstream.address);
+		if (!other || (upstream.startedAt ?? 0) >= (other.startedAt ?? 0)) {
+			newest.set(upstream.address, upstream);
+		}
+	}
+
+	return [...newest.values()];
+};
+
 /** Members with what they were built from. */
 type KnownMembers = {
 	readonly upstreams: readonly Upstream[];
@@ -82,7 +95,7 @@
 
 	#build(): readonly MemberRecord[] {
 		const {view, service, regions, peerAddress, manifestHash, selfId, region, failureDomain} = this.#options;
-		const listed = view.upstreams.filter(upstream => upstream.service === service).map(upstream => recordOf({
+		const listed = newestStarts(view.upstreams.filter(upstream => upstream.service === service)).map(upstream => recordOf({
 			id: peerAddress(upstream.address.split(':')[0]),
 			region: regions.get(upstream.failureDomain) ?? upstream.failureDomain,
 			failureDomain: upstream.failureDomain,
