Place requests by the prompts that an engine still has to read, and give each entry a window of engines

An engine reads about 2,000 prompt tokens in a pass and writes between the passes, so three long prompts in a row delay the next first event by passes, while the number of running requests says little. Placement now counts the prompt tokens of sends without data as load. What other entries sent is not known in time, so with many entries each uses a window of the engines in the first place, two entries to an engine, and agents report to these only. Engines without reports count as loaded as the others.

Ruled out: waiting in the entry (0 ms in all 20 late streams of a sample), slow paths (the same engines were fast a second later).

--- a/packages/dispatch/src/choose-upstream.test.ts
+++ b/packages/dispatch/src/choose-upstream.test.ts
@@ -5,6 +5,7 @@
 const view = (key: string, changes: Partial<UpstreamView> = {}): UpstreamView => ({
 	key,
 	failureDomain: 'a',
+	isNear: true,
 	slots: 4,
 	isLeaving: false,
 	ownRequests: 0,
@@ -16,6 +17,7 @@
 	isSwitching: false,
 	startMs: 100,
 	silentMs: 0,
+	unreadTokens: 0,
 	isSuspended: false,
 	isOnTrial: false,
 	...changes,
@@ -44,6 +46,24 @@
 			expect(estimateLoad(view('old', {reportedRequests: 9, reportAgeMs: 60_000, ownRequests: 1}))).to.equal(1);
 		});
 
+		it('avoids an engine that still reads long prompts, although it runs fewer requests', () => {
+			expect(keyOf([view('reading', {unreadTokens: 2500}), view('busier', {reportedRequests: 2})])).to.equal('busier');
+		});
+
+		it('prefers its near upstreams, whose load it knows, to far ones that seem idle', () => {
+			expect(keyOf([view('far', {isNear: false}), view('near', {reportedRequests: 1})])).to.equal('near');
+		});
+
+		it('uses far upstreams when the near ones read long prompts, but not when all are full', () => {
+			expect(keyOf([view('far', {isNear: false}), view('near', {unreadTokens: 4000})])).to.equal('far');
+			expect(keyOf([view('far', {isNear: false}), view('near', {reportedRequests: 4})])).to.equal(undefined);
+		});
+
+		it('uses far upstreams when no near one works', () => {
+			expect(keyOf([view('far', {isNear: false}), view('near', {isSwitching: true})])).to.equal('far');
+			expect(keyOf([view('far', {isNear: false}), view('near', {isSuspended: true, reportedRequests: 4})])).to.equal('far');
+		});
+
 		it('spreads entries that decide at the same time over equal upstreams', () => {
 			const equal = [view('one'), view('two'), view('three')];
 			expect(new Set([0, 0.4, 0.9].map(random => keyOf(equal, {}, random))).size).to.equal(3);
--- a/packages/dispatch/src/choose-upstream.ts
+++ b/packages/dispatch/src/choose-upstream.ts
@@ -2,10 +2,11 @@
 Chooses the upstream for a request.
 
 Load patterns: even load over upstreams of equal speed; several entries deciding at once on reports of the same age;
+long prompts that follow each other closely;
 an upstream that is slow, stuck behind a narrow link, switches its weights, leaves or fails; all places taken.
 */
 import {
-	DOMAIN_PENALTY, MIN_SILENT_MS, REPORT_LIFE_MS, SCORE_TOLERANCE, SILENT_STARTS, USUAL_START_SPREAD,
+	DOMAIN_PENALTY, FAR_PENALTY, MIN_SILENT_MS, REPORT_LIFE_MS, SCORE_TOLERANCE, SILENT_STARTS, UNREAD_TOKENS_PER_LOAD, USUAL_START_SPREAD,
 } from './constants.js';
 import type {Placement, PlacementNeed, UpstreamView} from './types.js';
 
@@ -15,11 +16,22 @@
 		? ownRequests
 		: Math.max(ownRequests, reportedRequests + ownSinceReport);
 
-const scoreOf = (view: UpstreamView, need: PlacementNeed): number => {
-	const share = (estimateLoad(view) + 1) / view.slots;
+/** Load of the near upstreams in shares of their slots: what is assumed of those that send no reports. */
+const usualShare = (views: readonly UpstreamView[]): number => {
+	const near = views.filter(({isNear}) => isNear);
+	return near.length === 0 ? 0 : near.reduce((sum, view) => sum + (estimateLoad(view) / view.slots), 0) / near.length;
+};
+
+const shareOf = (view: UpstreamView, usual: number): number => Math.max(estimateLoad(view) / view.slots, view.isNear ? 0 : usual);
+
+const scoreOf = (view: UpstreamView, need: PlacementNeed, usual: number): number => {
+	const share = shareOf(view, usual) + (1 / view.slots);
 	// A full upstream starts later than an empty one; only more than that shows a slow path or a slow upstream.
 	const slowness = (view.startMs ?? 0) / (need.usualStartMs * USUAL_START_SPREAD);
-	return (share * Math.max(1, view.pace, slowness)) + (view.failureDomain === need.failureDomain ? 0 : DOMAIN_PENALTY);
+	// A running request slows the others a little; a prompt that is still to be read holds up the first event of a new one.
+	const unread = view.unreadTokens / UNREAD_TOKENS_PER_LOAD;
+	return ((share + unread) * Math.max(1, view.pace, slowness))
+		+ (view.failureDomain === need.failureDomain ? 0 : DOMAIN_PENALTY) + (view.isNear ? 0 : FAR_PENALTY);
 };
 
 const holdsVersion = ({heldVersion}: UpstreamView, {needsWeights, oldestVersion}: PlacementNeed): boolean =>
@@ -58,12 +70,13 @@
 	// Several paths often fail together; a repeat into another silent one would reach its upstream after the caller has left.
 	const proven = need.isRepeat ? usable.filter(({startMs}) => startMs !== undefined) : usable;
 	const candidates = proven.length > 0 ? proven : usable;
-	const free = candidates.filter(view => !view.isSwitching && estimateLoad(view) < view.slots);
+	const usual = usualShare(candidates);
+	const free = candidates.filter(view => !view.isSwitching && shareOf(view, usual) < 1);
 	if (free.length === 0) {
 		return {kind: 'busy', usable: usable.length, reason: 'all-places-taken'};
 	}
 
-	const scored = free.map(view => ({view, score: scoreOf(view, need)}));
+	const scored = free.map(view => ({view, score: scoreOf(view, need, usual)}));
 	const best = Math.min(...scored.map(({score}) => score));
 	const equal = scored.filter(({score}) => score <= best + SCORE_TOLERANCE);
 	const {view} = equal[Math.floor(random * equal.length)];
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -49,3 +49,15 @@
 
 /** Shortest pause told, as a share of the longest one, so that a limit on the pause does not bunch the callers. */
 export const LEAST_SPREAD_SHARE = 0.5;
+
+/** Unread prompt tokens that delay a new request as much as a full batch: one pass of an engine reads about this many. */
+export const UNREAD_TOKENS_PER_LOAD = 2048;
+
+/** Entries that use the same upstream in the first place: one could fail, more would know less of its load. */
+export const ENTRIES_PER_UPSTREAM = 2;
+
+/** Upstreams that an entry uses in the first place, at least: with fewer, the places of a pool are used unevenly. */
+export const MIN_NEAR_UPSTREAMS = 6;
+
+/** Load, in shares of an upstream's slots, that another upstream must save to be preferred to the near ones. */
+export const FAR_PENALTY = 0.5;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -8,6 +8,7 @@
 export {
 	afterFailure, afterSuccess, afterTrialStart, HEALTHY, standing, type Health,
 } from './upstream-health.js';
+export {nearUpstreams} from './near-upstreams.js';
 export {pickBackend, RouteTable} from './match-route.js';
 export {requiredVersion} from './required-version.js';
-export {CRASHES_BEFORE_REJECTION} from './constants.js';
+export {CRASHES_BEFORE_REJECTION, VERSION_MARGIN_MS} from './constants.js';
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -6,6 +6,9 @@
 	readonly key: string;
 	readonly failureDomain: string;
 
+	/** Among the upstreams that this entry uses in the first place, and gets reports of. */
+	readonly isNear: boolean;
+
 	/** Requests that it runs at the same time. */
 	readonly slots: number;
 	readonly isLeaving: boolean;
@@ -33,6 +36,9 @@
 	/** Time since the oldest send that has had no data; 0 when there is none. */
 	readonly silentMs: number;
 
+	/** Prompt tokens of this entry's sends that have had no data yet: the engine reads them before a new prompt. */
+	readonly unreadTokens: number;
+
 	/** Excluded because of its recent failures. */
 	readonly isSuspended: boolean;
 
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -34,6 +34,7 @@
 	readonly rawHeaders: readonly string[];
 	readonly body: Uint8Array | undefined;
 	readonly lastEventId: string | undefined;
+	readonly promptTokens: number | undefined;
 	readonly route: Route;
 	readonly table: RouteTable;
 	readonly service: string;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,9 @@
 	describeError, type Clock, type Log, type Metrics, type Random,
 } from '@yuccawood/common';
 import {pickBackend, ResendBudget, RouteTable} from '@yuccawood/dispatch';
-import type {FleetView, Route, UpstreamReport} from '@yuccawood/fleet';
+import type {
+	FleetView, Route, Upstream, UpstreamReport,
+} from '@yuccawood/fleet';
 import {
 	CONNECTION_CHECK_MS, DEFAULT_DEADLINE_MS, DEFAULT_HEADER_BYTES, RETURNING_SHARE, UNAVAILABLE_RETRY_MS,
 } from './constants.js';
@@ -22,6 +24,9 @@
 export type GatewayOptions = {
 	readonly view: FleetView;
 	readonly codec: HeaderCodec;
+
+	/** Id of this entry among the listed ones. */
+	readonly selfId: string;
 	readonly failureDomain: string;
 	readonly versionBoundMs: number;
 	readonly resends: {readonly windowMs: number; readonly ratio: number; readonly slack: number};
@@ -65,7 +70,7 @@
 			decisions: new DecisionLog({log, clock}),
 		};
 		view.onChange(change => {
-			if (change === 'upstreams') {
+			if (change === 'upstreams' || change === 'entries') {
 				states.refresh();
 				this.#context.placer.wakeAll();
 			} else if (change === 'configuration') {
@@ -90,6 +95,11 @@
 		return this.#table !== undefined && this.#options.view.upstreams.length > 0;
 	}
 
+	/** Engines whose agents this entry should listen to. */
+	get nearEngines(): readonly Upstream[] {
+		return this.#context.states.nearEngines;
+	}
+
 	/** Takes the state of an upstream from the agent beside it. */
 	takeReport(report: UpstreamReport): void {
 		const state = this.#context.states.atAddress(report.address);
@@ -246,6 +256,7 @@
 			rawHeaders: request.rawHeaders,
 			body: read.body,
 			lastEventId: caller.lastEventId,
+			promptTokens: caller.promptTokens,
 			route,
 			table,
 			service,
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -131,7 +131,7 @@
 	#choose(request: PlaceRequest, now: number): Placement {
 		const {states, random} = this.#options;
 		const need = {...request.need(), usualStartMs: this.#serviceOf(request.service).startMs};
-		return chooseUpstream(states.of(request.service).map(state => state.view(now)), need, random.next());
+		return chooseUpstream(states.viewsOf(request.service, now), need, random.next());
 	}
 
 	#occupy({key, load}: Placement & {readonly kind: 'send'}, since: number, now: number): Placed {
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -87,7 +87,7 @@
 		this.#options = options;
 		this.#resolve = resolve;
 		this.#sentAt = options.context.clock.monotonic();
-		this.#mark = options.state.markSent(this.#sentAt);
+		this.#mark = options.state.markSent(this.#sentAt, options.request.promptTokens);
 	}
 
 	start(): void {
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -13,6 +13,9 @@
 
 	/** Last event that the caller of a broken stream has. */
 	readonly lastEventId: string | undefined;
+
+	/** Tokens of the prompt, for a model. */
+	readonly promptTokens: number | undefined;
 };
 
 /** Headers that the gateway adds for an upstream. */
--- a/packages/gateway/src/upstream-states.ts
+++ b/packages/gateway/src/upstream-states.ts
@@ -1,7 +1,7 @@
 /** State of each upstream that this entry uses: load, health, connections. */
 import type {Clock, Log, Metrics} from '@yuccawood/common';
 import {
-	afterFailure, afterSuccess, afterTrialStart, HEALTHY, standing, type Health, type UpstreamView,
+	afterFailure, afterSuccess, afterTrialStart, HEALTHY, nearUpstreams, standing, type Health, type UpstreamView,
 } from '@yuccawood/dispatch';
 import type {FleetView, Upstream, UpstreamReport} from '@yuccawood/fleet';
 import {
@@ -15,11 +15,14 @@
 /** Entries that share the limits of upstreams and services. One that lists nobody else does not know the others yet. */
 export const sharingEntries = ({entries}: Pick<FleetView, 'entries'>): number => entries.size > 1 ? entries.size : ASSUMED_ENTRIES;
 
+/** A send without data so far: when it was sent, and the tokens of its prompt. */
+type SilentSend = {readonly sentAt: number; readonly promptTokens: number};
+
 export class UpstreamState {
 	ownRequests = 0;
 
-	/** Times of the sends that have had no data yet, in order. */
-	readonly #silentSends = new Map<symbol, number>();
+	/** Sends that have had no data yet, in order. */
+	readonly #silentSends = new Map<symbol, SilentSend>();
 	#reported: number | undefined;
 	#reportedAt = Number.NEGATIVE_INFINITY;
 	#ownSinceReport = 0;
@@ -37,9 +40,9 @@
 	}
 
 	/** Notes a send. @returns its mark for {@link noteData} */
-	markSent(now: number): symbol {
+	markSent(now: number, promptTokens = 0): symbol {
 		const mark = Symbol('send');
-		this.#silentSends.set(mark, now);
+		this.#silentSends.set(mark, {sentAt: now, promptTokens});
 		return mark;
 	}
 
@@ -94,15 +97,16 @@
 		return this.#health.suspendedUntil > now && before.suspendedUntil <= now;
 	}
 
-	view(now: number): UpstreamView {
+	view(now: number, isNear: boolean): UpstreamView {
 		const {upstream} = this;
 		const agent = now - this.#agentReportAt <= AGENT_REPORT_LIFE_MS ? this.#agentReport : undefined;
 		const state = standing(this.#health, now);
-		const [oldestSilent] = this.#silentSends.values();
+		const silent = [...this.#silentSends.values()];
 		const heldVersion = agent ? agent.version : upstream.model?.version;
 		return {
 			key: upstream.key,
 			failureDomain: upstream.failureDomain,
+			isNear,
 			slots: Math.max(1, upstream.slots),
 			isLeaving: upstream.state === 'draining',
 			ownRequests: this.ownRequests,
@@ -113,7 +117,8 @@
 			heldVersion: heldVersion === undefined ? undefined : Math.max(heldVersion, this.#answeredVersion ?? 0),
 			isSwitching: agent?.isSwitching ?? false,
 			startMs: now - this.#startAt <= START_LIFE_MS ? this.#startMs : undefined,
-			silentMs: oldestSilent === undefined ? 0 : now - oldestSilent,
+			silentMs: silent.length === 0 ? 0 : now - silent[0].sentAt,
+			unreadTokens: silent.reduce((sum, {promptTokens}) => sum + promptTokens, 0),
 			isSuspended: state === 'suspended',
 			isOnTrial: state === 'trial',
 		};
@@ -122,6 +127,9 @@
 
 export type UpstreamStatesOptions = {
 	readonly view: FleetView;
+
+	/** Id of this entry. */
+	readonly selfId: string;
 	readonly clock: Clock;
 	readonly log: Log;
 	readonly metrics: Metrics;
@@ -132,6 +140,7 @@
 	readonly #states = new Map<string, UpstreamState>();
 	readonly #byService = new Map<string, UpstreamState[]>();
 	readonly #byAddress = new Map<string, UpstreamState>();
+	#near: ReadonlySet<string> = new Set();
 
 	constructor(options: UpstreamStatesOptions) {
 		this.#options = options;
@@ -141,6 +150,17 @@
 		return this.#byService.get(service) ?? [];
 	}
 
+	/** What is known of the upstreams of a service, for a decision. */
+	viewsOf(service: string, now: number): readonly UpstreamView[] {
+		return this.of(service).map(state => state.view(now, this.#near.has(state.upstream.id)));
+	}
+
+	/** Engines whose agents this entry listens to. */
+	get nearEngines(): readonly Upstream[] {
+		const engines = new Set(this.#options.view.inForce?.configuration.services.filter(({engine}) => engine).map(({name}) => name));
+		return this.#options.view.upstreams.filter(({id, service}) => engines.has(service) && this.#near.has(id));
+	}
+
 	find(key: string): UpstreamState | undefined {
 		return this.#states.get(key);
 	}
@@ -175,6 +195,8 @@
 			service.push(state);
 			this.#byService.set(upstream.service, service);
 		}
+
+		this.#chooseNear();
 	}
 
 	close(): void {
@@ -183,6 +205,15 @@
 		}
 	}
 
+	/** Takes the entries and upstreams that are listed now as those among which the near ones are chosen. */
+	#chooseNear(): void {
+		const {view, selfId} = this.#options;
+		const entryIds = [...view.entries.keys()];
+		this.#near = new Set([...this.#byService.values()].flatMap(states => [...nearUpstreams({
+			selfId, entryIds, upstreamIds: states.map(({upstream}) => upstream.id),
+		})]));
+	}
+
 	#connect({address, service}: Upstream): UpstreamLink {
 		const {view} = this.#options;
 		const limit = view.inForce?.configuration.services.find(({name}) => name === service)?.maxConnections ?? MIN_CONNECTIONS;
--- a/packages/node/src/agent-node.ts
+++ b/packages/node/src/agent-node.ts
@@ -1,6 +1,7 @@
 /** An agent: keeps the engine on its VM on the newest version, shares pieces with its peers, reports to entries. */
 import process from 'node:process';
 import {delay, describeError} from '@yuccawood/common';
+import {VERSION_MARGIN_MS} from '@yuccawood/dispatch';
 import {PEER_CALL_TIMEOUT_MS, type StoreItem} from '@yuccawood/fleet';
 import {
 	OPERATOR_PREFIX, StagedEngineClient, UPSTREAM_PREFIX, VersionedOriginClient, VERSION_PREFIX,
@@ -130,7 +131,7 @@
 				linkBytesPerSecond,
 				storeRegion: () => regions.get(origin.failureDomain ?? '') ?? region,
 			},
-			versionBoundMs, clock, random, log, metrics,
+			versionBoundMs, boundMarginMs: VERSION_MARGIN_MS, clock, random, log, metrics,
 		});
 	}
 };
--- a/packages/node/src/entry-node.ts
+++ b/packages/node/src/entry-node.ts
@@ -36,7 +36,7 @@
 
 	const stopping = new AbortController();
 	const gateway = new Gateway({
-		view, codec: new PlatformHeaderCodec(), failureDomain, versionBoundMs: settings().versionBoundMs,
+		view, codec: new PlatformHeaderCodec(), selfId: vm, failureDomain, versionBoundMs: settings().versionBoundMs,
 		resends: {windowMs: resendWindowMs, ratio: resendRatio, slack: resendSlack},
 		shareCrash(fingerprint, crashes) {
 			void shareCrash(context, fingerprint, crashes);
@@ -50,9 +50,8 @@
 		clock, random, log, metrics,
 	});
 	view.onChange(change => {
-		if (change === 'upstreams') {
-			const engines = new Set(view.inForce?.configuration.services.filter(({engine}) => engine).map(({name}) => name));
-			reports.follow(view.upstreams.filter(({service}) => engines.has(service)).map(({address}) => context.peerAddress(splitAddress(address).host)));
+		if (change === 'upstreams' || change === 'entries') {
+			reports.follow(gateway.nearEngines.map(({address}) => context.peerAddress(splitAddress(address).host)));
 		}
 	});
 
--- a/packages/weights/src/staged/constants.ts
+++ b/packages/weights/src/staged/constants.ts
@@ -46,7 +46,7 @@
 export const SUPERSEDE_SHARE = 0.3;
 
 /** Pieces that are requested from peers at the same time, besides those that this member passes on. */
-export const OUTSTANDING_PIECES = 4;
+export const OUTSTANDING_PIECES = 10;
 
 /** Idle time that the pace of a transfer may make up for. */
 export const PACE_BURST_MS = 150;
--- a/packages/weights/src/staged/indexed-origin.ts
+++ b/packages/weights/src/staged/indexed-origin.ts
@@ -12,6 +12,7 @@
 export class IndexedOrigin implements WeightOrigin {
 	readonly #origin: () => VersionedOrigin | undefined;
 	readonly #places = new Map<string, Place>();
+	readonly #reads = new Map<number, number>();
 
 	constructor({origin}: {
 		/** The origin that the configuration names now. */
@@ -28,11 +29,20 @@
 			}
 		}
 
+		for (const known of this.#reads.keys()) {
+			if (known < version - KEPT_VERSIONS) {
+				this.#reads.delete(known);
+			}
+		}
+
 		for (const [index, hash] of manifest.chunks.entries()) {
 			this.#places.set(hash, {model, version, index});
 		}
 	}
 
+	/** Chunks of a version that this member asked the origin for. */
+	readonly readsOf = (version: number): number => this.#reads.get(version) ?? 0;
+
 	readonly manifest = async (hash: string): Outcome<Uint8Array> => Err(new PlatformError({
 		kind: 'not-found', detail: `The origin does not name manifests by hash (${hash}).`, remedy: 'Read the digests of the version.',
 	}));
@@ -40,6 +50,10 @@
 	readonly chunk = async (hash: string, signal?: AbortSignal): Outcome<Uint8Array> => {
 		const place = this.#places.get(hash);
 		const origin = this.#origin();
+		if (place && origin) {
+			this.#reads.set(place.version, this.readsOf(place.version) + 1);
+		}
+
 		return place && origin
 			? origin.piece(place.model, place.version, place.index, signal)
 			: Err(new PlatformError({kind: 'unavailable', detail: `No origin is known for chunk ${hash}.`, remedy: 'It is asked again.'}));
--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -100,7 +100,7 @@
 	}
 
 	log.info('All pieces are held.', {
-		model: target.name, version: target.version, adopted, milliseconds: Math.round(clock.monotonic() - startedAt),
+		model: target.name, version: target.version, adopted, originReads: pieces.readsOf(target.version), milliseconds: Math.round(clock.monotonic() - startedAt),
 	});
 	await options.onPieces();
 	for (const hash of store.retained) {
--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -59,6 +59,9 @@
 
 	/** Time from a version's naming within which every request must begin on it, in milliseconds. */
 	readonly versionBoundMs: number;
+
+	/** Time before the bound from which entries send nothing to an engine on the older version, in milliseconds. */
+	readonly boundMarginMs: number;
 	readonly clock?: Clock;
 	readonly random?: Random;
 	readonly log: Log;
@@ -239,6 +242,7 @@
 				await rollOutStaged(target, {
 					...this.#rolloutOptions(target),
 					onOwnPieces: () => {
+						this.#log.info('The pieces that this agent passes on are held.', {version: target.version});
 						this.#supersede(target);
 					},
 					// One paced transfer at a time leaves each the whole pace.
@@ -331,11 +335,12 @@
 		}).delayMs;
 	}
 
-	/** Whether entries may send requests to the engine: it holds a version that is not past its bound. */
+	/** Whether entries may send requests to the engine: it holds a version whose bound is not near. */
 	#servesRequests(): boolean {
+		const {versionBoundMs, boundMarginMs} = this.#options;
 		const held = this.#state?.model;
 		const newer = held && this.#options.targets().find(({version}) => version > held.version);
-		return held !== undefined && (newer === undefined || this.#clock.monotonic() - newer.learnedAt < this.#options.versionBoundMs);
+		return held !== undefined && (newer === undefined || this.#clock.monotonic() - newer.learnedAt < versionBoundMs - boundMarginMs);
 	}
 
 	/** Fast enough for the turn of the first group, also after a pause; as fast as allowed while the engine serves nothing. */
