Read the digests of a version on eight agents, and let the others ask them

Cause: on the grown deployment S 68 agents read the digests at the origin, which accepts 48 connections over 9 Mbit/s. Transfers began up to 2 s after the version was named, and the first engine held it after the bound (10.9 s).

--- a/packages/weights/src/staged/constants.ts
+++ b/packages/weights/src/staged/constants.ts
@@ -33,7 +33,14 @@
 /** Most of the line rate that uploads to peers use. */
 export const UPLOAD_SHARE = 0.72;
 
-/** Members that are asked for the digests of a version when the origin does not answer. */
+/** Members that read the digests of a version at the origin; the others ask them first. */
+export const DIGEST_READERS = 8;
+
+/** Time for which they are asked before the origin, and the pause between two questions. */
+export const DIGEST_PATIENCE_MS = 600;
+export const DIGEST_RETRY_MS = 80;
+
+/** Members that are asked for the digests of a version at a time. */
 export const DIGEST_PEERS = 2;
 
 /** Time between the end of a transfer and the turn to switch. */
--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -3,7 +3,7 @@
 import type {ChunkFetcher} from '../chunk-fetcher.js';
 import type {ChunkStore} from '../chunk-store.js';
 import {
-	CUT_STREAMS, DRAIN_TIMEOUT_MS, LOAD_TIMEOUT_MS, STEP_RETRY_MS, SWITCH_NOTICE_MS, VERIFICATION_LIFE_MS,
+	CUT_STREAMS, DIGEST_RETRY_MS, DRAIN_TIMEOUT_MS, LOAD_TIMEOUT_MS, STEP_RETRY_MS, SWITCH_NOTICE_MS, VERIFICATION_LIFE_MS,
 } from './constants.js';
 import type {IndexedOrigin} from './indexed-origin.js';
 import type {Stage} from './stage.js';
@@ -51,6 +51,9 @@
 	/** Resolves when the pieces that this member passes on to nobody may be fetched. */
 	readonly onTurnToFetch: () => Promise<void>;
 
+	/** Time for which other members are asked for the digests of a version before the origin, in milliseconds. */
+	readonly digestPatienceMs: (version: number) => number;
+
 	/** Asks members for the digests of a version. */
 	readonly askDigests: (model: string, version: number) => Promise<VersionDigests | undefined>;
 
@@ -121,12 +124,14 @@
 
 /**
 Reads the digests until two answers agree. A corrupt answer may be well formed; with a wrong digest the version would
-never be complete.
+never be complete. Most members ask the few that read the origin: it accepts few connections and has a narrow link.
 */
-const readManifest = async ({name, version}: HeldVersion, {origin, askDigests, clock, log}: StagedRolloutOptions, signal: AbortSignal): Promise<StagedManifest | undefined> => {
+const readManifest = async ({name, version}: HeldVersion, {origin, askDigests, digestPatienceMs, clock, log}: StagedRolloutOptions, signal: AbortSignal): Promise<StagedManifest | undefined> => {
 	const seen = new Set<string>();
+	const originFrom = clock.monotonic() + digestPatienceMs(version);
 	while (!signal.aborted) {
-		const digests = await origin()?.digests(name, version);
+		const mayAskOrigin = clock.monotonic() >= originFrom;
+		const digests = mayAskOrigin ? await origin()?.digests(name, version) : undefined;
 		const told = digests?.ok ? digests.val : await askDigests(name, version);
 		const manifest = told && toStagedManifest(told);
 		if (manifest && seen.has(manifest.hash)) {
@@ -138,10 +143,13 @@
 			continue;
 		}
 
-		log.warn('The digests of a version cannot be read; trying again.', {
-			model: name, version, error: digests?.err ? digests.val.message : 'no usable answer',
-		});
-		await clock.sleep(STEP_RETRY_MS, signal);
+		if (mayAskOrigin) {
+			log.warn('The digests of a version cannot be read; trying again.', {
+				model: name, version, error: digests?.err ? digests.val.message : 'no usable answer',
+			});
+		}
+
+		await clock.sleep(mayAskOrigin ? STEP_RETRY_MS : DIGEST_RETRY_MS, signal);
 	}
 
 	return undefined;
--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -1,14 +1,14 @@
 /** Keeps the engine beside this agent on the newest named version of its model. */
 import {setMaxListeners} from 'node:events';
 import {
-	delay, Publisher, SystemClock, systemRandom, type Clock, type Log, type Metrics, type PeerServer, type Random,
+	delay, Publisher, SystemClock, systemRandom, topRanked, type Clock, type Log, type Metrics, type PeerServer, type Random,
 } from '@yuccawood/common';
 import type {MemberTable} from '@yuccawood/membership';
 import {Exchange} from '../exchange.js';
 import {StarPlanner} from '../star-plan.js';
 import type {WeightSettings} from '../types.js';
 import {
-	DIGEST_PEERS, FIRST_WAVE_SHARE, IDLE_TRANSFER_SHARE, ORIGIN_RETRY_LIMIT_MS, REMEMBERED_VERSIONS, REPORT_POLL_MS,
+	DIGEST_PATIENCE_MS, DIGEST_PEERS, DIGEST_READERS, FIRST_WAVE_SHARE, IDLE_TRANSFER_SHARE, ORIGIN_RETRY_LIMIT_MS, REMEMBERED_VERSIONS, REPORT_POLL_MS,
 	SUPERSEDE_SHARE, TIME_BALANCE, TRANSFER_MARGIN_MS, UPLOAD_SHARE,
 } from './constants.js';
 import {IndexedOrigin} from './indexed-origin.js';
@@ -271,7 +271,7 @@
 	}
 
 	#rolloutOptions(target: StagedTarget): Omit<Parameters<typeof rollOutStaged>[1], 'onPieces' | 'onOwnPieces' | 'onTurnToFetch'> {
-		const {engine, origin, metrics, refreshMembers, mayCut} = this.#options;
+		const {engine, origin, metrics, refreshMembers, mayCut, selfId} = this.#options;
 		return {
 			engine,
 			origin,
@@ -281,7 +281,7 @@
 			stage: this.#stage,
 			state: () => this.#state,
 			refresh: async () => this.#refresh(),
-			selfId: this.#options.selfId,
+			selfId,
 			refreshMembers,
 			mayCut,
 			paceOf: progress => this.#paceOf(target, progress),
@@ -291,6 +291,7 @@
 				this.#published.publish(this.status);
 			},
 			newestManifest: () => this.#hashes.get(Math.max(...this.#hashes.keys())),
+			digestPatienceMs: version => this.#digestReaders(version).includes(selfId) ? 0 : DIGEST_PATIENCE_MS,
 			askDigests: async (model, version) => this.#askDigests(model, version),
 			onManifest: staged => {
 				this.#remember(staged);
@@ -302,11 +303,21 @@
 		};
 	}
 
-	/** Asks members for the digests of a version. Wrong ones are harmless: no piece verifies against them. */
+	/** Members that read the digests of a version at the origin, the same for all that see the same list. */
+	#digestReaders(version: number): readonly string[] {
+		return topRanked(String(version), this.#options.members.members.map(({id}) => id), DIGEST_READERS);
+	}
+
+	/** Asks members for the digests of a version, readers first. Wrong ones are harmless: no piece verifies against them. */
 	async #askDigests(model: string, version: number): Promise<VersionDigests | undefined> {
 		const {members, selfId, random = systemRandom(), askPeer} = this.#options;
-		const others = members.members.filter(({id}) => id !== selfId).map(({address}) => address);
-		for (const address of random.sample(others, DIGEST_PEERS)) {
+		const readers = this.#digestReaders(version);
+		const others = members.members.filter(({id}) => id !== selfId);
+		const asked = [
+			...random.sample(others.filter(({id}) => readers.includes(id)), DIGEST_PEERS),
+			...random.sample(others.filter(({id}) => !readers.includes(id)), 1),
+		];
+		for (const {address} of asked) {
 			const digests = await askPeer<VersionDigests | null>(address, DIGESTS_METHOD, {model, version}); // eslint-disable-line @typescript-eslint/no-restricted-types
 			if (digests) {
 				return digests;
