Blame no request for breaks of many upstreams at once, and end the tests by themselves

A reset of all connections looked like the death of every upstream, and its requests became suspects; from three upstreams on the network is to blame.

Tests of package requests left a peer server open that a test had given to the fixture, so mocha ended the process by force.

--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -13,6 +13,9 @@
 const SUSPICION_LIFE_MS = 600_000;
 const MAX_SUSPECTS = 10_000;
 
+/** Upstreams whose connections break at the same time from which on the network is to blame, not a request. */
+const NETWORK_BREAKS = 3;
+
 /** Identifies the same request in a later attempt: method, path, account and body. */
 export const fingerprintOf = ({method, path, account, body}: {
 	readonly method: string;
@@ -45,6 +48,9 @@
 	readonly #own = new Map<string, {crashes: number; at: number}>();
 	readonly #breaks = new Map<string, Death>();
 
+	/** Time of the last break of all connections, by upstream. */
+	readonly #lastBreaks = new Map<string, number>();
+
 	constructor(options: CrashWatchOptions) {
 		this.#options = options;
 		this.#log = options.log.part('crashes');
@@ -83,9 +89,21 @@
 		}
 	}
 
-	/** A death breaks every connection; a single broken one among others says nothing about the upstream. */
-	#judge(upstreamKey: string, {fingerprints, survivors}: Death): void {
-		if (survivors > 0) {
+	/**
+	A death breaks every connection; a single broken one among others says nothing about the upstream. Breaks at many
+	upstreams at the same time come from the network or from this VM.
+	*/
+	#judge(upstreamKey: string, {at, fingerprints, survivors}: Death): void {
+		const now = this.#options.clock.monotonic();
+		this.#lastBreaks.set(upstreamKey, at);
+		for (const [key, brokeAt] of this.#lastBreaks) {
+			if (now - brokeAt > DEATH_WINDOW_MS * 2) {
+				this.#lastBreaks.delete(key);
+			}
+		}
+
+		const upstreams = new Set([...this.#lastBreaks.keys(), ...this.#breaks.keys()]);
+		if (survivors > 0 || upstreams.size >= NETWORK_BREAKS) {
 			return;
 		}
 
--- a/packages/requests/src/fleet.test.ts
+++ b/packages/requests/src/fleet.test.ts
@@ -151,7 +151,7 @@
 	}
 
 	async entry(options: Partial<EntryServerOptions> = {}): Promise<EntryServer> {
-		const peerServer = new PeerServer();
+		const peerServer = options.peerServer ?? new PeerServer();
 		const peerClient = new PeerClient();
 		const configuration: ConfigurationSource = {current: CONFIGURATION, changes: from<ConfigurationInForce>([])};
 		const entry = new EntryServer({
@@ -159,7 +159,10 @@
 			peerServer, peerClient, log: SILENT_LOG, metrics: this.metrics, random: seededRandom(1), drainGraceMs: 50, ...options,
 		});
 		await entry.start();
-		await peerServer.listen('127.0.0.1', 0);
+		if (!options.peerServer) {
+			await peerServer.listen('127.0.0.1', 0);
+		}
+
 		this.entries.push(entry);
 		this.#closers.push(async () => {
 			await entry.close();
