Let no queue grow at engines whose version expires soon

Shortly before the bound few engines take requests, and entries that decide on reports of the same age overfill them. In the last second before the margin they are filled to 0.6 of their slots; the margin grows from 1.1 s to 1.3 s.

Ruled out: an entry that did not know the version (it was sent 50 ms before the margin).

--- a/packages/dispatch/src/choose-upstream.test.ts
+++ b/packages/dispatch/src/choose-upstream.test.ts
@@ -24,7 +24,7 @@
 });
 
 const need = (changes: Partial<PlacementNeed> = {}): PlacementNeed => ({
-	failureDomain: 'a', excluded: new Set(), oldestVersion: undefined, usualStartMs: 100, isRepeat: false, needsWeights: true, ...changes,
+	failureDomain: 'a', excluded: new Set(), oldestVersion: undefined, soonOldestVersion: undefined, usualStartMs: 100, isRepeat: false, needsWeights: true, ...changes,
 });
 
 const keyOf = (upstreams: readonly UpstreamView[], changes: Partial<PlacementNeed> = {}, random = 0): string | undefined => {
@@ -88,6 +88,13 @@
 			expect(keyOf(upstreams)).to.equal('ready');
 		});
 
+		it('lets no queue grow at an engine whose version expires soon: what waits there would begin after the bound', () => {
+			const old = view('old', {heldVersion: 1, reportedRequests: 3});
+			expect(keyOf([old], {soonOldestVersion: 2})).to.equal(undefined);
+			expect(keyOf([old])).to.equal('old');
+			expect(keyOf([view('new', {heldVersion: 2, reportedRequests: 3})], {soonOldestVersion: 2})).to.equal('new');
+		});
+
 		it('sends nothing to an older version once the bound is near', () => {
 			expect(keyOf([view('old', {heldVersion: 1}), view('new', {heldVersion: 2, reportedRequests: 3})], {oldestVersion: 2})).to.equal('new');
 			expect(chooseUpstream([view('old', {heldVersion: 1})], need({oldestVersion: 2}), 0)).to.deep.equal({kind: 'unavailable', reason: 'no-version', isLoading: false});
--- a/packages/dispatch/src/choose-upstream.ts
+++ b/packages/dispatch/src/choose-upstream.ts
@@ -6,7 +6,7 @@
 an upstream that is slow, stuck behind a narrow link, switches its weights, leaves or fails; all places taken.
 */
 import {
-	DOMAIN_PENALTY, FAR_PENALTY, MIN_SILENT_MS, REPORT_LIFE_MS, SCORE_TOLERANCE, SILENT_STARTS, UNREAD_TOKENS_PER_LOAD, USUAL_START_SPREAD,
+	DOMAIN_PENALTY, EXPIRING_SLOTS_SHARE, FAR_PENALTY, MIN_SILENT_MS, REPORT_LIFE_MS, SCORE_TOLERANCE, SILENT_STARTS, UNREAD_TOKENS_PER_LOAD, USUAL_START_SPREAD,
 } from './constants.js';
 import type {Placement, PlacementNeed, UpstreamView} from './types.js';
 
@@ -37,6 +37,10 @@
 const holdsVersion = ({heldVersion}: UpstreamView, {needsWeights, oldestVersion}: PlacementNeed): boolean =>
 	!needsWeights || (heldVersion !== undefined && heldVersion >= (oldestVersion ?? 0));
 
+/** Share of the slots up to which requests are sent: what waits at an upstream must begin before its version expires. */
+const usableShare = ({heldVersion}: UpstreamView, {needsWeights, soonOldestVersion}: PlacementNeed): number =>
+	needsWeights && heldVersion !== undefined && heldVersion < (soonOldestVersion ?? 0) ? EXPIRING_SLOTS_SHARE : 1;
+
 /** Earlier sends have had no data for so long that the path or the upstream holds them up. */
 const isStuck = ({silentMs}: UpstreamView, {usualStartMs}: PlacementNeed): boolean => silentMs > Math.max(MIN_SILENT_MS, usualStartMs * SILENT_STARTS);
 
@@ -71,7 +75,7 @@
 	const proven = need.isRepeat ? usable.filter(({startMs}) => startMs !== undefined) : usable;
 	const candidates = proven.length > 0 ? proven : usable;
 	const usual = usualShare(candidates);
-	const free = candidates.filter(view => !view.isSwitching && shareOf(view, usual) < 1);
+	const free = candidates.filter(view => !view.isSwitching && shareOf(view, usual) < usableShare(view, need));
 	if (free.length === 0) {
 		return {kind: 'busy', usable: usable.length, reason: 'all-places-taken'};
 	}
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -38,7 +38,14 @@
 export const BUDGET_SAFETY = 0.7;
 
 /** Time before the bound on old versions after which only upstreams on the target version are used. */
-export const VERSION_MARGIN_MS = 1100;
+export const VERSION_MARGIN_MS = 1300;
+
+/**
+Time before that margin in which upstreams on the older version are filled to a part of their slots only. Entries that
+decide on reports of the same age overfill the few that still take requests, and what waits there begins after the bound.
+*/
+export const EXPIRING_MS = 1000;
+export const EXPIRING_SLOTS_SHARE = 0.6;
 
 /** Deaths of upstreams after which the request that ran there each time is rejected. */
 export const CRASHES_BEFORE_REJECTION = 3;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -11,4 +11,4 @@
 export {nearUpstreams} from './near-upstreams.js';
 export {pickBackend, RouteTable} from './match-route.js';
 export {requiredVersion} from './required-version.js';
-export {CRASHES_BEFORE_REJECTION, VERSION_MARGIN_MS} from './constants.js';
+export {CRASHES_BEFORE_REJECTION, EXPIRING_MS, VERSION_MARGIN_MS} from './constants.js';
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -56,6 +56,9 @@
 	/** Oldest version of the weights that may answer; nothing for services without weights. */
 	readonly oldestVersion: number | undefined;
 
+	/** Oldest version that may answer shortly; upstreams on an older one must not get a queue. */
+	readonly soonOldestVersion: number | undefined;
+
 	/** Usual time from a send to the first data of the service's upstreams. */
 	readonly usualStartMs: number;
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {
-	decideResend, requiredVersion, type PlacementNeed,
+	decideResend, EXPIRING_MS, requiredVersion, type PlacementNeed,
 } from '@yuccawood/dispatch';
 import {EventRelay} from './answer-sinks.js';
 import {
@@ -129,10 +129,12 @@
 		const {service} = this.#request;
 		const hasEngine = view.inForce?.configuration.services.find(({name}) => name === service)?.engine !== undefined;
 		const model = hasEngine ? this.#modelOf(service) : undefined;
-		const oldestVersion = model === undefined ? undefined : requiredVersion(view.targetsOf(model), {now: clock.monotonic(), boundMs: versionBoundMs});
+		const oldestAt = (now: number): number | undefined => model === undefined ? undefined : requiredVersion(view.targetsOf(model), {now, boundMs: versionBoundMs});
+		const now = clock.monotonic();
+		const oldestVersion = oldestAt(now);
 		this.#expectedVersion = oldestVersion;
 		return {
-			failureDomain, excluded: this.#excluded, isRepeat: this.#sends > 0, needsWeights: hasEngine, oldestVersion,
+			failureDomain, excluded: this.#excluded, isRepeat: this.#sends > 0, needsWeights: hasEngine, oldestVersion, soonOldestVersion: oldestAt(now + EXPIRING_MS),
 		};
 	}
 
