Run entries and agents under random faults against stand-ins of the platform

Checked are MIXED, ORDER, TWICE, REFUSED, UNASKED, LOST, time limits, WHOLE, recovery, ends and fault lines of the processes.

--- a/packages/bench/src/fleet/child.ts
+++ b/packages/bench/src/fleet/child.ts
@@ -17,6 +17,9 @@
 	readonly name: string;
 	readonly script: string;
 	readonly args: readonly string[];
+
+	/** Variables added to the environment. */
+	readonly environment?: Readonly<Record<string, string>>;
 };
 
 /** Path of a compiled program of a workspace package. */
@@ -34,10 +37,10 @@
 	readonly #lines: string[] = [];
 	#exitCode: number | undefined;
 
-	constructor({name, script, args}: ChildOptions) {
+	constructor({name, script, args, environment = {}}: ChildOptions) {
 		this.name = name;
 		this.args = args;
-		this.#process = spawn(process.execPath, ['--enable-source-maps', script, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
+		this.#process = spawn(process.execPath, ['--enable-source-maps', script, ...args], {stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...environment}});
 		this.#process.stdout?.on('data', data => {
 			this.#keep(String(data));
 		});
@@ -70,7 +73,7 @@
 		return this.#lines;
 	}
 
-	signal(name: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void {
+	signal(name: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
 		if (this.isRunning) {
 			this.#process.kill(name);
 		}
--- /dev/null
+++ b/packages/bench/src/platform-soak/check-exchange.test.ts
@@ -0,0 +1,44 @@
+import {eventsFrom} from '@yuccawood/platform/testing';
+import {expect} from 'chai';
+import {checkExchange} from './check-exchange.js';
+import type {Exchange} from './types.js';
+
+const NO_EXCUSES = {entry: [], paths: []};
+const run = {requestId: 'a', account: 'shop', hasKey: false};
+
+const exchange = (changes: Partial<Exchange> = {}): Exchange => ({
+	requestId: 'a', kind: 'once', entry: 0, sentAt: 0, endedAt: 100, status: 200, isSealed: true, body: '"done a"', isComplete: true, wasConnected: true, ...changes,
+});
+
+const promisesOf = (changes: Partial<Exchange>, runs = [run], excuses: Parameters<typeof checkExchange>[2] = NO_EXCUSES): readonly string[] =>
+	checkExchange(exchange(changes), runs, excuses).map(({promise}) => promise);
+
+describe('checkExchange', () => {
+	it('accepts a sound answer', () => {
+		expect(promisesOf({})).to.deep.equal([]);
+		expect(promisesOf({kind: 'stream', body: eventsFrom(1)})).to.deep.equal([]);
+	});
+
+	it('finds answers of other requests, without a seal, and streams with a gap or an early end', () => {
+		expect(promisesOf({body: '"done b"'})).to.deep.equal(['mixed']);
+		expect(promisesOf({isSealed: false})).to.deep.equal(['mixed']);
+		expect(promisesOf({kind: 'stream', body: eventsFrom(1, 3) + eventsFrom(5)})).to.deep.equal(['order']);
+		expect(promisesOf({kind: 'stream', body: eventsFrom(1, 3)})).to.deep.equal(['order']);
+	});
+
+	it('finds a second run, and a refusal of a request that ran', () => {
+		expect(promisesOf({}, [run, run])).to.deep.equal(['twice']);
+		expect(promisesOf({status: 503, isSealed: false, body: ''})).to.deep.equal(['refused-ran']);
+		expect(promisesOf({status: 503, isSealed: false, body: ''}, [])).to.deep.equal([]);
+	});
+
+	it('finds cut connections, but not while the entry was killed', () => {
+		expect(promisesOf({status: undefined, isComplete: false})).to.deep.equal(['no-answer']);
+		expect(promisesOf({status: undefined, isComplete: false}, [run], {entry: [{from: 50, to: 60}], paths: []})).to.deep.equal([]);
+		expect(promisesOf({status: undefined, isComplete: false}, [run], {entry: [], paths: [{from: 50, to: 60}]})).to.deep.equal(['no-answer']);
+	});
+
+	it('finds answers after the time limit of the route', () => {
+		expect(promisesOf({endedAt: 9000})).to.deep.equal(['late-answer']);
+	});
+});
--- /dev/null
+++ b/packages/bench/src/platform-soak/check-exchange.ts
@@ -0,0 +1,71 @@
+/** Checks what one caller saw against the promises of the platform's pages. */
+import {
+	eventsFrom, ROUTE_TIMEOUT_MS, STREAM_EVENTS, type Run,
+} from '@yuccawood/platform/testing';
+import type {Breach, Exchange, Interval} from './types.js';
+
+/** Time after the route's time limit by which a final answer must have come. */
+const ANSWER_SLACK_MS = 500;
+
+/** Statuses that promise that the request has not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+export type Excuses = {
+	/** Times in which the entry was killed or frozen. */
+	readonly entry: readonly Interval[];
+
+	/** Times in which upstreams broke connections, or paths to them were cut. */
+	readonly paths: readonly Interval[];
+};
+
+const overlaps = (intervals: readonly Interval[], {sentAt, endedAt}: Exchange): boolean =>
+	intervals.some(({from, to}) => from <= endedAt && to >= sentAt);
+
+const checkSuccess = ({kind, requestId, body, isSealed, isComplete}: Exchange): Omit<Breach, 'at'> | undefined => {
+	if (!isSealed) {
+		return {promise: 'mixed', detail: `${requestId}: a success without the seal of an upstream`};
+	}
+
+	if (kind !== 'stream') {
+		return isComplete && body !== JSON.stringify(`done ${requestId}`) ? {promise: 'mixed', detail: `${requestId}: got "${body.slice(0, 60)}"`} : undefined;
+	}
+
+	const isPrefix = eventsFrom(1).startsWith(body);
+	if (!isPrefix || (isComplete && body !== eventsFrom(1))) {
+		return {promise: 'order', detail: `${requestId}: ${body.split('\n\n').length - 1} of ${STREAM_EVENTS} events, complete: ${isComplete}`};
+	}
+
+	return undefined;
+};
+
+/** @param runs runs of the request, in all upstreams */
+export const checkExchange = (exchange: Exchange, runs: readonly Run[], excuses: Excuses): ReadonlyArray<Omit<Breach, 'at'>> => {
+	const {requestId, kind, status, isSealed, isComplete, sentAt, endedAt, wasConnected} = exchange;
+	const breaches: Array<Omit<Breach, 'at'>> = [];
+	if (kind === 'once' && runs.length > 1) {
+		breaches.push({promise: 'twice', detail: `${requestId} ran ${runs.length} times`});
+	}
+
+	if (status === 200) {
+		const breach = checkSuccess(exchange);
+		if (breach) {
+			breaches.push(breach);
+		}
+	}
+
+	if (kind === 'once' && status !== undefined && !isSealed && NOT_RUN_STATUSES.has(status) && runs.length > 0) {
+		breaches.push({promise: 'refused-ran', detail: `${requestId} was answered ${status} and ran`});
+	}
+
+	const isCut = wasConnected && (status === undefined || !isComplete);
+	const mayBeCut = overlaps(excuses.entry, exchange) || (kind === 'stream' && overlaps(excuses.paths, exchange));
+	if (isCut && !mayBeCut) {
+		breaches.push({promise: 'no-answer', detail: `${requestId} (${kind}) to entry ${exchange.entry} was cut after ${Math.round(endedAt - sentAt)} ms`});
+	}
+
+	if (endedAt - sentAt > ROUTE_TIMEOUT_MS + ANSWER_SLACK_MS && !overlaps(excuses.entry, exchange)) {
+		breaches.push({promise: 'late-answer', detail: `${requestId} (${kind}) took ${Math.round(endedAt - sentAt)} ms`});
+	}
+
+	return breaches;
+};
--- /dev/null
+++ b/packages/bench/src/platform-soak/types.ts
@@ -0,0 +1,29 @@
+import type {RequestKind} from '@yuccawood/platform/testing';
+
+/** A promise that was broken, with the request or process that shows it. */
+export type Breach = {
+	readonly promise: 'mixed' | 'order' | 'twice' | 'refused-ran' | 'unasked' | 'no-answer' | 'late-answer' | 'whole' | 'recover' | 'exit' | 'fault-line';
+	readonly detail: string;
+
+	/** Seconds since the start of the faults. */
+	readonly at: number;
+};
+
+/** One request as its caller saw it. Times are monotonic milliseconds. */
+export type Exchange = {
+	readonly requestId: string;
+	readonly kind: RequestKind;
+	readonly entry: number;
+	readonly sentAt: number;
+	readonly endedAt: number;
+
+	/** Nothing when the connection ended before an answer began. */
+	readonly status: number | undefined;
+	readonly isSealed: boolean;
+	readonly body: string;
+	readonly isComplete: boolean;
+	readonly wasConnected: boolean;
+};
+
+/** Times in which an excuse holds, for example while a process was killed or frozen. */
+export type Interval = {readonly from: number; readonly to: number};
