Leave a silent upstream only when another one has a place

Cause: entries broke off a send after a time without data and only then looked for a place.

Ruled out: the mark of a failing connection (no send failed with a reset within its answer in the logs of all entries).

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -196,7 +196,7 @@
 			ended: this.#ended.signal,
 			endedBy: () => this.#endedBy,
 			silenceMs: this.#silenceMs(),
-			isWorthMoving: () => this.#isWorthMoving(),
+			isWorthMoving: () => this.#isWorthMoving(state),
 		});
 		if (result.mayHaveRun) {
 			this.#runs++;
@@ -237,15 +237,18 @@
 			: Math.max(MIN_SLOW_ANSWER_MS, route.goalMs * SLOW_ANSWER_GOALS);
 	}
 
-	/** Whether another upstream could take the request over now. */
-	#isWorthMoving(): boolean {
-		const {clock, budgetOf} = this.#context;
+	/** Whether another upstream can take the request over now. Without a place there, the answer of the silent one may still come. */
+	#isWorthMoving(state: UpstreamState): boolean {
+		const {clock, budgetOf, placer} = this.#context;
 		const {route, service, deadlineAt} = this.#request;
 		const now = clock.monotonic();
-		return decideResend({
+		const decision = decideResend({
 			kind: route.kind, isResumable: route.isResumable, failure: 'unknown', runs: this.#runs + 1, sends: this.#sends,
 			attempts: route.attempts, remainingMs: deadlineAt - now, hasBudget: budgetOf(service).hasRoom(now),
-		}).kind === 'resend';
+		});
+		return decision.kind === 'resend' && placer.hasPlace(service, {
+			...this.#placementNeed(), excluded: new Set([...this.#excluded, state.upstream.key]), isRepeat: true,
+		});
 	}
 
 	#judge(state: UpstreamState, result: SendResult): void {
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -76,6 +76,11 @@
 		return this.#wait(request, service, now, admission.forMs);
 	}
 
+	/** Whether a request with this need would get a place at once. */
+	hasPlace(service: string, need: Omit<PlacementNeed, 'usualStartMs'>): boolean {
+		return this.#serviceOf(service).line.length === 0 && this.#choose({service, need: () => need}, this.#options.clock.monotonic()).kind === 'send';
+	}
+
 	/** Notes that a place became free, and gives it to a waiting request. */
 	noteFreed(service: string): void {
 		const line = this.#serviceOf(service);
@@ -125,7 +130,7 @@
 		return line;
 	}
 
-	#choose(request: PlaceRequest, now: number): Placement {
+	#choose(request: Pick<PlaceRequest, 'service' | 'need'>, now: number): Placement {
 		const {states, random} = this.#options;
 		const need = {...request.need(), usualStartMs: this.#serviceOf(request.service).startMs};
 		return chooseUpstream(states.viewsOf(request.service, now), need, random.next());
