Keep the manifest of a newer version that an older rollout would release

On side-mat-a-3 the pieces of version 2 became complete 8 ms before the transfer of version 3 began. The rollout of a version releases all manifests but its own and the newest that it knows; version 3 was retained but known only after the list of members was read. Its pieces were dropped on arrival, that engine never loaded it, and all others waited over 4 s for the pieces that it should have passed on. The mark of the newest version is now set before anything is awaited.

--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -89,8 +89,9 @@
 	}
 
 	pieces.register(manifest);
-	await options.refreshMembers();
+	// Before anything is awaited: the rollout of an older version releases all manifests but its own and the newest known.
 	options.onManifest(manifest);
+	await options.refreshMembers();
 	const adopted = await stage.adopt(manifest, signal);
 	const totalBytes = manifest.manifest.sizeBytes;
 	await transferStaged({
