Log sizes, transfer times and ages of what the store tells

A version that was named at 21.0 s was known to entries outside of the store's region 1.6 to 2.35 s later, and the logs did not tell whether the store, the way or the process was late. Each answer with changes is now logged with its bytes and the time from its first to its last byte, configuration and target lines carry the longest time for which the item may have been in the store, and entries log from when on older versions answer nothing.

--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -2,7 +2,7 @@
 import {Publisher, type Clock, type Log} from '@yuccawood/common';
 import {LAPSE_GRACE_MS, MAX_TARGETS} from './constants.js';
 import type {
-	Announcement, ModelTarget, TrafficConfiguration, Upstream,
+	Announcement, Learning, ModelTarget, TrafficConfiguration, Upstream,
 } from './types.js';
 
 export type FleetChange = 'configuration' | 'upstreams' | 'targets' | 'entries' | 'crashers';
@@ -16,6 +16,8 @@
 	readonly learnedAt: number;
 };
 
+const round = (milliseconds: number | undefined): number | undefined => milliseconds === undefined ? undefined : Math.round(milliseconds);
+
 export class FleetView {
 	readonly #clock: Clock;
 	readonly #log: Log;
@@ -62,6 +64,11 @@
 		return this.#crashers;
 	}
 
+	/** Versions of all models that were named since this process started. */
+	get targets(): readonly ModelTarget[] {
+		return [...this.#targets.values()].flat();
+	}
+
 	/** Newest named version of the model. */
 	targetOf(model: string): ModelTarget | undefined {
 		return this.targetsOf(model).at(-1);
@@ -74,20 +81,17 @@
 
 	readonly onChange = (listener: (change: FleetChange) => void): (() => void) => this.#changes.subscribe(listener);
 
-	/**
-	Takes one announcement.
-
-	@param mayBeLapse the removal may come from an outage of the store; the upstream then stays usable for a short grace.
-	*/
-	apply(announcement: Announcement, {revision, mayBeLapse}: {readonly revision: number; readonly mayBeLapse: boolean}): void {
+	/** Takes one announcement. */
+	apply(announcement: Announcement, learning: Learning): void {
+		const {mayBeLapse} = learning;
 		switch (announcement.kind) {
 			case 'configuration': {
-				this.#takeConfiguration(announcement.configuration, revision);
+				this.#takeConfiguration(announcement.configuration, learning);
 				return;
 			}
 
 			case 'target': {
-				this.#takeTarget(announcement.model, announcement.version);
+				this.#takeTarget(announcement.model, announcement.version, learning);
 				return;
 			}
 
@@ -133,19 +137,19 @@
 		this.#lapses.clear();
 	}
 
-	#takeConfiguration(configuration: TrafficConfiguration, revision: number): void {
+	#takeConfiguration(configuration: TrafficConfiguration, {revision, ageBoundMs}: Learning): void {
 		if (this.#inForce && revision <= this.#inForce.revision) {
 			return;
 		}
 
 		this.#inForce = {configuration, revision, learnedAt: this.#clock.monotonic()};
 		this.#log.info('Configuration is in force.', {
-			version: configuration.version, revision, routes: configuration.routes.length, accounts: configuration.accounts.length,
+			version: configuration.version, revision, routes: configuration.routes.length, accounts: configuration.accounts.length, ageBoundMs: round(ageBoundMs),
 		});
 		this.#changes.publish('configuration');
 	}
 
-	#takeTarget(model: string, version: number): void {
+	#takeTarget(model: string, version: number, {revision, ageBoundMs}: Learning): void {
 		const known = this.targetOf(model);
 		if (known && known.version >= version) {
 			return;
@@ -155,7 +159,9 @@
 		const ageMs = this.#isCatchingUp ? this.#initialTargetAgeMs() : 0;
 		const targets = [...this.targetsOf(model), {model, version, learnedAt: this.#clock.monotonic() - ageMs}];
 		this.#targets.set(model, targets.slice(-MAX_TARGETS));
-		this.#log.info('New target version.', {model, version, previous: known?.version});
+		this.#log.info('New target version.', {
+			model, version, previous: known?.version, revision, ageBoundMs: round(ageBoundMs),
+		});
 		this.#changes.publish('targets');
 	}
 
--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -7,7 +7,9 @@
 } from './constants.js';
 import type {FleetView} from './fleet-view.js';
 import {ItemLog} from './item-log.js';
-import type {ItemDecoder, ItemSource, StoreItem} from './types.js';
+import type {
+	ItemDecoder, ItemSource, StoreItem, StoreSnapshot,
+} from './types.js';
 
 /** Asks one peer for the items changed after a revision; nothing when no peer answered. */
 export type AskPeer = (afterRevision: number) => Promise<readonly StoreItem[] | undefined>;
@@ -29,6 +31,8 @@
 	readonly metrics: Metrics;
 };
 
+const round = (milliseconds: number | undefined): number | undefined => milliseconds === undefined ? undefined : Math.round(milliseconds);
+
 export class StoreFollower {
 	readonly items: ItemLog;
 	readonly #options: StoreFollowerOptions;
@@ -40,6 +44,9 @@
 	#currentWatch: AbortController | undefined;
 	#failures = 0;
 
+	/** When this process was last known to have all changes. */
+	#currentAt: number | undefined;
+
 	constructor(options: StoreFollowerOptions) {
 		this.#options = options;
 		this.#log = options.log.part('store');
@@ -73,7 +80,7 @@
 				continue;
 			}
 
-			view.apply(decoded.val, {revision: item.revision, mayBeLapse});
+			view.apply(decoded.val, {revision: item.revision, mayBeLapse, ageBoundMs: this.#ageBoundMs});
 		}
 	}
 
@@ -95,6 +102,7 @@
 	/** Reads everything. Keys that are gone are taken as removed at the revision of the snapshot. */
 	async #resync(): Promise<boolean> {
 		const {source, prefix} = this.#options;
+		const startedAt = this.#options.clock.monotonic();
 		const result = await source.snapshot(prefix);
 		if (result.err) {
 			this.#noteFailure(result.val);
@@ -105,7 +113,9 @@
 		const present = new Set(items.map(({key}) => key));
 		const removed = this.items.keys.filter(key => key.startsWith(prefix) && !present.has(key)).map(key => ({key, value: undefined, revision}));
 		this.#noteReached();
+		this.#noteTransfer('snapshot', result.val);
 		this.take([...items, ...removed]);
+		this.#currentAt = startedAt;
 		this.items.advance(revision);
 		this.#options.view.markCurrent();
 		this.#watchFrom = revision;
@@ -126,7 +136,9 @@
 		this.#currentWatch = undefined;
 		if (result.ok) {
 			this.#noteReached();
+			this.#noteTransfer('watch', result.val);
 			this.take(result.val.items);
+			this.#currentAt = this.#options.clock.monotonic();
 			this.items.advance(result.val.revision);
 			this.#watchFrom = Math.max(from, result.val.revision);
 			return true;
@@ -155,6 +167,7 @@
 				continue;
 			}
 
+			const startedAt = this.#options.clock.monotonic();
 			const result = await this.#options.source.recentRevision(this.#options.checkedPrefix);
 			if (result.err) {
 				this.#noteFailure(result.val);
@@ -162,6 +175,7 @@
 			}
 
 			if (result.val <= from) {
+				this.#currentAt = Math.max(this.#currentAt ?? startedAt, startedAt);
 				continue;
 			}
 
@@ -195,6 +209,22 @@
 		}
 	}
 
+	/** Longest time since which a change that is learned now may have been in the store. */
+	get #ageBoundMs(): number | undefined {
+		return this.#currentAt === undefined ? undefined : this.#options.clock.monotonic() - this.#currentAt;
+	}
+
+	#noteTransfer(call: string, {items, revision, transfer}: StoreSnapshot): void {
+		const {prefix, metrics} = this.#options;
+		metrics.count('fleet.store_bytes', {part: prefix, call}, transfer.bytes);
+		if (items.length > 0) {
+			metrics.timing('fleet.store_transfer_ms', transfer.milliseconds, {part: prefix, call});
+			this.#log.info('The store told changes.', {
+				prefix, call, items: items.length, revision, bytes: transfer.bytes, transferMs: Math.round(transfer.milliseconds), ageBoundMs: round(this.#ageBoundMs),
+			});
+		}
+	}
+
 	#noteReached(): void {
 		if (!this.#isReachable) {
 			this.#isReachable = true;
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -174,6 +174,15 @@
 
 	/** Revision from which a watch continues. */
 	readonly revision: number;
+	readonly transfer: AnswerTransfer;
+};
+
+/** How an answer of the store arrived. */
+export type AnswerTransfer = {
+	readonly bytes: number;
+
+	/** Time from its first to its last byte. */
+	readonly milliseconds: number;
 };
 
 /** What an item of the store says, decoded by the platform's adapter. */
@@ -185,6 +194,17 @@
 	| {readonly kind: 'crasher'; readonly fingerprint: string; readonly crashes: number}
 	| {readonly kind: 'other'};
 
+/** How this process came to know of an announcement. */
+export type Learning = {
+	readonly revision: number;
+
+	/** The removal may come from an outage of the store; the upstream then stays usable for a short grace. */
+	readonly mayBeLapse: boolean;
+
+	/** Longest time for which the item may have been in the store; absent before the first read. */
+	readonly ageBoundMs?: number;
+};
+
 export type StoreOutcome<Value> = Promise<Result<Value, PlatformError>>;
 
 /** The store as the follower reads it. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import {readRequestBody} from './read-request-body.js';
 import type {CallerHead, HeaderCodec, OwnAnswer} from './types.js';
 import {sharingEntries, UpstreamStates} from './upstream-states.js';
+import {VersionTurns} from './version-turns.js';
 
 export type GatewayOptions = {
 	readonly view: FleetView;
@@ -44,6 +45,7 @@
 	readonly #options: GatewayOptions;
 	readonly #context: GatewayContext;
 	readonly #log: Log;
+	readonly #versionTurns: VersionTurns;
 	readonly #sockets = new Set<Socket>();
 	readonly #budgets = new Map<string, ResendBudget>();
 	#server: http.Server | undefined;
@@ -69,13 +71,30 @@
 			isLeaving: () => this.#isLeaving,
 			decisions: new DecisionLog({log, clock}),
 		};
+		this.#versionTurns = new VersionTurns({...options, log: this.#log});
 		view.onChange(change => {
-			if (change === 'upstreams' || change === 'entries') {
-				states.refresh();
-				this.#context.placer.wakeAll();
-			} else if (change === 'configuration') {
-				this.#table = new RouteTable(view.inForce!.configuration);
-				this.#applyLimits();
+			switch (change) {
+				case 'upstreams':
+				case 'entries': {
+					states.refresh();
+					this.#context.placer.wakeAll();
+					break;
+				}
+
+				case 'configuration': {
+					this.#table = new RouteTable(view.inForce!.configuration);
+					this.#applyLimits();
+					break;
+				}
+
+				case 'targets': {
+					this.#versionTurns.refresh();
+					break;
+				}
+
+				case 'crashers': {
+					break;
+				}
 			}
 		});
 	}
@@ -159,6 +178,7 @@
 			socket.destroy();
 		}
 
+		this.#versionTurns.close();
 		this.#context.states.close();
 	}
 
--- a/packages/interfaces/src/http-caller.ts
+++ b/packages/interfaces/src/http-caller.ts
@@ -21,6 +21,9 @@
 export type HttpAnswer = {
 	readonly status: number;
 	readonly bytes: Uint8Array;
+
+	/** Time from the head of the answer to its last byte, in milliseconds. */
+	readonly transferMs: number;
 };
 
 /** Errors of the connection attempt. The call was not sent. */
@@ -77,6 +80,7 @@
 			const response = await this.#pool.request({
 				path, method, body, headers, signal: limit.signal,
 			});
+			const headAt = performance.now();
 			const parts: Uint8Array[] = [];
 			for await (const part of response.body as AsyncIterable<Uint8Array>) {
 				parts.push(part);
@@ -85,7 +89,7 @@
 				}
 			}
 
-			return Ok({status: response.statusCode, bytes: Buffer.concat(parts)});
+			return Ok({status: response.statusCode, bytes: Buffer.concat(parts), transferMs: performance.now() - headAt});
 		} catch (error) {
 			return Err(lostAnswer(error, subject, method !== 'GET'));
 		} finally {
