Keep agents from following the whole configuration

Cause: each agent followed the store with the operators' configuration in full, 1,210 to 1,609 routes, base64. 55 processes of the regions without the store share 22 Mbit/s.

Agents need the model of their service, the origin, and whether requests may be continued or repeated. Entries now write these into `yuccawood/engines`, only when they change, under a condition on the item's revision, with the revision of the configuration they were made from. Agents follow the named versions only and read the item when they need it; without it they read the configuration once after 4 to 8 s, with a limit on the time without progress.

The test spawns an agent behind a link of 0.8 MB/s, writes 25 configurations of 1,500 routes and then a version. Before: "the condition did not come true within 8 s". After: begun within 1 s, less than 50 KB read.

--- /dev/null
+++ b/packages/fleet/src/engine-directory.ts
@@ -0,0 +1,19 @@
+/** The part of the configuration that agents need. */
+import type {EngineDirectory, Route, TrafficConfiguration} from './types.js';
+
+const mayRepeat = ({kind, isResumable}: Route): boolean => kind === 'idempotent' || (kind === 'stream' && isResumable);
+
+/** @param revision store revision of the configuration */
+export const engineDirectoryOf = (configuration: TrafficConfiguration, revision: number): EngineDirectory => {
+	const keptOn = new Set(configuration.routes.filter(route => !mayRepeat(route)).flatMap(({backends}) => backends.map(({service}) => service)));
+	const origin = configuration.services.find(service => service.origin)?.origin;
+	return {
+		revision,
+		services: configuration.services.flatMap(({name, engine}) => engine ? [{name, models: engine.models, isRepeatable: !keptOn.has(name)}] : []),
+		origin: origin && {address: origin.address, failureDomain: origin.failureDomain},
+	};
+};
+
+/** Whether two directories say the same, whatever revisions they were made from. */
+export const isSameDirectory = (one: EngineDirectory, other: EngineDirectory): boolean =>
+	JSON.stringify({...one, revision: 0}) === JSON.stringify({...other, revision: 0});
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -2,10 +2,10 @@
 import {Publisher, type Clock, type Log} from '@yuccawood/common';
 import {LAPSE_GRACE_MS, MAX_TARGETS} from './constants.js';
 import type {
-	Announcement, Learning, ModelTarget, TrafficConfiguration, Upstream,
+	Announcement, EngineDirectory, Learning, ModelTarget, TrafficConfiguration, Upstream,
 } from './types.js';
 
-export type FleetChange = 'configuration' | 'upstreams' | 'targets' | 'entries' | 'crashers';
+export type FleetChange = 'configuration' | 'upstreams' | 'targets' | 'entries' | 'crashers' | 'engines';
 
 /** A configuration with where and when it was learned. */
 export type ConfigurationInForce = {
@@ -16,6 +16,14 @@
 	readonly learnedAt: number;
 };
 
+/** The directory of engines with the revision of its item. */
+export type StoredDirectory = {
+	readonly directory: EngineDirectory;
+
+	/** Store revision of the item; 0 for a directory that was made here. */
+	readonly itemRevision: number;
+};
+
 const round = (milliseconds: number | undefined): number | undefined => milliseconds === undefined ? undefined : Math.round(milliseconds);
 
 export class FleetView {
@@ -30,6 +38,7 @@
 	readonly #entries = new Map<string, string>();
 	readonly #crashers = new Map<string, number>();
 	#inForce: ConfigurationInForce | undefined;
+	#engines: StoredDirectory | undefined;
 	#isCatchingUp = true;
 
 	constructor({clock, log, initialTargetAgeMs = () => 0}: {
@@ -48,6 +57,16 @@
 		return this.#inForce;
 	}
 
+	/** Whether everything known to the store has been taken once. */
+	get isCurrent(): boolean {
+		return !this.#isCatchingUp;
+	}
+
+	/** What the store says of engines and their origin, for processes that do not follow the configuration. */
+	get engines(): StoredDirectory | undefined {
+		return this.#engines;
+	}
+
 	/** The same array until the list changes. */
 	get upstreams(): readonly Upstream[] {
 		this.#listed ??= [...this.#upstreams.values()];
@@ -111,6 +130,12 @@
 				return;
 			}
 
+			case 'engines': {
+				this.#engines = {directory: announcement.directory, itemRevision: learning.revision};
+				this.#changes.publish('engines');
+				return;
+			}
+
 			case 'crasher': {
 				this.#crashers.set(announcement.fingerprint, announcement.crashes);
 				this.#changes.publish('crashers');
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,7 +1,10 @@
 /** What a process believes about configuration, upstreams and versions, and how it keeps that current. */
 export type * from './types.js';
-export {FleetView, type ConfigurationInForce, type FleetChange} from './fleet-view.js';
+export {
+	FleetView, type ConfigurationInForce, type FleetChange, type StoredDirectory,
+} from './fleet-view.js';
 export {StoreFollower, type AskPeer, type StoreFollowerOptions} from './store-follower.js';
 export {ItemLog} from './item-log.js';
 export {PEER_CALL_TIMEOUT_MS} from './constants.js';
+export {engineDirectoryOf, isSameDirectory} from './engine-directory.js';
 export {newestStarts} from './newest-starts.js';
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -112,6 +112,25 @@
 	readonly limits: RequestLimits;
 };
 
+/** What agents need of the configuration. Small: many agents read it over links that a configuration would fill. */
+export type EngineDirectory = {
+	/** Store revision of the configuration that it was made from. */
+	readonly revision: number;
+	readonly services: readonly EngineService[];
+	readonly origin: Pick<OriginAddress, 'address' | 'failureDomain'> | undefined;
+};
+
+/** A service of model engines. */
+export type EngineService = {
+	readonly name: string;
+
+	/** Models that its engines can hold. */
+	readonly models: readonly string[];
+
+	/** Whether every route to it lets its requests be continued or repeated. */
+	readonly isRepeatable: boolean;
+};
+
 /** Version of a model that an upstream holds in full. */
 export type HeldModel = {
 	readonly name: string;
@@ -191,6 +210,7 @@
 	| {readonly kind: 'target'; readonly model: string; readonly version: number}
 	| {readonly kind: 'upstream'; readonly id: string; readonly upstream: Upstream | undefined}
 	| {readonly kind: 'entry'; readonly id: string; readonly address: string | undefined}
+	| {readonly kind: 'engines'; readonly directory: EngineDirectory}
 	| {readonly kind: 'crasher'; readonly fingerprint: string; readonly crashes: number}
 	| {readonly kind: 'other'};
 
--- a/packages/node/src/agent-node.ts
+++ b/packages/node/src/agent-node.ts
@@ -4,66 +4,33 @@
 import {VERSION_MARGIN_MS} from '@yuccawood/dispatch';
 import {PEER_CALL_TIMEOUT_MS, type StoreItem} from '@yuccawood/fleet';
 import {
-	OPERATOR_PREFIX, StagedEngineClient, UPSTREAM_PREFIX, VersionedOriginClient, VERSION_PREFIX,
+	StagedEngineClient, UPSTREAM_PREFIX, VERSION_PREFIX,
 } from '@yuccawood/platform';
 import {ReportFeed} from '@yuccawood/reports';
 import {StagedWeightManager, type StagedTarget} from '@yuccawood/weights';
 import {
-	ENGINE_TIMEOUT_MS, FIRST_VERSION, MEMBERS_REFRESH_MS, ORIGIN_CONNECTIONS, ORIGIN_TIMEOUT_MS, OWN_ENTRY_CHECK_MS, OWN_ENTRY_TIMEOUT_MS,
+	DIRECTORY_WAIT_MS, ENGINE_TIMEOUT_MS, FIRST_VERSION, MEMBERS_REFRESH_MS, OWN_ENTRY_CHECK_MS, OWN_ENTRY_TIMEOUT_MS,
 } from './constants.js';
+import {ConfiguredOrigin} from './configured-origin.js';
+import {EngineDirectoryReader} from './engine-directory-reader.js';
 import {isStartListed, ListedMembers} from './listed-members.js';
 import {serveMetrics} from './metrics-endpoint.js';
 import {createNode, type NodeContext} from './node-context.js';
 
-/** Client of the origin that the configuration names; replaced when it moves. */
-class ConfiguredOrigin {
-	readonly #context: NodeContext;
-	#address: string | undefined;
-	#client: VersionedOriginClient | undefined;
-
-	constructor(context: NodeContext) {
-		this.#context = context;
-	}
-
-	get failureDomain(): string | undefined {
-		return this.#origin?.failureDomain;
-	}
-
-	readonly client = (): VersionedOriginClient | undefined => {
-		const address = this.#origin?.address;
-		if (address !== this.#address) {
-			void this.#client?.close();
-			this.#client = address === undefined ? undefined : new VersionedOriginClient({address, timeoutMs: ORIGIN_TIMEOUT_MS, connections: ORIGIN_CONNECTIONS});
-			this.#address = address;
-		}
-
-		return this.#client;
-	};
-
-	get #origin() {
-		return this.#context.view.inForce?.configuration.services.find(({origin}) => origin)?.origin;
-	}
-}
-
 /** Versions that the engine of a service should have held since they were named, oldest first. */
-const targetsOf = ({view}: NodeContext, service: string, startedAt: number): readonly StagedTarget[] => {
-	const model = view.inForce?.configuration.services.find(({name}) => name === service)?.engine?.models[0];
+const targetsOf = ({view}: NodeContext, model: string | undefined, startedAt: number): readonly StagedTarget[] => {
 	if (model === undefined) {
 		return [];
 	}
 
 	const named = view.targetsOf(model).map(({version, learnedAt}) => ({name: model, version, learnedAt}));
-	return named.length > 0 ? named : [{name: model, version: FIRST_VERSION, learnedAt: startedAt}];
+	// Until the versions were read, one that is named already would be taken for the first.
+	return named.length > 0 || !view.isCurrent ? named : [{name: model, version: FIRST_VERSION, learnedAt: startedAt}];
 };
 
-/** Whether every route to the service lets its requests be continued or repeated. */
-const isRepeatable = ({view}: NodeContext, service: string): boolean => (view.inForce?.configuration.routes ?? [])
-	.filter(({backends}) => backends.some(backend => backend.service === service))
-	.every(({kind, isResumable}) => kind === 'idempotent' || (kind === 'stream' && isResumable));
-
 export const runAgent = async (): Promise<void> => {
 	const context = createNode({
-		prefix: OPERATOR_PREFIX,
+		prefix: VERSION_PREFIX,
 		checkedPrefix: VERSION_PREFIX,
 		peerAddresses: (view, {firstPeerPort, seeds, ip}) => [...seeds, ...view.upstreams.map(({address}) => address.split(':')[0])]
 			.filter(host => host !== ip).map(host => `${host}:${firstPeerPort}`),
@@ -76,8 +43,12 @@
 
 	const startedAt = clock.monotonic();
 	const stopping = new AbortController();
-	const origin = new ConfiguredOrigin(context);
-	const manager = await createManager({context, origin});
+	const directories = new EngineDirectoryReader({
+		store, follower, view, clock, random, log, metrics,
+	});
+	const serviceOf = () => directories.directory?.services.find(({name}) => name === upstreamService);
+	const origin = new ConfiguredOrigin(directories);
+	const manager = createManager();
 	const feed = new ReportFeed({peerServer});
 	manager.onStatus(({state, isSwitching}) => {
 		if (state) {
@@ -97,6 +68,7 @@
 		vm, ip, service: upstreamService, region, failureDomain, regions: regions.size, linkBytesPerSecond, versionBoundMs,
 	});
 	const following = follower.run(stopping.signal);
+	const reading = directories.run(() => manager.isRollingOut, stopping.signal);
 	const members = refreshMembers(context, manager, stopping.signal);
 	const running = manager.run(stopping.signal);
 	process.on('SIGTERM', () => {
@@ -105,12 +77,12 @@
 		feed.close();
 		metricsServer.close();
 		void (async () => {
-			await Promise.race([Promise.all([following, members, running]), delay(100)]);
+			await Promise.race([Promise.all([following, reading, members, running]), delay(100)]);
 			process.exit(0);
 		})();
 	});
 
-	async function createManager({context, origin}: {readonly context: NodeContext; readonly origin: ConfiguredOrigin}): Promise<StagedWeightManager> {
+	function createManager(): StagedWeightManager {
 		const selfId = peerAddress(ip);
 		const memberTable = new ListedMembers({
 			view, selfId, region, failureDomain, service: upstreamService!, regions, peerAddress,
@@ -121,8 +93,11 @@
 			service: upstreamService!,
 			members: memberTable,
 			refreshMembers: async () => awaitOwnEntry(context, () => manager.status.state?.startedAt),
-			targets: () => targetsOf(context, upstreamService!, startedAt),
-			mayCut: () => isRepeatable(context, upstreamService!),
+			targets: () => targetsOf(context, serviceOf()?.models[0], startedAt),
+			mayCut: () => serviceOf()?.isRepeatable ?? false,
+			async refreshMayCut() {
+				await Promise.race([directories.read('fresh'), delay(DIRECTORY_WAIT_MS)]);
+			},
 			engine: new StagedEngineClient({address: upstreamAddress!, timeoutMs: ENGINE_TIMEOUT_MS}),
 			origin: origin.client,
 			askPeer: async <Answer>(address: string, method: string, parameters: unknown) => askPeer<Answer>(context, address, method, parameters),
--- /dev/null
+++ b/packages/node/src/agent-process.test.ts
@@ -0,0 +1,97 @@
+import {type ChildProcess, spawn} from 'node:child_process';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {SystemClock} from '@yuccawood/common';
+import {encodeEngineDirectory, ENGINES_KEY} from '@yuccawood/platform';
+import {
+	CONFIGURATION_KEY, configurationOf, ENGINES, EngineStandIn, MODEL, namedVersion, OriginStandIn, settingsEnvironment, settingsText, StoreStandIn, UPSTREAM_PREFIX,
+	upstreamItem, VERSION_PREFIX,
+} from '@yuccawood/platform/testing';
+import {expect} from 'chai';
+import {NarrowLink} from './testing/narrow-link.js';
+
+const IP = '127.0.41.1';
+const LINK_BYTES_PER_SECOND = 800_000;
+const STORM = 25;
+const STORM_INTERVAL_MS = 20;
+const LARGE_ROUTES = 1500;
+
+const clock = new SystemClock();
+
+const until = async (holds: () => boolean): Promise<void> => {
+	const end = clock.monotonic() + 8000;
+	while (!holds()) {
+		if (clock.monotonic() > end) {
+			throw new Error('the condition did not come true within 8 s');
+		}
+
+		await clock.sleep(10);
+	}
+};
+
+describe('an agent behind a narrow link', () => {
+	let store: StoreStandIn;
+	let engine: EngineStandIn;
+	let origin: OriginStandIn;
+	let link: NarrowLink;
+	let agent: ChildProcess;
+	let directory: string;
+	let output = '';
+
+	const largeConfiguration = (version: number): unknown => {
+		const base = configurationOf({version, originAddress: origin.address}) as {readonly routes: readonly unknown[]};
+		const [route] = base.routes as ReadonlyArray<Readonly<Record<string, unknown>>>;
+		return {...base, routes: [...base.routes, ...Array.from({length: LARGE_ROUTES}, (_, index) => ({...route, name: `more-${index}`, prefix: `/more-${index}/`}))]};
+	};
+
+	beforeEach(async () => {
+		[store, engine, origin] = [new StoreStandIn(), new EngineStandIn(), new OriginStandIn()];
+		await Promise.all([store.listen(), engine.listen(IP), origin.listen()]);
+		engine.loadedVersion = 1;
+		store.put(CONFIGURATION_KEY, configurationOf({version: 1, originAddress: origin.address}));
+		store.put(`${UPSTREAM_PREFIX}one`, upstreamItem({
+			address: engine.address, service: ENGINES, version: 1, startedAt: engine.startedAt,
+		}));
+		link = new NarrowLink({target: store.address, bytesPerSecond: LINK_BYTES_PER_SECOND});
+		await link.listen();
+		directory = await mkdtemp(path.join(tmpdir(), 'yuccawood-agent-'));
+		const settings = path.join(directory, 'node.conf');
+		await writeFile(settings, settingsText({
+			vm: 'one', ip: IP, storeAddress: link.address, entryIps: [], upstreamAddress: engine.address,
+		}));
+		output = '';
+		store.put(ENGINES_KEY, encodeEngineDirectory({
+			revision: 1, services: [{name: ENGINES, models: [MODEL], isRepeatable: true}], origin: {address: origin.address, failureDomain: 'a'},
+		}));
+		agent = spawn(process.execPath, [fileURLToPath(new URL('main.js', import.meta.url)), 'agent'], {env: {...process.env, ...settingsEnvironment(settings)}, stdio: ['ignore', 'pipe', 'inherit']});
+		agent.stdout!.on('data', data => {
+			output += String(data);
+		});
+		await until(() => output.includes('Transfer begins.'));
+	});
+
+	afterEach(async () => {
+		agent.kill('SIGKILL');
+		await Promise.all([link.close(), store.close(), engine.close(), origin.close()]);
+		await rm(directory, {recursive: true});
+	});
+
+	it('begins a rollout at once although large configurations were written just before', async () => {
+		const before = link.bytes;
+		for (let version = 2; version < 2 + STORM; version++) {
+			store.put(CONFIGURATION_KEY, largeConfiguration(version));
+			await clock.sleep(STORM_INTERVAL_MS);
+		}
+
+		const namedAt = clock.monotonic();
+		store.put(`${VERSION_PREFIX}${MODEL}`, namedVersion(2));
+		await until(() => output.includes('"New target version."') && origin.manifests > 2);
+		expect({
+			bytes: link.bytes - before < 50_000 ? 'few' : link.bytes - before,
+			begun: clock.monotonic() - namedAt < 1000 ? 'at once' : clock.monotonic() - namedAt,
+		}).to.deep.equal({bytes: 'few', begun: 'at once'});
+	});
+});
--- /dev/null
+++ b/packages/node/src/configured-origin.ts
@@ -0,0 +1,46 @@
+/** Client of the origin that the directory of engines names; replaced when the origin moves. */
+import type {Outcome} from '@yuccawood/interfaces';
+import {VersionedOriginClient} from '@yuccawood/platform';
+import type {VersionDigests, VersionedOrigin} from '@yuccawood/weights';
+import {ORIGIN_CONNECTIONS, ORIGIN_TIMEOUT_MS} from './constants.js';
+import type {EngineDirectoryReader} from './engine-directory-reader.js';
+
+export class ConfiguredOrigin implements VersionedOrigin {
+	readonly #reader: EngineDirectoryReader;
+	#address: string | undefined;
+	#client: VersionedOriginClient | undefined;
+
+	constructor(reader: EngineDirectoryReader) {
+		this.#reader = reader;
+	}
+
+	get failureDomain(): string | undefined {
+		return this.#reader.directory?.origin?.failureDomain;
+	}
+
+	/** This origin; nothing while none is configured. */
+	readonly client = (): VersionedOrigin | undefined => {
+		const address = this.#reader.directory?.origin?.address;
+		if (address !== this.#address) {
+			void this.#client?.close();
+			this.#client = address === undefined ? undefined : new VersionedOriginClient({address, timeoutMs: ORIGIN_TIMEOUT_MS, connections: ORIGIN_CONNECTIONS});
+			this.#address = address;
+		}
+
+		return this.#client && this;
+	};
+
+	readonly digests = async (model: string, version: number): Outcome<VersionDigests> => this.#checked(await this.#client!.digests(model, version));
+
+	readonly piece = async (model: string, version: number, index: number, signal?: AbortSignal): Outcome<Uint8Array> =>
+		this.#checked(await this.#client!.piece(model, version, index, signal));
+
+	/** A failed call may mean that the origin has moved. */
+	#checked<Value>(answer: Awaited<Outcome<Value>>): Awaited<Outcome<Value>> {
+		if (answer.err && answer.val.kind === 'unavailable') {
+			void this.#reader.recheck();
+		}
+
+		return answer;
+	}
+}
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -39,3 +39,23 @@
 /** Longest wait for the entry of a started engine in the list, and the interval of the looks. */
 export const OWN_ENTRY_TIMEOUT_MS = 1500;
 export const OWN_ENTRY_CHECK_MS = 200;
+
+/** Interval at which an agent that needs the directory of engines reads it, and stale reads without it before a fresh one. */
+export const DIRECTORY_CHECK_MS = 500;
+export const MAX_STALE_MISSES = 2;
+
+/** Least time between two fresh reads of the directory after signs of a change. */
+export const FRESH_READ_INTERVAL_MS = 2000;
+
+/** Longest wait for the directory before an order, which goes by the last one known then. */
+export const DIRECTORY_WAIT_MS = 300;
+
+/** Least time without a directory after which an agent reads the configuration; up to twice that, so that not all do at once. */
+export const CONFIGURATION_PATIENCE_MS = 4000;
+
+/** Interval at which an entry compares the directory with the configuration, and the spread of the writes of all entries. */
+export const DIRECTORY_WATCH_MS = 100;
+export const DIRECTORY_SPREAD_MS = 400;
+
+/** Pause after a write of the directory, in which the watch delivers it. */
+export const DIRECTORY_WRITE_RETRY_MS = 1000;
--- /dev/null
+++ b/packages/node/src/engine-directory-reader.ts
@@ -0,0 +1,123 @@
+/**
+Reads the directory of engines for an agent.
+
+Agents do not follow the configuration: in a region without the store, a large one would fill the link that the
+processes share, and a version named meanwhile would wait behind it.
+*/
+import type {
+	Clock, Log, Metrics, Random,
+} from '@yuccawood/common';
+import {
+	engineDirectoryOf, type EngineDirectory, type FleetView, type StoreFollower,
+} from '@yuccawood/fleet';
+import {CONFIGURATION_KEY, ENGINES_KEY, type StoreClient} from '@yuccawood/platform';
+import {
+	CONFIGURATION_PATIENCE_MS, DIRECTORY_CHECK_MS, FRESH_READ_INTERVAL_MS, MAX_STALE_MISSES,
+} from './constants.js';
+
+export type EngineDirectoryReaderOptions = {
+	readonly store: Pick<StoreClient, 'snapshot' | 'staleItems'>;
+	readonly follower: Pick<StoreFollower, 'take'>;
+	readonly view: FleetView;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly metrics: Metrics;
+};
+
+/** A stale read costs a tenth of a fresh one and may be some seconds old. */
+export type ReadKind = 'fresh' | 'stale';
+
+export class EngineDirectoryReader {
+	readonly #options: EngineDirectoryReaderOptions;
+	readonly #log: Log;
+	readonly #startedAt: number;
+	#misses = 0;
+	#isFailing = false;
+	#freshAt = Number.NEGATIVE_INFINITY;
+
+	constructor(options: EngineDirectoryReaderOptions) {
+		this.#options = options;
+		this.#log = options.log.part('directory');
+		this.#startedAt = options.clock.monotonic();
+	}
+
+	/** Nothing until it was read once. */
+	get directory(): EngineDirectory | undefined {
+		return this.#options.view.engines?.directory;
+	}
+
+	/**
+	Reads the directory until it is known, and again as long as it is needed. Runs until the signal aborts.
+
+	@param isNeeded whether a change of the directory matters now
+	*/
+	async run(isNeeded: () => boolean, signal: AbortSignal): Promise<void> {
+		const {clock, random} = this.#options;
+		const patienceMs = CONFIGURATION_PATIENCE_MS * (1 + random.next());
+		while (!signal.aborted) {
+			if (!this.directory) {
+				await this.#find(patienceMs);
+			} else if (isNeeded()) {
+				await this.read('stale');
+			}
+
+			await clock.sleep(DIRECTORY_CHECK_MS * (0.75 + (random.next() / 2)), signal);
+		}
+	}
+
+	/** Reads the directory once; without an answer the last one stays in force. */
+	async read(kind: ReadKind): Promise<void> {
+		const {store, follower, metrics} = this.#options;
+		const snapshot = kind === 'fresh' ? await store.snapshot(ENGINES_KEY) : undefined;
+		const items = snapshot ? snapshot.map(({items}) => items) : await store.staleItems(ENGINES_KEY);
+		metrics.count('directory.reads', {kind, outcome: items.ok ? 'answered' : 'failed'});
+		if (items.err) {
+			if (!this.#isFailing) {
+				this.#log.warn('The directory of engines cannot be read; the last one is used.', {known: this.directory !== undefined, error: items.val.message});
+			}
+
+			this.#isFailing = true;
+			return;
+		}
+
+		this.#isFailing = false;
+		follower.take(items.val);
+	}
+
+	/** Reads the directory after a sign that it has changed, at most once in an interval. */
+	readonly recheck = async (): Promise<void> => {
+		const now = this.#options.clock.monotonic();
+		if (now - this.#freshAt >= FRESH_READ_INTERVAL_MS) {
+			this.#freshAt = now;
+			await this.read('fresh');
+		}
+	};
+
+	async #find(patienceMs: number): Promise<void> {
+		const waitedMs = this.#options.clock.monotonic() - this.#startedAt;
+		const isPatient = waitedMs < patienceMs;
+		await (isPatient ? this.read(this.#misses++ < MAX_STALE_MISSES ? 'stale' : 'fresh') : this.#readConfiguration());
+
+		if (this.directory) {
+			this.#log.info('The directory of engines is known.', {milliseconds: Math.round(this.#options.clock.monotonic() - this.#startedAt), revision: this.directory.revision});
+		}
+	}
+
+	/** Makes the directory from the configuration when no entry has written it. */
+	async #readConfiguration(): Promise<void> {
+		const {store, follower, view} = this.#options;
+		this.#log.warn('No entry has written the directory of engines; the configuration is read.', {});
+		// Large, so that the time limit is for progress, not for the whole.
+		const snapshot = await store.snapshot(CONFIGURATION_KEY, {isIdleTimeout: true});
+		if (snapshot.err) {
+			this.#log.warn('The configuration cannot be read; it is tried again.', {error: snapshot.val.message});
+			return;
+		}
+
+		follower.take(snapshot.val.items);
+		if (view.inForce && !view.engines) {
+			view.apply({kind: 'engines', directory: engineDirectoryOf(view.inForce.configuration, view.inForce.revision)}, {revision: 0, mayBeLapse: false});
+		}
+	}
+}
--- a/packages/node/src/entry-node.ts
+++ b/packages/node/src/entry-node.ts
@@ -10,6 +10,7 @@
 import {
 	ACCEPT_AFTER_SIGTERM_MS, CRASH_TTL_MS, IDLE_CHECK_MS, STOP_MARGIN_MS,
 } from './constants.js';
+import {EngineDirectoryPublisher} from './engine-directory-publisher.js';
 import {serveMetrics} from './metrics-endpoint.js';
 import {createNode, type NodeContext} from './node-context.js';
 import {Presence} from './presence.js';
@@ -78,6 +79,9 @@
 	const presence = new Presence({
 		store, id: vm, address: context.peerAddress(ip), log,
 	}).run(stopping.signal);
+	const publishing = new EngineDirectoryPublisher({
+		store, view, clock, random, log,
+	}).run(stopping.signal);
 	const callers = splitAddress(callerAddress);
 	await gateway.listen(callers.host, callers.port);
 	process.on('SIGTERM', () => {
@@ -104,7 +108,7 @@
 			reports.close();
 			readiness.close();
 			metricsServer.close();
-			await Promise.race([Promise.all([following, presence]), delay(STOP_MARGIN_MS / 2)]);
+			await Promise.race([Promise.all([following, presence, publishing]), delay(STOP_MARGIN_MS / 2)]);
 			process.exit(0);
 		})();
 	});
--- a/packages/node/src/listed-members.ts
+++ b/packages/node/src/listed-members.ts
@@ -72,7 +72,7 @@
 	}
 
 	get highestRevision(): number {
-		return this.#options.view.inForce?.revision ?? 0;
+		return this.#options.view.engines?.directory.revision ?? 0;
 	}
 
 	readonly find = (id: string): MemberRecord | undefined => this.members.length > 0 ? this.#known?.byId.get(id) : undefined;
--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -42,6 +42,9 @@
 	/** Whether all requests that the engine gets may be continued or repeated elsewhere. */
 	readonly mayCut: () => boolean;
 
+	/** Brings `mayCut` up to date. */
+	readonly refreshMayCut: () => Promise<void>;
+
 	/** Tells entries that the engine switches, or no longer does. */
 	readonly onSwitching: (isSwitching: boolean) => void;
 
@@ -206,12 +209,13 @@
 };
 
 /** Lets the running requests end, as far as the wait is short; entries send no new ones meanwhile. */
-const drain = async ({state, refresh, clock, mayCut}: StagedRolloutOptions, signal: AbortSignal): Promise<void> => {
+const drain = async ({state, refresh, clock, mayCut, refreshMayCut}: StagedRolloutOptions, signal: AbortSignal): Promise<void> => {
 	if (!state()?.model) {
 		return;
 	}
 
 	const until = clock.monotonic() + DRAIN_TIMEOUT_MS;
+	await refreshMayCut();
 	do {
 		await clock.sleep(SWITCH_NOTICE_MS, signal);
 		await refresh();
--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -47,6 +47,9 @@
 
 	/** Whether all requests that the engine gets may be continued or repeated elsewhere. */
 	readonly mayCut: () => boolean;
+
+	/** Brings `mayCut` up to date before streams are cut; without success the last answer holds. */
+	readonly refreshMayCut?: () => Promise<void>;
 	readonly engine: StagedEngine;
 	readonly origin: () => VersionedOrigin | undefined;
 
@@ -271,7 +274,7 @@
 	}
 
 	#rolloutOptions(target: StagedTarget): Omit<Parameters<typeof rollOutStaged>[1], 'onPieces' | 'onOwnPieces' | 'onTurnToFetch'> {
-		const {engine, origin, metrics, refreshMembers, mayCut, selfId} = this.#options;
+		const {engine, origin, metrics, refreshMembers, mayCut, refreshMayCut = async () => undefined, selfId} = this.#options;
 		return {
 			engine,
 			origin,
@@ -284,6 +287,7 @@
 			selfId,
 			refreshMembers,
 			mayCut,
+			refreshMayCut,
 			paceOf: progress => this.#paceOf(target, progress),
 			isTurn: () => this.#isTurn(target),
 			onSwitching: isSwitching => {
