Follow the store in parts, so that urgent news waits for nothing bulky

Each process followed the whole store by one watch. A configuration of 1,210 routes was on its way to the regions without the store for about 3 s, and a version or a leaving upstream waited behind it; the look at the revision timed out, reads were given up after 1.2 s and begun again, and the age of a version was counted from its arrival.

Versions, upstreams, own keys and the configuration now have a watch and a connection each. Intermediate configurations are skipped, a read of the configuration is limited between its bytes instead of as a whole, and a silent watch is found by revisions that no part has told. Late news counts from the last moment at which it provably was not written. Peers are asked for each part by itself: a peer that lags in one part no longer makes another one look current.

--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -1,15 +1,37 @@
-/** Longest wait of one watch. The store cuts longer ones at 30 s; each return costs a call. */
-export const WATCH_WAIT_MS = 10_000;
+/** Longest wait of one watch. The store cuts longer ones at 30 s; each return costs a call, and each part has a watch. */
+export const WATCH_WAIT_MS = 28_000;
+
+/** Wait of a watch that only asks whether there are changes. */
+export const PROBE_WAIT_MS = 1;
 
 /** Pause after a batch of changes, so that a quick series costs few calls. Well below the shortest bound for configuration (2 s). */
 export const COALESCE_MS = 150;
 
+/**
+Pause after a change of a bulky part, as a multiple of the time that its transfer took, and its limit. While a way is slow,
+intermediate values are skipped. Pause and two transfers stay within the shortest bound for configuration (2 s).
+*/
+export const BULKY_PAUSE_SHARE = 1;
+export const MAX_BULKY_PAUSE_MS = 500;
+
+/** Time limit of a read of a bulky part up to its first byte, and between parts of the answer: other answers may go first. */
+export const BULKY_TIMEOUT_MS = 2500;
+
 /** Interval of the cheap look at the store's revision, which shows that a watch has gone silent. */
 export const REVISION_CHECK_MS = 1500;
 
 /** Time after which a watch that has not delivered a known revision counts as silent. */
 export const SILENT_WATCH_MS = 400;
 
+/** Time within which a small call is answered while the way to the store is free. */
+export const PROMPT_ANSWER_MS = 600;
+
+/** Age that the answer of a cheap look may have. */
+export const STALE_READ_MS = 2000;
+
+/** Revisions that are remembered with their times. */
+export const MAX_REVISION_TIMES = 256;
+
 /** First and longest pause after a failed call to the store. */
 export const STORE_RETRY_MS = 150;
 export const MAX_STORE_RETRY_MS = 1000;
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -39,7 +39,7 @@
 	readonly #crashers = new Map<string, number>();
 	#inForce: ConfigurationInForce | undefined;
 	#engines: StoredDirectory | undefined;
-	#isCatchingUp = true;
+	#isCurrent = false;
 
 	constructor({clock, log, initialTargetAgeMs = () => 0}: {
 		readonly clock: Clock;
@@ -57,9 +57,9 @@
 		return this.#inForce;
 	}
 
-	/** Whether everything known to the store has been taken once. */
+	/** Whether all urgent parts of the store were read once. */
 	get isCurrent(): boolean {
-		return !this.#isCatchingUp;
+		return this.#isCurrent;
 	}
 
 	/** What the store says of engines and their origin, for processes that do not follow the configuration. */
@@ -148,9 +148,9 @@
 		}
 	}
 
-	/** Notes that everything known to the store has been taken once. */
+	/** Notes that all urgent parts of the store were read once. */
 	markCurrent(): void {
-		this.#isCatchingUp = false;
+		this.#isCurrent = true;
 	}
 
 	/** Stops the timers of lapsed entries. */
@@ -174,18 +174,18 @@
 		this.#changes.publish('configuration');
 	}
 
-	#takeTarget(model: string, version: number, {revision, ageBoundMs}: Learning): void {
+	#takeTarget(model: string, version: number, {revision, ageBoundMs, ageMs}: Learning): void {
 		const known = this.targetOf(model);
 		if (known && known.version >= version) {
 			return;
 		}
 
 		// A process that starts does not know how long ago a version was named.
-		const ageMs = this.#isCatchingUp ? this.#initialTargetAgeMs() : 0;
-		const targets = [...this.targetsOf(model), {model, version, learnedAt: this.#clock.monotonic() - ageMs}];
+		const countedMs = ageMs ?? this.#initialTargetAgeMs();
+		const targets = [...this.targetsOf(model), {model, version, learnedAt: this.#clock.monotonic() - countedMs}];
 		this.#targets.set(model, targets.slice(-MAX_TARGETS));
 		this.#log.info('New target version.', {
-			model, version, previous: known?.version, revision, ageBoundMs: round(ageBoundMs),
+			model, version, previous: known?.version, revision, ageBoundMs: round(ageBoundMs), countedMs: round(countedMs),
 		});
 		this.#changes.publish('targets');
 	}
--- /dev/null
+++ b/packages/fleet/src/item-log.test.ts
@@ -0,0 +1,27 @@
+import {SystemClock} from '@yuccawood/common';
+import {expect} from 'chai';
+import {ItemLog} from './item-log.js';
+
+describe('ItemLog', () => {
+	it('gives an asker what it lacks of a part, although a later change of another part is known to both', () => {
+		const clock = new SystemClock();
+		const asker = new ItemLog({clock});
+		const peer = new ItemLog({clock});
+		for (const log of [asker, peer]) {
+			log.record({key: 'servers/a', value: 'ready', revision: 30});
+		}
+
+		peer.record({key: 'op/version/m', value: '3', revision: 20});
+		expect(peer.changesSince(asker.stateOf('op/version/', 10)).map(({key}) => key)).to.deep.equal(['op/version/m']);
+	});
+
+	it('gives what one peer lacked when another peer is asked, and nothing twice', () => {
+		const clock = new SystemClock();
+		const asker = new ItemLog({clock});
+		const peer = new ItemLog({clock});
+		asker.record({key: 'servers/b', value: undefined, revision: 32});
+		peer.record({key: 'servers/a', value: 'draining', revision: 31});
+		peer.record({key: 'servers/b', value: undefined, revision: 32});
+		expect(peer.changesSince(asker.stateOf('servers/', 30)).map(({key}) => key)).to.deep.equal(['servers/a']);
+	});
+});
--- a/packages/fleet/src/item-log.ts
+++ b/packages/fleet/src/item-log.ts
@@ -1,7 +1,7 @@
 /** Items of the store as last seen, so that peers that cannot reach the store can catch up. */
 import type {Clock} from '@yuccawood/common';
 import {REMOVAL_MEMORY_MS} from './constants.js';
-import type {StoreItem} from './types.js';
+import type {PartState, StoreItem} from './types.js';
 
 export class ItemLog {
 	readonly #clock: Clock;
@@ -13,7 +13,7 @@
 		this.#clock = clock;
 	}
 
-	/** Highest store revision seen. */
+	/** Highest revision of an item; items of lower revisions may be missing. */
 	get revision(): number {
 		return this.#revision;
 	}
@@ -42,14 +42,19 @@
 		return true;
 	}
 
-	/** Notes that all changes up to the revision are recorded. */
-	advance(revision: number): void {
-		this.#revision = Math.max(this.#revision, revision);
+	/** Items of a part that the asker lacks. */
+	changesSince({prefix, revision, later}: PartState): readonly StoreItem[] {
+		return this.#itemsOf(prefix).filter(item => item.revision > Math.max(revision, later[item.key] ?? 0));
 	}
 
-	/** Items changed after the revision. */
-	changesSince(revision: number): readonly StoreItem[] {
-		return [...this.#items.values()].filter(item => item.revision > revision);
+	/** What is known of a part whose changes are all recorded up to a revision. */
+	stateOf(prefix: string, revision: number): PartState {
+		const later = this.#itemsOf(prefix).filter(item => item.revision > revision).map(item => [item.key, item.revision] as const);
+		return {prefix, revision, later: Object.fromEntries(later)};
+	}
+
+	#itemsOf(prefix: string): readonly StoreItem[] {
+		return [...this.#items.values()].filter(({key}) => key.startsWith(prefix));
 	}
 
 	#forgetOldRemovals(): void {
--- /dev/null
+++ b/packages/fleet/src/part-follower.ts
@@ -0,0 +1,265 @@
+/** Follows one part of the store by a watch of its own. */
+import {
+	delay, describeError, type Clock, type Log, type Metrics, type Random,
+} from '@yuccawood/common';
+import {
+	BULKY_PAUSE_SHARE, BULKY_TIMEOUT_MS, COALESCE_MS, LAPSE_WINDOW_MS, MAX_BULKY_PAUSE_MS, MAX_STORE_RETRY_MS, PROBE_WAIT_MS, STORE_RETRY_MS, WATCH_WAIT_MS,
+} from './constants.js';
+import type {ItemLog} from './item-log.js';
+import type {RevisionTimes} from './revision-times.js';
+import type {
+	AnswerTransfer, ItemSource, PartState, StoreItem, StorePart, StoreSnapshot,
+} from './types.js';
+
+/** `delivered`: by a watch, when it changed. `read`: by a read or a question of this process, some time after the change. */
+export type LearnedBy = 'delivered' | 'read';
+
+export type TakeItems = (items: readonly StoreItem[], learnedBy: LearnedBy) => void;
+
+export type PartFollowerOptions = {
+	readonly part: StorePart;
+	readonly source: ItemSource;
+	readonly items: ItemLog;
+	readonly times: RevisionTimes;
+	readonly onItems: TakeItems;
+
+	/** Called when the part is known up to some revision. */
+	readonly onKnown: () => void;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly metrics: Metrics;
+};
+
+export class PartFollower {
+	readonly #options: PartFollowerOptions;
+	readonly #log: Log;
+	#isReachable = false;
+	#wasReached = false;
+	#regainedAt = Number.NEGATIVE_INFINITY;
+
+	/** Revision up to which all changes are known; nothing while the part must be read. */
+	#watchFrom: number | undefined;
+	#knownTo = 0;
+	#currentWatch: AbortController | undefined;
+	#isReceiving = false;
+	#failures = 0;
+
+	constructor(options: PartFollowerOptions) {
+		this.#options = options;
+		this.#log = options.log;
+	}
+
+	get part(): StorePart {
+		return this.#options.part;
+	}
+
+	get isReachable(): boolean {
+		return this.#isReachable;
+	}
+
+	/** Whether the part was read since the process started. */
+	get isKnown(): boolean {
+		return this.#knownTo > 0;
+	}
+
+	/** Whether an answer is arriving, so that asking a peer would only take the way's room. */
+	get isReceiving(): boolean {
+		return this.#isReceiving;
+	}
+
+	/** Whether a removal may come from an outage of the store. */
+	get mayBeLapse(): boolean {
+		return !this.#isReachable || this.#options.clock.monotonic() - this.#regainedAt < LAPSE_WINDOW_MS;
+	}
+
+	get state(): PartState {
+		return this.#options.items.stateOf(this.part.prefix, this.#knownTo);
+	}
+
+	/** Runs until the signal aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			const result = this.#watchFrom === undefined ? await this.#read() : await this.#watch(this.#watchFrom, signal);
+			if (result === undefined) {
+				const pauseMs = Math.min(MAX_STORE_RETRY_MS, STORE_RETRY_MS * (2 ** this.#failures++));
+				await delay(pauseMs * (0.5 + this.#options.random.next()), signal);
+				continue;
+			}
+
+			this.#failures = 0;
+			await delay(this.#pauseAfter(result), signal);
+			if (this.part.isBulky && result.hasChanges && !signal.aborted) {
+				await this.#skipToNewest();
+			}
+		}
+	}
+
+	/**
+	Asks for changes beside the watch, which may have gone silent.
+
+	@param expected a revision that the store had some time ago
+	@returns whether all changes up to the expected revision are known or about to arrive
+	*/
+	async probe(expected: number): Promise<boolean> {
+		const {source, metrics} = this.#options;
+		const watch = this.#currentWatch;
+		const from = this.#watchFrom;
+		if (watch === undefined || from === undefined || from >= expected || this.#isReceiving) {
+			return true;
+		}
+
+		const startedAt = this.#options.clock.monotonic();
+		const result = await source.watch(this.part.prefix, {
+			afterRevision: from, waitMs: PROBE_WAIT_MS, idleTimeoutMs: this.#timeoutMs, signal: new AbortController().signal,
+		});
+		if (result.err) {
+			if (result.val.kind === 'history-lost') {
+				this.#noteLostHistory(from);
+				watch.abort();
+				return true;
+			}
+
+			this.#noteFailure(result.val);
+			return false;
+		}
+
+		const isSilent = this.#currentWatch === watch && !this.#isReceiving && result.val.items.some(({revision}) => revision <= expected);
+		this.#take('probe', result.val, {startedAt, learnedBy: isSilent ? 'read' : 'delivered'});
+		if (isSilent) {
+			this.#log.warn('The watch of the store delivers nothing although there are changes; it is replaced.', {part: this.part.name, watched: from, revision: result.val.revision});
+			metrics.count('fleet.silent_watches');
+			watch.abort();
+		}
+
+		return true;
+	}
+
+	/** Notes the outcome of a call beside the part's own ones. A part whose own calls fail is not reachable, whatever others get. */
+	noteLook(error?: unknown): void {
+		if (error !== undefined && !this.#isReceiving) {
+			this.#noteFailure(error);
+		} else if (error === undefined && this.isKnown && this.#failures === 0) {
+			this.#noteReached();
+		}
+	}
+
+	#noteReached(): void {
+		if (!this.#isReachable) {
+			this.#isReachable = true;
+			this.#regainedAt = this.#wasReached ? this.#options.clock.monotonic() : Number.NEGATIVE_INFINITY;
+			this.#wasReached = true;
+			this.#log.info('The store answers.', {part: this.part.name, revision: this.#knownTo});
+		}
+	}
+
+	#noteFailure(error: unknown): void {
+		this.#options.metrics.count('fleet.store_failures');
+		if (this.#isReachable) {
+			this.#isReachable = false;
+			this.#log.warn('The store does not answer; the last known state stays in force.', {part: this.part.name, revision: this.#knownTo, error: describeError(error)});
+		}
+	}
+
+	get #timeoutMs(): number | undefined {
+		return this.part.isBulky ? BULKY_TIMEOUT_MS : undefined;
+	}
+
+	#pauseAfter({hasChanges, transfer}: Taken): number {
+		return this.part.isBulky && hasChanges ? Math.max(COALESCE_MS, Math.min(MAX_BULKY_PAUSE_MS, transfer.milliseconds * BULKY_PAUSE_SHARE)) : COALESCE_MS;
+	}
+
+	/** A watch tells every value in between in full. When the store has changed since the last answer, the newest value is read instead. */
+	async #skipToNewest(): Promise<void> {
+		const revision = await this.#options.source.revision();
+		if (revision.ok && this.#watchFrom !== undefined && revision.val > this.#watchFrom) {
+			this.#watchFrom = undefined;
+		}
+	}
+
+	/** Reads the whole part. Keys that are gone are taken as removed at the revision of the snapshot. */
+	async #read(): Promise<Taken | undefined> {
+		const {source, items, clock} = this.#options;
+		const {prefix} = this.part;
+		const startedAt = clock.monotonic();
+		const result = await source.snapshot(prefix, {timeoutMs: this.#timeoutMs});
+		if (result.err) {
+			this.#noteFailure(result.val);
+			return undefined;
+		}
+
+		const {revision} = result.val;
+		const present = new Set(result.val.items.map(({key}) => key));
+		const removed = items.keys.filter(key => key.startsWith(prefix) && !present.has(key)).map(key => ({key, value: undefined, revision}));
+		const known = this.#knownTo;
+		const hasChanges = result.val.items.some(item => item.revision > known);
+		this.#take('snapshot', {...result.val, items: [...result.val.items, ...removed]}, {startedAt, learnedBy: 'read'});
+		return {hasChanges, transfer: result.val.transfer};
+	}
+
+	async #watch(from: number, signal: AbortSignal): Promise<Taken | undefined> {
+		const {source, clock} = this.#options;
+		const controller = new AbortController();
+		const cancel = (): void => {
+			controller.abort();
+		};
+
+		signal.addEventListener('abort', cancel, {once: true});
+		this.#currentWatch = controller;
+		const startedAt = clock.monotonic();
+		const result = await source.watch(this.part.prefix, {
+			afterRevision: from, waitMs: WATCH_WAIT_MS, idleTimeoutMs: this.#timeoutMs,
+			onHead: () => {
+				this.#isReceiving = true;
+			},
+			signal: controller.signal,
+		});
+		signal.removeEventListener('abort', cancel);
+		this.#currentWatch = undefined;
+		this.#isReceiving = false;
+		if (result.ok) {
+			const isWholeWait = result.val.items.length === 0 && clock.monotonic() - startedAt >= WATCH_WAIT_MS;
+			this.#take('watch', result.val, {startedAt: startedAt + (isWholeWait ? WATCH_WAIT_MS : 0), learnedBy: 'delivered'});
+			return {hasChanges: result.val.items.length > 0, transfer: result.val.transfer};
+		}
+
+		if (result.val.kind === 'history-lost') {
+			this.#noteLostHistory(from);
+			return {hasChanges: false, transfer: {bytes: 0, milliseconds: 0}};
+		}
+
+		if (!controller.signal.aborted) {
+			this.#noteFailure(result.val);
+			return undefined;
+		}
+
+		return {hasChanges: false, transfer: {bytes: 0, milliseconds: 0}};
+	}
+
+	#noteLostHistory(from: number): void {
+		this.#log.warn('The store no longer keeps the changes since the last watch; everything is read again.', {part: this.part.name, revision: from});
+		this.#watchFrom = undefined;
+	}
+
+	#take(call: string, answer: StoreSnapshot, {startedAt, learnedBy}: {readonly startedAt: number; readonly learnedBy: LearnedBy}): void {
+		const {clock, metrics, times, onItems, onKnown} = this.#options;
+		const {items, revision, transfer} = answer;
+		const labels = {part: this.part.name, call};
+		this.#noteReached();
+		metrics.count('fleet.store_bytes', labels, transfer.bytes);
+		if (items.some(item => item.revision > this.#knownTo)) {
+			metrics.timing('fleet.store_transfer_ms', transfer.milliseconds, labels);
+			this.#log.info('The store told changes.', {
+				...labels, items: items.length, revision, bytes: transfer.bytes, transferMs: Math.round(transfer.milliseconds), callMs: Math.round(clock.monotonic() - startedAt),
+			});
+		}
+
+		onItems(items, learnedBy);
+		times.note(revision, startedAt);
+		this.#knownTo = Math.max(this.#knownTo, revision);
+		this.#watchFrom = this.#knownTo;
+		onKnown();
+	}
+}
+
+type Taken = {readonly hasChanges: boolean; readonly transfer: AnswerTransfer};
--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -1,29 +1,32 @@
-/** Follows the platform's store by one watch, and the peers while the store cannot be reached. */
+/** Follows the platform's store, each part by a watch of its own, and the peers while the store cannot be reached. */
 import {
-	describeError, delay, type Clock, type Log, type Metrics, type Random,
+	delay, type Clock, type Log, type Metrics, type Random,
 } from '@yuccawood/common';
 import {
-	COALESCE_MS, LAPSE_WINDOW_MS, MAX_STORE_RETRY_MS, PEER_POLL_MS, REVISION_CHECK_MS, SILENT_WATCH_MS, STORE_RETRY_MS, WATCH_WAIT_MS,
+	PEER_POLL_MS, PROMPT_ANSWER_MS, REVISION_CHECK_MS, SILENT_WATCH_MS, STALE_READ_MS,
 } from './constants.js';
 import type {FleetView} from './fleet-view.js';
 import {ItemLog} from './item-log.js';
+import {PartFollower, type LearnedBy} from './part-follower.js';
+import {RevisionTimes} from './revision-times.js';
+import {SeenRevisions} from './seen-revisions.js';
 import type {
-	ItemDecoder, ItemSource, StoreItem, StoreSnapshot,
+	ItemDecoder, ItemSource, PartState, StoreItem, StorePart,
 } from './types.js';
 
-/** Asks one peer for the items changed after a revision; nothing when no peer answered. */
-export type AskPeer = (afterRevision: number) => Promise<readonly StoreItem[] | undefined>;
+/** Asks one peer for the items that are missing in some parts; nothing when no peer answered. */
+export type AskPeer = (parts: readonly PartState[]) => Promise<readonly StoreItem[] | undefined>;
 
 export type StoreFollowerOptions = {
 	readonly source: ItemSource;
 	readonly decoder: ItemDecoder;
 	readonly view: FleetView;
 
-	/** Keys that this process follows; empty for all. */
-	readonly prefix: string;
+	/** Parts that this process follows. */
+	readonly parts: readonly StorePart[];
 
-	/** Keys whose revisions show whether the watch went silent; all of the store if absent. A small part keeps the look cheap. */
-	readonly checkedPrefix?: string;
+	/** Name of a small part whose revisions show whether its watch went silent; absent when the process follows the whole store. */
+	readonly checkedPart?: string;
 	readonly askPeer?: AskPeer;
 	readonly clock: Clock;
 	readonly random: Random;
@@ -31,43 +34,54 @@
 	readonly metrics: Metrics;
 };
 
-const round = (milliseconds: number | undefined): number | undefined => milliseconds === undefined ? undefined : Math.round(milliseconds);
-
 export class StoreFollower {
 	readonly items: ItemLog;
 	readonly #options: StoreFollowerOptions;
 	readonly #log: Log;
-	#isReachable = false;
-	#wasReached = false;
-	#regainedAt = Number.NEGATIVE_INFINITY;
-	#watchFrom: number | undefined;
-	#currentWatch: AbortController | undefined;
-	#failures = 0;
+	readonly #parts: readonly PartFollower[];
+	readonly #times = new RevisionTimes();
+	readonly #seen = new SeenRevisions();
 
-	/** When this process was last known to have all changes. */
-	#currentAt: number | undefined;
+	/** When the last look that was answered promptly was sent: news was not held up until then. */
+	#promptAt: number | undefined;
+	#wasPrompt = true;
+	#lookSince: number | undefined;
 
 	constructor(options: StoreFollowerOptions) {
+		const {clock, source, random, metrics} = options;
 		this.#options = options;
 		this.#log = options.log.part('store');
-		this.items = new ItemLog({clock: options.clock});
-	}
-
-	/** Whether the last call to the store was answered. */
-	get isReachable(): boolean {
-		return this.#isReachable;
+		this.items = new ItemLog({clock});
+		this.#parts = options.parts.map(part => new PartFollower({
+			part, source, items: this.items, times: this.#times, clock, random, log: this.#log, metrics,
+			onItems: (items, learnedBy) => {
+				this.#take(items, learnedBy);
+			},
+			onKnown: () => {
+				if (this.#parts.every(({part, isKnown}) => part.isBulky || isKnown)) {
+					this.#options.view.markCurrent();
+				}
+			},
+		}));
 	}
 
 	/** Runs until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		await Promise.all([this.#follow(signal), this.#checkRevision(signal), this.#pollPeers(signal)]);
+		await Promise.all([...this.#parts.map(async part => part.run(signal)), this.#checkRevision(signal), this.#pollPeers(signal)]);
 	}
 
-	/** Takes items from the store or from a peer. */
+	/** Takes items that were read elsewhere: from a peer, or from a part that is not followed. */
 	take(items: readonly StoreItem[]): void {
+		this.#take(items, 'read');
+	}
+
+	#take(items: readonly StoreItem[], learnedBy: LearnedBy): void {
 		const {decoder, view, metrics} = this.#options;
-		const mayBeLapse = !this.#isReachable || this.#options.clock.monotonic() - this.#regainedAt < LAPSE_WINDOW_MS;
 		const newest = new Map(items.map(item => [item.key, item]));
+		for (const {revision} of this.#checked ? [] : items) {
+			this.#seen.add(revision);
+		}
+
 		for (const item of newest.values()) {
 			if (!this.items.record(item)) {
 				continue;
@@ -80,165 +94,127 @@
 				continue;
 			}
 
-			view.apply(decoded.val, {revision: item.revision, mayBeLapse, ageBoundMs: this.#ageBoundMs});
+			const part = this.#partOf(item.key);
+			view.apply(decoded.val, {revision: item.revision, mayBeLapse: part?.mayBeLapse ?? false, ...this.#ages(item, {part, learnedBy})});
 		}
 	}
 
-	async #follow(signal: AbortSignal): Promise<void> {
+	#partOf(key: string): PartFollower | undefined {
+		return this.#parts.find(({part}) => key.startsWith(part.prefix));
+	}
+
+	#ages({revision}: StoreItem, {part, learnedBy}: {readonly part: PartFollower | undefined; readonly learnedBy: LearnedBy}): {readonly ageBoundMs?: number; readonly ageMs?: number} {
+		const now = this.#options.clock.monotonic();
+		const notWrittenAt = this.#times.notWrittenAt(revision);
+		const ageBoundMs = notWrittenAt === undefined ? undefined : now - notWrittenAt;
+		if (!part?.isKnown) {
+			return {ageBoundMs};
+		}
+
+		if (learnedBy === 'read') {
+			return {ageBoundMs, ageMs: ageBoundMs ?? 0};
+		}
+
+		const isPrompt = this.#lookSince === undefined ? this.#wasPrompt : now - this.#lookSince < PROMPT_ANSWER_MS;
+		const heldUpMs = isPrompt ? 0 : now - (this.#promptAt ?? Number.NEGATIVE_INFINITY);
+		return {ageBoundMs, ageMs: Math.min(heldUpMs, ageBoundMs ?? heldUpMs)};
+	}
+
+	/** Finds watches that went silent: the store has a revision that no part has told. */
+	async #checkRevision(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			const isAnswered = this.#watchFrom === undefined ? await this.#resync() : await this.#watchOnce(this.#watchFrom, signal);
-			if (isAnswered) {
-				this.#noteReached();
-				this.#failures = 0;
-				await delay(COALESCE_MS, signal);
+			await delay(REVISION_CHECK_MS, signal);
+			if (signal.aborted) {
+				return;
+			}
+
+			const revision = await this.#look();
+			if (revision === undefined || this.#isSeen(revision)) {
 				continue;
 			}
 
-			const pauseMs = Math.min(MAX_STORE_RETRY_MS, STORE_RETRY_MS * (2 ** this.#failures++));
-			await delay(pauseMs * (0.5 + this.#options.random.next()), signal);
+			await delay(SILENT_WATCH_MS, signal);
+			if (!signal.aborted && !this.#isSeen(revision)) {
+				await this.#probe(revision);
+			}
 		}
 	}
 
-	/** Reads everything. Keys that are gone are taken as removed at the revision of the snapshot. */
-	async #resync(): Promise<boolean> {
-		const {source, prefix} = this.#options;
-		const startedAt = this.#options.clock.monotonic();
-		const result = await source.snapshot(prefix);
-		if (result.err) {
-			this.#noteFailure(result.val);
-			return false;
+	/** @returns the revision that the store had lately, nothing when it did not answer */
+	async #look(): Promise<number | undefined> {
+		const {clock, source} = this.#options;
+		const startedAt = clock.monotonic();
+		this.#lookSince = startedAt;
+		const result = await source.recentRevision(this.#checked?.part.prefix);
+		this.#lookSince = undefined;
+		this.#wasPrompt = result.ok && clock.monotonic() - startedAt < PROMPT_ANSWER_MS;
+		if (this.#wasPrompt) {
+			this.#promptAt = startedAt;
 		}
 
-		const {items, revision} = result.val;
-		const present = new Set(items.map(({key}) => key));
-		const removed = this.items.keys.filter(key => key.startsWith(prefix) && !present.has(key)).map(key => ({key, value: undefined, revision}));
-		this.#noteReached();
-		this.#noteTransfer('snapshot', result.val);
-		this.take([...items, ...removed]);
-		this.#currentAt = startedAt;
-		this.items.advance(revision);
-		this.#options.view.markCurrent();
-		this.#watchFrom = revision;
-		return true;
-	}
-
-	async #watchOnce(from: number, signal: AbortSignal): Promise<boolean> {
-		const {source, prefix} = this.#options;
-		const controller = new AbortController();
-		const cancel = (): void => {
-			controller.abort();
-		};
-
-		signal.addEventListener('abort', cancel, {once: true});
-		this.#currentWatch = controller;
-		const result = await source.watch(prefix, from, WATCH_WAIT_MS, controller.signal);
-		signal.removeEventListener('abort', cancel);
-		this.#currentWatch = undefined;
-		if (result.ok) {
-			this.#noteReached();
-			this.#noteTransfer('watch', result.val);
-			this.take(result.val.items);
-			this.#currentAt = this.#options.clock.monotonic();
-			this.items.advance(result.val.revision);
-			this.#watchFrom = Math.max(from, result.val.revision);
-			return true;
+		for (const part of this.#parts) {
+			part.noteLook(result.err ? result.val : undefined);
 		}
 
-		if (result.val.kind === 'history-lost') {
-			this.#log.warn('The store no longer keeps the changes since the last watch; everything is read again.', {revision: from});
-			this.#watchFrom = undefined;
-			return true;
+		if (result.err) {
+			return undefined;
 		}
 
-		if (!controller.signal.aborted) {
-			this.#noteFailure(result.val);
+		if (!this.#checked) {
+			this.#times.note(result.val, startedAt - STALE_READ_MS);
 		}
 
-		return false;
+		return result.val;
 	}
 
-	/** Finds a watch that went silent: the store has a newer revision than the watch delivered. */
-	async #checkRevision(signal: AbortSignal): Promise<void> {
-		while (!signal.aborted) {
-			await delay(REVISION_CHECK_MS, signal);
-			const watch = this.#currentWatch;
-			const from = this.#watchFrom;
-			if (signal.aborted || watch === undefined || from === undefined) {
-				continue;
-			}
+	get #checked(): PartFollower | undefined {
+		return this.#parts.find(({part}) => part.name === this.#options.checkedPart);
+	}
 
-			const startedAt = this.#options.clock.monotonic();
-			const result = await this.#options.source.recentRevision(this.#options.checkedPrefix);
-			if (result.err) {
-				this.#noteFailure(result.val);
-				continue;
-			}
+	#isSeen(revision: number): boolean {
+		if (this.#checked) {
+			return revision <= this.#checked.state.revision;
+		}
 
-			if (result.val <= from) {
-				this.#currentAt = Math.max(this.#currentAt ?? startedAt, startedAt);
-				continue;
+		this.#seen.advance(Math.min(...this.#parts.map(part => part.state.revision)));
+		return revision <= this.#seen.upTo;
+	}
+
+	/** Asks the parts for changes, the bulky ones only when the others do not explain the revision. */
+	async #probe(revision: number): Promise<void> {
+		const parts = this.#checked ? [this.#checked] : this.#parts;
+		for (const isBulky of [false, true]) {
+			if (this.#isSeen(revision)) {
+				return;
 			}
 
-			await delay(SILENT_WATCH_MS, signal);
-			if (this.#currentWatch === watch && this.#watchFrom === from) {
-				this.#log.warn('The watch of the store delivers nothing although there are changes; it is replaced.', {watched: from, revision: result.val});
-				this.#options.metrics.count('fleet.silent_watches');
-				this.#watchFrom = undefined;
-				watch.abort();
+			const known = await Promise.all(parts.filter(({part}) => part.isBulky === isBulky).map(async part => part.probe(revision)));
+			if (known.includes(false)) {
+				return;
 			}
 		}
+
+		this.#seen.advance(revision);
 	}
 
 	async #pollPeers(signal: AbortSignal): Promise<void> {
-		const {askPeer} = this.#options;
+		const {askPeer, random} = this.#options;
 		if (!askPeer) {
 			return;
 		}
 
 		while (!signal.aborted) {
-			await delay(PEER_POLL_MS * (0.75 + (this.#options.random.next() / 2)), signal);
-			if (this.#isReachable || signal.aborted) {
+			await delay(PEER_POLL_MS * (0.75 + (random.next() / 2)), signal);
+			const away = this.#parts.filter(part => !part.isReachable && !part.isReceiving);
+			if (away.length === 0 || signal.aborted) {
 				continue;
 			}
 
-			const items = await askPeer(this.items.revision);
-			if (items && items.length > 0 && !this.#isReachable) {
+			const items = await askPeer(away.map(({state}) => state));
+			if (items && items.length > 0) {
 				this.#log.info('Changes were learned from a peer while the store is away.', {items: items.length});
 				this.take(items);
 			}
 		}
 	}
-
-	/** Longest time since which a change that is learned now may have been in the store. */
-	get #ageBoundMs(): number | undefined {
-		return this.#currentAt === undefined ? undefined : this.#options.clock.monotonic() - this.#currentAt;
-	}
-
-	#noteTransfer(call: string, {items, revision, transfer}: StoreSnapshot): void {
-		const {prefix, metrics} = this.#options;
-		metrics.count('fleet.store_bytes', {part: prefix, call}, transfer.bytes);
-		if (items.length > 0) {
-			metrics.timing('fleet.store_transfer_ms', transfer.milliseconds, {part: prefix, call});
-			this.#log.info('The store told changes.', {
-				prefix, call, items: items.length, revision, bytes: transfer.bytes, transferMs: Math.round(transfer.milliseconds), ageBoundMs: round(this.#ageBoundMs),
-			});
-		}
-	}
-
-	#noteReached(): void {
-		if (!this.#isReachable) {
-			this.#isReachable = true;
-			this.#regainedAt = this.#wasReached ? this.#options.clock.monotonic() : Number.NEGATIVE_INFINITY;
-			this.#wasReached = true;
-			this.#log.info('The store answers.', {revision: this.items.revision});
-		}
-	}
-
-	#noteFailure(error: unknown): void {
-		this.#options.metrics.count('fleet.store_failures');
-		if (this.#isReachable) {
-			this.#isReachable = false;
-			this.#log.warn('The store does not answer; the last known state stays in force.', {revision: this.items.revision, error: describeError(error)});
-		}
-	}
 }
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -160,7 +160,7 @@
 	readonly model: string;
 	readonly version: number;
 
-	/** Monotonic time at which this process learned of it, in milliseconds. */
+	/** Monotonic time from which its bound counts: when this process learned of it, or earlier when the news may have been late. */
 	readonly learnedAt: number;
 };
 
@@ -221,19 +221,60 @@
 	/** The removal may come from an outage of the store; the upstream then stays usable for a short grace. */
 	readonly mayBeLapse: boolean;
 
-	/** Longest time for which the item may have been in the store; absent before the first read. */
+	/** Longest time for which the item may have been in the store, as far as it is known. */
 	readonly ageBoundMs?: number;
+
+	/** Time for which the item counts as being in the store; absent before the first read, when nothing is known of it. */
+	readonly ageMs?: number;
 };
 
 export type StoreOutcome<Value> = Promise<Result<Value, PlatformError>>;
 
+export type WatchOptions = {
+	readonly afterRevision: number;
+
+	/** Longest wait for a change, in milliseconds. */
+	readonly waitMs: number;
+
+	/** Time limit between two parts of the answer, in milliseconds. */
+	readonly idleTimeoutMs?: number;
+
+	/** Called when the answer begins to arrive. */
+	readonly onHead?: () => void;
+	readonly signal: AbortSignal;
+};
+
+/** A part of the store's keys that is followed by itself, so that bulky parts do not delay urgent ones. */
+export type StorePart = {
+	/** Name in logs and metrics. */
+	readonly name: string;
+	readonly prefix: string;
+
+	/** Values are large and only the newest matters, so intermediate ones are skipped. */
+	readonly isBulky: boolean;
+};
+
+/** What a process already has of one part, when it asks a peer for the rest. */
+export type PartState = {
+	readonly prefix: string;
+
+	/** All changes up to here are known. */
+	readonly revision: number;
+
+	/** Revisions of items that are known beyond it, by key. */
+	readonly later: Readonly<Record<string, number>>;
+};
+
 /** The store as the follower reads it. */
 export interface ItemSource {
-	/** Reads all items under the prefix. */
-	readonly snapshot: (prefix: string) => StoreOutcome<StoreSnapshot>;
+	/** Reads all items under the prefix. The time limit, in milliseconds, holds up to the first byte and between parts of the answer. */
+	readonly snapshot: (prefix: string, options?: {readonly timeoutMs?: number}) => StoreOutcome<StoreSnapshot>;
 
 	/** Waits for changes after the revision. Error kind `history-lost` when they are no longer kept. */
-	readonly watch: (prefix: string, afterRevision: number, waitMs: number, signal: AbortSignal) => StoreOutcome<StoreSnapshot>;
+	readonly watch: (prefix: string, options: WatchOptions) => StoreOutcome<StoreSnapshot>;
+
+	/** The present revision of the store. */
+	readonly revision: () => StoreOutcome<number>;
 
 	/** A recent revision of the store, or the newest one under a prefix; cheap, and possibly some seconds old. */
 	readonly recentRevision: (prefix?: string) => StoreOutcome<number>;
--- a/packages/interfaces/src/http-caller.ts
+++ b/packages/interfaces/src/http-caller.ts
@@ -15,6 +15,12 @@
 
 	/** Restarts the time limit with each part of the body. */
 	readonly isIdleTimeout?: boolean;
+
+	/** Time limit between two parts of the body, instead of the time limit of the call, once the head of the answer has arrived. */
+	readonly idleTimeoutMs?: number;
+
+	/** Called when the head of the answer has arrived. */
+	readonly onHead?: () => void;
 	readonly signal?: AbortSignal;
 };
 
@@ -59,11 +65,11 @@
 	}
 
 	/** Makes one call. @returns the answer whatever its status. */
-	async exchange(path: string, {method = 'GET', body, headers, timeoutMs = this.#timeoutMs, isIdleTimeout = false, signal}: CallOptions = {}): Outcome<HttpAnswer> {
+	async exchange(path: string, {method = 'GET', body, headers, timeoutMs = this.#timeoutMs, isIdleTimeout = false, idleTimeoutMs, onHead, signal}: CallOptions = {}): Outcome<HttpAnswer> {
 		const subject = `${method} ${path} at ${this.#address}`;
 		const limit = new AbortController();
-		const expire = (): void => {
-			limit.abort(new Error(`no answer within ${timeoutMs} ms`));
+		const expire = (milliseconds: number): void => {
+			limit.abort(new Error(`no answer within ${milliseconds} ms`));
 		};
 
 		const cancel = (): void => {
@@ -74,17 +80,23 @@
 			return Err(new PlatformError({kind: 'unavailable', detail: `${subject} was cancelled before it was sent.`, remedy: 'Repeat the call if it is still needed.'}));
 		}
 
-		const timer = setTimeout(expire, timeoutMs);
+		let timer = setTimeout(expire, timeoutMs, timeoutMs);
 		signal?.addEventListener('abort', cancel, {once: true});
 		try {
 			const response = await this.#pool.request({
 				path, method, body, headers, signal: limit.signal,
 			});
 			const headAt = performance.now();
+			onHead?.();
+			if (idleTimeoutMs !== undefined) {
+				clearTimeout(timer);
+				timer = setTimeout(expire, idleTimeoutMs, idleTimeoutMs);
+			}
+
 			const parts: Uint8Array[] = [];
 			for await (const part of response.body as AsyncIterable<Uint8Array>) {
 				parts.push(part);
-				if (isIdleTimeout) {
+				if (isIdleTimeout || idleTimeoutMs !== undefined) {
 					timer.refresh();
 				}
 			}
--- a/packages/node/src/agent-node.ts
+++ b/packages/node/src/agent-node.ts
@@ -4,7 +4,7 @@
 import {VERSION_MARGIN_MS} from '@yuccawood/dispatch';
 import {PEER_CALL_TIMEOUT_MS, type StoreItem} from '@yuccawood/fleet';
 import {
-	StagedEngineClient, UPSTREAM_PREFIX, VERSION_PREFIX,
+	StagedEngineClient, UPSTREAM_PREFIX, VERSIONS_PART,
 } from '@yuccawood/platform';
 import {ReportFeed} from '@yuccawood/reports';
 import {StagedWeightManager, type StagedTarget} from '@yuccawood/weights';
@@ -30,10 +30,10 @@
 
 export const runAgent = async (): Promise<void> => {
 	const context = createNode({
-		prefix: VERSION_PREFIX,
-		checkedPrefix: VERSION_PREFIX,
-		peerAddresses: (view, {firstPeerPort, seeds, ip}) => [...seeds, ...view.upstreams.map(({address}) => address.split(':')[0])]
-			.filter(host => host !== ip).map(host => `${host}:${firstPeerPort}`),
+		parts: [VERSIONS_PART],
+		checkedPart: VERSIONS_PART.name,
+		peerAddresses: (view, {firstPeerPort, seeds, ip}) => [[...seeds, ...view.upstreams.map(({address}) => address.split(':')[0])]
+			.filter(host => host !== ip).map(host => `${host}:${firstPeerPort}`)],
 	});
 	const {settings, view, store, log, metrics, clock, random, follower, peerServer, peerAddress} = context;
 	const {vm, ip, upstreamAddress, upstreamService, region, failureDomain, regions, linkBytesPerSecond, firstPeerPort, versionBoundMs} = settings();
--- a/packages/node/src/engine-directory.test.ts
+++ b/packages/node/src/engine-directory.test.ts
@@ -2,9 +2,9 @@
 import {
 	MemoryMetrics, seededRandom, SILENT_LOG, SystemClock,
 } from '@yuccawood/common';
-import {FleetView, StoreFollower} from '@yuccawood/fleet';
+import {FleetView, StoreFollower, type StorePart} from '@yuccawood/fleet';
 import {
-	ALL_KEYS, CONFIGURATION_KEY, ENGINES_KEY, PlatformItemDecoder, StoreClient, VERSION_PREFIX,
+	ALL_PARTS, CONFIGURATION_KEY, ENGINES_KEY, PlatformItemDecoder, StoreClient, VERSIONS_PART,
 } from '@yuccawood/platform';
 import {configurationOf, ENGINES, StoreStandIn} from '@yuccawood/platform/testing';
 import {expect} from 'chai';
@@ -55,14 +55,14 @@
 		return text === undefined ? undefined : JSON.parse(text) as Stored;
 	};
 
-	const connect = (prefix: string, seed: number) => {
+	const connect = (parts: readonly StorePart[], seed: number) => {
 		const client = new StoreClient({address: store.address, timeoutMs: 300, watchSlackMs: 300});
 		const view = new FleetView({clock, log: SILENT_LOG});
 		const options = {
 			clock, random: seededRandom(seed), log: SILENT_LOG, metrics: new MemoryMetrics(),
 		};
 		const follower = new StoreFollower({
-			...options, source: client, decoder: new PlatformItemDecoder(), view, prefix,
+			...options, source: client, decoder: new PlatformItemDecoder(), view, parts,
 		});
 		const following = follower.run(stop.signal);
 		closers.push(async () => {
@@ -76,13 +76,13 @@
 	};
 
 	const startEntry = (seed: number) => {
-		const connected = connect(ALL_KEYS, seed);
+		const connected = connect(ALL_PARTS, seed);
 		void new EngineDirectoryPublisher(connected).run(stop.signal);
 		return connected;
 	};
 
 	const startAgent = (seed: number) => {
-		const reader = new EngineDirectoryReader(connect(VERSION_PREFIX, seed));
+		const reader = new EngineDirectoryReader(connect([VERSIONS_PART], seed));
 		void reader.run(() => true, stop.signal);
 		return reader;
 	};
--- a/packages/node/src/entry-node.ts
+++ b/packages/node/src/entry-node.ts
@@ -4,7 +4,7 @@
 import {delay} from '@yuccawood/common';
 import {Gateway} from '@yuccawood/gateway';
 import {
-	ALL_KEYS, CRASH_PREFIX, PlatformHeaderCodec,
+	ALL_PARTS, CRASH_PREFIX, PlatformHeaderCodec,
 } from '@yuccawood/platform';
 import {ReportReader} from '@yuccawood/reports';
 import {
@@ -22,11 +22,11 @@
 
 export const runEntry = async (): Promise<void> => {
 	const context = createNode({
-		prefix: ALL_KEYS,
+		parts: ALL_PARTS,
+		// Agents follow the versions only.
 		peerAddresses: (view, {firstPeerPort, seeds, ip}) => [
-			...seeds.filter(seed => seed !== ip).map(seed => `${seed}:${firstPeerPort}`),
-			...view.entries.values(),
-			...view.upstreams.filter(({model}) => model !== undefined).map(({address}) => `${splitAddress(address).host}:${firstPeerPort}`),
+			[...new Set([...seeds.map(seed => `${seed}:${firstPeerPort}`), ...view.entries.values()])].filter(address => splitAddress(address).host !== ip),
+			view.upstreams.filter(({model}) => model !== undefined).map(({address}) => `${splitAddress(address).host}:${firstPeerPort}`),
 		],
 	});
 	const {settings, view, store, log, metrics, clock, random, follower, peerServer} = context;
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -5,7 +5,7 @@
 	BoundedOutput, createLog, describeError, PeerClient, PeerServer, PrometheusMetrics, SystemClock, systemRandom, type Clock, type Log, type Random,
 } from '@yuccawood/common';
 import {
-	FleetView, PEER_CALL_TIMEOUT_MS, StoreFollower, type AskPeer, type StoreItem,
+	FleetView, PEER_CALL_TIMEOUT_MS, StoreFollower, type AskPeer, type PartState, type StoreItem, type StorePart,
 } from '@yuccawood/fleet';
 import {
 	parseNodeSettings, PlatformItemDecoder, SETTINGS_VARIABLE, StoreClient, type NodeSettings,
@@ -53,35 +53,36 @@
 	return undefined;
 };
 
-/** Asks one random peer for changes; nothing when none answered. */
+/** Asks one random peer for changes, of the first group that has one that answers. */
 const peerQuestion = ({peers, random, log, addresses}: {
 	readonly peers: PeerClient;
 	readonly random: Random;
 	readonly log: Log;
-	readonly addresses: () => readonly string[];
-}): AskPeer => async afterRevision => {
-	const [address] = random.sample(addresses(), 1);
-	if (address === undefined) {
-		return undefined;
+	readonly addresses: () => ReadonlyArray<readonly string[]>;
+}): AskPeer => async parts => {
+	for (const group of addresses()) {
+		for (const address of random.sample(group, 1)) {
+			try {
+				return await peers.call<readonly StoreItem[]>(address, CHANGES_METHOD, {parts}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
+			} catch (error) {
+				log.info('A peer did not answer; another one is asked.', {address, method: CHANGES_METHOD, error: describeError(error)});
+			}
+		}
 	}
 
-	try {
-		return await peers.call<readonly StoreItem[]>(address, CHANGES_METHOD, {afterRevision}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
-	} catch (error) {
-		log.info('A peer did not answer; another one is asked.', {address, method: CHANGES_METHOD, error: describeError(error)});
-		return undefined;
-	}
+	return undefined;
 };
 
 /**
-@param prefix keys of the store that the process follows
-@param peerAddresses peers that may know changes while the store cannot be reached
+@param parts parts of the store that the process follows
+@param checkedPart name of a small part that shows whether its watch went silent, when the process does not follow the whole store
+@param peerAddresses peers that may know changes while the store cannot be reached, those that know all parts first
 @throws {DecodeError} if there are no usable settings; the process cannot run without
 */
-export const createNode = ({prefix, checkedPrefix, peerAddresses}: {
-	readonly prefix: string;
-	readonly checkedPrefix?: string;
-	readonly peerAddresses: (view: FleetView, settings: NodeSettings) => readonly string[];
+export const createNode = ({parts, checkedPart, peerAddresses}: {
+	readonly parts: readonly StorePart[];
+	readonly checkedPart?: string;
+	readonly peerAddresses: (view: FleetView, settings: NodeSettings) => ReadonlyArray<readonly string[]>;
 }): NodeContext => {
 	const clock = new SystemClock();
 	const startedAt = clock.monotonic();
@@ -105,12 +106,12 @@
 	const peers = new PeerClient({connectTimeoutMs: PEER_CALL_TIMEOUT_MS});
 	const peerServer = new PeerServer();
 	const follower = new StoreFollower({
-		source: store, decoder: new PlatformItemDecoder(), view, prefix, checkedPrefix, clock, random, log, metrics,
+		source: store, decoder: new PlatformItemDecoder(), view, parts, checkedPart, clock, random, log, metrics,
 		askPeer: peerQuestion({
 			peers, random, log, addresses: () => peerAddresses(view, settings),
 		}),
 	});
-	peerServer.method(CHANGES_METHOD, ({afterRevision}: {readonly afterRevision: number}) => follower.items.changesSince(afterRevision));
+	peerServer.method(CHANGES_METHOD, ({parts}: {readonly parts: readonly PartState[]}) => parts.flatMap(part => follower.items.changesSince(part)));
 	const reload = (cause: string): void => {
 		const next = reread(log);
 		if (next && JSON.stringify(next) !== JSON.stringify(settings)) {
