--- a/packages/node/src/agent-process.test.ts
+++ b/packages/node/src/agent-process.test.ts
@@ -7,11 +7,10 @@
 import {SystemClock} from '@yuccawood/common';
 import {encodeEngineDirectory, ENGINES_KEY} from '@yuccawood/platform';
 import {
-	CONFIGURATION_KEY, configurationOf, ENGINES, EngineStandIn, MODEL, namedVersion, OriginStandIn, settingsEnvironment, settingsText, StoreStandIn, UPSTREAM_PREFIX,
+	CONFIGURATION_KEY, configurationOf, ENGINES, EngineStandIn, MODEL, namedVersion, NarrowLink, OriginStandIn, settingsEnvironment, settingsText, StoreStandIn, UPSTREAM_PREFIX,
 	upstreamItem, VERSION_PREFIX,
 } from '@yuccawood/platform/testing';
 import {expect} from 'chai';
-import {NarrowLink} from './testing/narrow-link.js';
 
 const IP = '127.0.41.1';
 const LINK_BYTES_PER_SECOND = 800_000;
