Let faults of the platform soak overlap, and check bounds of changes

The soak drew single faults, one after the other, let callers leave an entry as soon as the balancer did, counted no cut of a kept connection, and knew neither losses of power nor answers without an end.

Now: - Storms of faults in series that overlap, then an ending: a version is named, the origin or the store goes away, and all machines lose power or all processes are killed. Engines start empty, with nothing staged. - Each process has a path of its own to the store; paths are delayed, cut one way, silenced or reset. Upstreams drain and start again. - Callers stay on a kept connection until it ends. A cut of one is counted if the request reached an upstream or the cut came later than lossSlackMs after it. - Upstreams send a head, a body, an event or bytes beside an answer without an end. The memory of each process (statm) must stay below its limit, and the connection must be closed when the route's time is over. - A request must not begin on an older version after version_ms, nor at an upstream that drains after drainMs, in one stretch without trouble of the store or links, sent on by an entry undisturbed for stableMs. - After each storm all must work again within recoverS, and then a quarter of each kind must be served.

The bounds stand in the settings files of the processes; the limits of the checks are read from there. The drawn faults depend on the seed only, not on the clock.

--- a/packages/bench/src/platform-soak.ts
+++ b/packages/bench/src/platform-soak.ts
@@ -2,16 +2,20 @@
 import process from 'node:process';
 import {Command} from 'commander';
 import {runPlatformSoak} from './platform-soak/run-platform-soak.js';
+import {USUAL_SIZE} from './platform-soak/soak-fleet.js';
 
 const program = new Command('platform-soak')
 	.description('Runs entries and agents as separate processes on stand-ins of the platform, injects faults drawn from the seed, and checks every answer.')
 	.option('--seed <text>', 'seed of the faults and the callers', String(Date.now()))
 	.option('--seconds <number>', 'time during which faults are injected', '30')
-	.action(async ({seed, seconds}: {readonly seed: string; readonly seconds: string}) => {
+	.option('--entries <number>', 'entries', String(USUAL_SIZE.entries))
+	.option('--engines <number>', 'model engines, each with an agent', String(USUAL_SIZE.engines))
+	.option('--plain <number>', 'plain upstreams', String(USUAL_SIZE.plain))
+	.action(async ({seed, seconds, entries, engines, plain}: Readonly<Record<'seed' | 'seconds' | 'entries' | 'engines' | 'plain', string>>) => {
 		const startedAt = performance.now();
 		process.stderr.write(`Seed ${seed}.\n`);
 		const {breaches, ...counts} = await runPlatformSoak({
-			seed, seconds: Number(seconds),
+			seed, seconds: Number(seconds), size: {entries: Number(entries), engines: Number(engines), plain: Number(plain)},
 			progress(line) {
 				process.stderr.write(`${((performance.now() - startedAt) / 1000).toFixed(1)} s  ${line}\n`);
 			},
--- a/packages/bench/src/platform-soak/caller.ts
+++ b/packages/bench/src/platform-soak/caller.ts
@@ -1,4 +1,4 @@
-/** A caller with one kept connection for each entry. It uses a connection until the other side ends it. */
+/** A caller with a kept connection. It stays with an entry until the connection has ended, then asks the balancer again. */
 import http from 'node:http';
 import {delay, type Random} from '@yuccawood/common';
 import {
@@ -9,6 +9,11 @@
 const CALLER_LIMIT_MS = ROUTE_TIMEOUT_MS + 2000;
 const LONGEST_PAUSE_MS = 120;
 
+/** Bytes of an answer that are kept; more come only in answers without an end. */
+const MAX_BODY_LENGTH = 16 * 1024;
+
+type Entry = {readonly index: number; readonly ip: string};
+
 export class Caller {
 	readonly #agent = new http.Agent({keepAlive: true, maxSockets: 1});
 	readonly #id: number;
@@ -16,6 +21,9 @@
 	readonly #now: () => number;
 	#count = 0;
 
+	/** Entry at the other end of the kept connection. */
+	#connected: Entry | undefined;
+
 	constructor({id, random, now}: {readonly id: number; readonly random: Random; readonly now: () => number}) {
 		this.#id = id;
 		this.#random = random;
@@ -24,27 +32,32 @@
 
 	async run(signal: AbortSignal, {entryOf, onExchange}: {
 		/** Entry that the balancer chooses, and its address. */
-		readonly entryOf: () => {readonly index: number; readonly ip: string};
+		readonly entryOf: () => Entry;
 		readonly onExchange: (exchange: Exchange) => void;
 	}): Promise<void> {
 		while (!signal.aborted) {
-			onExchange(await this.call(entryOf()));
+			onExchange(await this.call(this.#connected ?? entryOf()));
 			await delay(this.#random.next() * LONGEST_PAUSE_MS);
 		}
 
+		this.close();
+	}
+
+	close(): void {
 		this.#agent.destroy();
 	}
 
-	async call({index, ip}: {readonly index: number; readonly ip: string}, kind = REQUEST_KINDS[Math.floor(this.#random.next() * REQUEST_KINDS.length)]): Promise<Exchange> {
+	async call(entry: Entry, kind = REQUEST_KINDS[Math.floor(this.#random.next() * REQUEST_KINDS.length)]): Promise<Exchange> {
+		const {index, ip} = entry;
 		const requestId = `c${this.#id}-${++this.#count}`;
 		const [host, port] = callerAddressOf(ip).split(':');
 		const sentAt = this.#now();
 		return new Promise(resolve => {
 			let body = '';
-			let wasConnected = false;
+			let connection: Exchange['connection'] = 'none';
 			const finish = (answer: http.IncomingMessage | undefined, isComplete: boolean): void => {
 				resolve({
-					requestId, kind, entry: index, sentAt, endedAt: this.#now(), status: answer?.statusCode, isSealed: answer !== undefined && isSealed(answer.headers), body, isComplete, wasConnected,
+					requestId, kind, entry: index, sentAt, endedAt: this.#now(), status: answer?.statusCode, isSealed: answer !== undefined && isSealed(answer.headers), body, isComplete, connection,
 				});
 			};
 
@@ -54,7 +67,7 @@
 			}, answer => {
 				answer.setEncoding('utf8');
 				answer.on('data', (text: string) => {
-					body += text;
+					body += body.length < MAX_BODY_LENGTH ? text : '';
 				});
 				answer.on('end', () => {
 					finish(answer, true);
@@ -64,11 +77,22 @@
 				});
 			});
 			request.on('socket', socket => {
-				// A kept connection may close just as the request is written; only a request that was read is owed an answer.
-				wasConnected = !socket.connecting && !request.reusedSocket;
+				this.#connected = entry;
+				if (!request.reusedSocket) {
+					socket.once('close', () => {
+						this.#connected = undefined;
+					});
+				}
+
+				if (request.reusedSocket) {
+					connection = 'kept';
+				} else if (!socket.connecting) {
+					connection = 'new';
+				}
+
 				if (socket.connecting) {
 					socket.once('connect', () => {
-						wasConnected = true;
+						connection = 'new';
 					});
 				}
 			});
--- a/packages/bench/src/platform-soak/check-exchange.test.ts
+++ b/packages/bench/src/platform-soak/check-exchange.test.ts
@@ -1,13 +1,15 @@
-import {eventsFrom} from '@yuccawood/platform/testing';
+import {eventsFrom, type Run} from '@yuccawood/platform/testing';
 import {expect} from 'chai';
 import {checkExchange} from './check-exchange.js';
 import type {Exchange} from './types.js';
 
-const NO_EXCUSES = {entry: [], paths: []};
-const run = {requestId: 'a', account: 'shop', hasKey: false};
+const NO_EXCUSES = {entry: [], paths: [], lossSlackMs: 200};
+const run: Run = {
+	requestId: 'a', account: 'shop', hasKey: false, version: undefined, endless: undefined,
+};
 
 const exchange = (changes: Partial<Exchange> = {}): Exchange => ({
-	requestId: 'a', kind: 'once', entry: 0, sentAt: 0, endedAt: 100, status: 200, isSealed: true, body: '"done a"', isComplete: true, wasConnected: true, ...changes,
+	requestId: 'a', kind: 'once', entry: 0, sentAt: 0, endedAt: 100, status: 200, isSealed: true, body: '"done a"', isComplete: true, connection: 'new', ...changes,
 });
 
 const promisesOf = (changes: Partial<Exchange>, runs = [run], excuses: Parameters<typeof checkExchange>[2] = NO_EXCUSES): readonly string[] =>
@@ -34,8 +36,22 @@
 
 	it('finds cut connections, but not while the entry was killed', () => {
 		expect(promisesOf({status: undefined, isComplete: false})).to.deep.equal(['no-answer']);
-		expect(promisesOf({status: undefined, isComplete: false}, [run], {entry: [{from: 50, to: 60}], paths: []})).to.deep.equal([]);
-		expect(promisesOf({status: undefined, isComplete: false}, [run], {entry: [], paths: [{from: 50, to: 60}]})).to.deep.equal(['no-answer']);
+		expect(promisesOf({status: undefined, isComplete: false}, [run], {...NO_EXCUSES, entry: [{from: 50, to: 60}]})).to.deep.equal([]);
+		expect(promisesOf({status: undefined, isComplete: false}, [run], {...NO_EXCUSES, paths: [{from: 50, to: 60}]})).to.deep.equal(['no-answer']);
+	});
+
+	it('finds cut requests on kept connections, but not one that crossed the end of its connection', () => {
+		const cut = {status: undefined, isComplete: false, connection: 'kept'} as const;
+		expect(promisesOf(cut)).to.deep.equal(['no-answer']);
+		expect(promisesOf({...cut, endedAt: 300}, [])).to.deep.equal(['no-answer']);
+		expect(promisesOf(cut, [])).to.deep.equal([]);
+		expect(promisesOf({...cut, connection: 'none', endedAt: 300}, [])).to.deep.equal([]);
+	});
+
+	it('allows that an answer without an end is cut', () => {
+		expect(promisesOf({isComplete: false, body: 'x'}, [{...run, endless: 'body'}])).to.deep.equal([]);
+		expect(promisesOf({kind: 'stream', body: 'id: 1\ndata: xxxx', isComplete: true}, [{...run, endless: 'event'}])).to.deep.equal(['order']);
+		expect(promisesOf({status: 503, isSealed: false, body: ''}, [{...run, endless: 'noise'}])).to.deep.equal(['refused-ran']);
 	});
 
 	it('finds answers after the time limit of the route', () => {
--- a/packages/bench/src/platform-soak/check-exchange.ts
+++ b/packages/bench/src/platform-soak/check-exchange.ts
@@ -1,6 +1,6 @@
 /** Checks what one caller saw against the promises of the platform's pages. */
 import {
-	eventsFrom, ROUTE_TIMEOUT_MS, STREAM_EVENTS, type Run,
+	ENDLESS_COMMENT, eventsFrom, ROUTE_TIMEOUT_MS, STREAM_EVENTS, type Run,
 } from '@yuccawood/platform/testing';
 import type {Breach, Exchange, Interval} from './types.js';
 
@@ -16,12 +16,15 @@
 
 	/** Times in which upstreams broke connections, or paths to them were cut. */
 	readonly paths: readonly Interval[];
+
+	/** Time after which the end of a kept connection crossed no request. */
+	readonly lossSlackMs: number;
 };
 
 const overlaps = (intervals: readonly Interval[], {sentAt, endedAt}: Exchange): boolean =>
 	intervals.some(({from, to}) => from <= endedAt && to >= sentAt);
 
-const checkSuccess = ({kind, requestId, body, isSealed, isComplete}: Exchange): Omit<Breach, 'at'> | undefined => {
+const checkSuccess = ({kind, requestId, body, isSealed, isComplete}: Exchange, isEndless: boolean): Omit<Breach, 'at'> | undefined => {
 	if (!isSealed) {
 		return {promise: 'mixed', detail: `${requestId}: a success without the seal of an upstream`};
 	}
@@ -30,24 +33,43 @@
 		return isComplete && body !== JSON.stringify(`done ${requestId}`) ? {promise: 'mixed', detail: `${requestId}: got "${body.slice(0, 60)}"`} : undefined;
 	}
 
-	const isPrefix = eventsFrom(1).startsWith(body);
-	if (!isPrefix || (isComplete && body !== eventsFrom(1))) {
+	if (isEndless && !isComplete) {
+		return undefined;
+	}
+
+	const events = body.replaceAll(ENDLESS_COMMENT, '');
+	const isPrefix = eventsFrom(1).startsWith(events);
+	if (!isPrefix || (isComplete && events !== eventsFrom(1))) {
 		return {promise: 'order', detail: `${requestId}: ${body.split('\n\n').length - 1} of ${STREAM_EVENTS} events, complete: ${isComplete}`};
 	}
 
 	return undefined;
 };
 
+/** Whether an entry read the request, by what its caller and the upstreams saw, and nothing allowed it to break off. */
+const isCutEarly = (exchange: Exchange, runs: readonly Run[], excuses: Excuses): boolean => {
+	const {kind, status, isComplete, sentAt, endedAt, connection} = exchange;
+	if (status !== undefined && isComplete) {
+		return false;
+	}
+
+	// The end of a kept connection may cross a request.
+	const isOwed = connection === 'new' || (connection === 'kept' && endedAt - sentAt > excuses.lossSlackMs);
+	const wasRead = isOwed || status !== undefined || runs.length > 0;
+	const didUpstreamBreak = (kind === 'stream' && overlaps(excuses.paths, exchange)) || runs.some(({endless}) => endless !== undefined);
+	return wasRead && !didUpstreamBreak && !overlaps(excuses.entry, exchange);
+};
+
 /** @param runs runs of the request, in all upstreams */
 export const checkExchange = (exchange: Exchange, runs: readonly Run[], excuses: Excuses): ReadonlyArray<Omit<Breach, 'at'>> => {
-	const {requestId, kind, status, isSealed, isComplete, sentAt, endedAt, wasConnected} = exchange;
+	const {requestId, kind, status, isSealed, sentAt, endedAt} = exchange;
 	const breaches: Array<Omit<Breach, 'at'>> = [];
 	if (kind === 'once' && runs.length > 1) {
 		breaches.push({promise: 'twice', detail: `${requestId} ran ${runs.length} times`});
 	}
 
 	if (status === 200) {
-		const breach = checkSuccess(exchange);
+		const breach = checkSuccess(exchange, runs.some(({endless}) => endless !== undefined));
 		if (breach) {
 			breaches.push(breach);
 		}
@@ -57,10 +79,11 @@
 		breaches.push({promise: 'refused-ran', detail: `${requestId} was answered ${status} and ran`});
 	}
 
-	const isCut = wasConnected && (status === undefined || !isComplete);
-	const mayBeCut = overlaps(excuses.entry, exchange) || (kind === 'stream' && overlaps(excuses.paths, exchange));
-	if (isCut && !mayBeCut) {
-		breaches.push({promise: 'no-answer', detail: `${requestId} (${kind}) to entry ${exchange.entry} was cut after ${Math.round(endedAt - sentAt)} ms`});
+	if (isCutEarly(exchange, runs, excuses)) {
+		breaches.push({
+			promise: 'no-answer',
+			detail: `${requestId} (${kind}) to entry ${exchange.entry} was cut after ${Math.round(endedAt - sentAt)} ms, runs: ${runs.length}, connection: ${exchange.connection}`,
+		});
 	}
 
 	if (endedAt - sentAt > ROUTE_TIMEOUT_MS + ANSWER_SLACK_MS && !overlaps(excuses.entry, exchange)) {
--- a/packages/bench/src/platform-soak/node-process.ts
+++ b/packages/bench/src/platform-soak/node-process.ts
@@ -3,7 +3,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {delay} from '@yuccawood/common';
-import {settingsEnvironment, settingsText} from '@yuccawood/platform/testing';
+import {settingsEnvironment, settingsText, type FleetBounds} from '@yuccawood/platform/testing';
 import {Child, programOf} from '../fleet/child.js';
 import type {Interval} from './types.js';
 
@@ -12,20 +12,28 @@
 /** Time after a kill or a wake in which connections of before may still break. */
 const AFTER_MS = 300;
 
-/** Time from SIGTERM to SIGKILL; the settings name it in seconds. */
-const STOP_GRACE_MS = 6000;
-
 /** Log lines that tell a fault of the program itself. */
 const FAULT_LINES = ['An error was not caught.', 'A promise was rejected without a handler.', 'A request failed inside the gateway.'];
 
+/** Flags of Node.js as in deploy/system.toml. */
+const RUNTIME_FLAGS = {
+	entry: '--max-old-space-size=160 --max-semi-space-size=4',
+	agent: '--max-old-space-size=96 --max-semi-space-size=2',
+} as const;
+
 export type NodeProcessOptions = Parameters<typeof settingsText>[0] & {
 	readonly role: 'entry' | 'agent';
+	readonly bounds: FleetBounds;
 	readonly now: () => number;
 };
 
 export class NodeProcess {
+	/** Times in which connections may break: the process was killed or frozen. */
 	readonly excuses: Interval[] = [];
 
+	/** Times in which the process was off, stopping, frozen or starting. */
+	readonly disturbances: Interval[] = [];
+
 	/** Ends that nobody asked for, and lines that tell a fault. */
 	readonly faults: string[] = [];
 	readonly #options: NodeProcessOptions;
@@ -33,6 +41,7 @@
 	#child: Child | undefined;
 	#isAskedToEnd = false;
 	#isClosed = false;
+	#offUntil = 0;
 
 	constructor(options: NodeProcessOptions) {
 		this.#options = options;
@@ -46,6 +55,10 @@
 		return this.#options.ip;
 	}
 
+	get pid(): number | undefined {
+		return this.#child?.isRunning ? this.#child.pid : undefined;
+	}
+
 	async start(): Promise<void> {
 		const directory = await mkdtemp(path.join(tmpdir(), 'yuccawood-platform-soak-'));
 		this.#file = path.join(directory, 'node.conf');
@@ -53,23 +66,33 @@
 		void this.#keepRunning();
 	}
 
-	/** SIGKILL; the platform starts the process again. */
-	kill(): void {
+	/** SIGKILL; the platform starts the process again, after a loss of power once it is back. */
+	kill(offMs = 0): void {
+		const now = this.#options.now();
 		this.#isAskedToEnd = true;
-		this.excuses.push({from: this.#options.now(), to: this.#options.now() + AFTER_MS});
+		this.#offUntil = Math.max(this.#offUntil, now + offMs);
+		this.excuses.push({from: now, to: now + AFTER_MS});
+		this.disturbances.push({from: now, to: now + AFTER_MS});
 		this.#child?.signal('SIGKILL');
 	}
 
 	/** SIGTERM, and SIGKILL when the grace is over. */
 	async stop(): Promise<void> {
 		const child = this.#child;
+		const from = this.#options.now();
 		this.#isAskedToEnd = true;
 		child?.signal('SIGTERM');
-		await Promise.race([child?.exited, delay(STOP_GRACE_MS)]);
-		if (child?.isRunning) {
-			this.faults.push('did not end within its grace');
+		await Promise.race([child?.exited, delay(this.#options.bounds.stopGraceMs)]);
+		const wasFrozen = this.excuses.some(excuse => excuse.to >= from);
+		if (child?.isRunning && child === this.#child) {
+			if (!wasFrozen) {
+				this.faults.push('did not end within its grace');
+			}
+
 			this.kill();
 		}
+
+		this.disturbances.push({from, to: this.#options.now()});
 	}
 
 	async freeze(milliseconds: number): Promise<void> {
@@ -78,7 +101,9 @@
 		child?.signal('SIGSTOP');
 		await delay(milliseconds);
 		child?.signal('SIGCONT');
-		this.excuses.push({from, to: this.#options.now() + AFTER_MS});
+		const frozen = {from, to: this.#options.now() + AFTER_MS};
+		this.excuses.push(frozen);
+		this.disturbances.push(frozen);
 	}
 
 	reload(): void {
@@ -94,23 +119,28 @@
 		this.#isClosed = true;
 		this.#isAskedToEnd = true;
 		this.#child?.signal('SIGCONT');
-		await this.#child?.stop(STOP_GRACE_MS);
+		await this.#child?.stop(this.#options.bounds.stopGraceMs);
 	}
 
 	async #keepRunning(): Promise<void> {
+		const {role, now} = this.#options;
+		let offFrom = now();
 		while (!this.#isClosed) {
 			const child = new Child({
-				name: this.name, script: programOf('node'), args: [this.#options.role], environment: settingsEnvironment(this.#file),
+				name: this.name, script: programOf('node'), args: [role],
+				environment: {...settingsEnvironment(this.#file), NODE_OPTIONS: RUNTIME_FLAGS[role]},
 			});
 			this.#child = child;
 			this.#isAskedToEnd = false;
+			this.disturbances.push({from: offFrom, to: now()});
 			await child.exited;
+			offFrom = now();
 			this.faults.push(...child.lines.filter(line => FAULT_LINES.some(text => line.includes(text))));
 			if (!this.#isAskedToEnd) {
 				this.faults.push(`ended by itself with code ${child.exitCode}: ${child.lines.at(-1) ?? ''}`);
 			}
 
-			await delay(RESTART_PAUSE_MS);
+			await delay(Math.max(RESTART_PAUSE_MS, this.#offUntil - now()));
 		}
 	}
 }
--- a/packages/bench/src/platform-soak/run-platform-soak.ts
+++ b/packages/bench/src/platform-soak/run-platform-soak.ts
@@ -1,144 +1,123 @@
-/** One randomised run of the roles of the users' platform: callers, faults, then a calm time in which all must work again. */
-import {delay, seededRandom} from '@yuccawood/common';
-import {ACCOUNT, REQUEST_KINDS} from '@yuccawood/platform/testing';
+/** One randomised run of the roles of the users' platform: storms of faults, and after each a time in which all must work again. */
+import {monitorEventLoopDelay} from 'node:perf_hooks';
+import {delay, seededRandom, type Random} from '@yuccawood/common';
+import {USUAL_BOUNDS, type FleetBounds} from '@yuccawood/platform/testing';
 import {Caller} from './caller.js';
-import {checkExchange} from './check-exchange.js';
+import {checkRun} from './check-run.js';
 import {Faults} from './faults.js';
-import {SoakFleet} from './soak-fleet.js';
+import {MemoryWatch} from './memory-watch.js';
+import {checkServed, checkWorking} from './recovery.js';
+import {SoakFleet, USUAL_SIZE, type FleetSize} from './soak-fleet.js';
+import {runStorm} from './storm.js';
 import type {Breach, Exchange} from './types.js';
 
 const CALLERS = 12;
 const START_LIMIT_MS = 20_000;
+const STORM_MS = 4000;
 
-/** Time after the last fault within which everything must work again. */
-const RECOVERY_MS = 15_000;
+/** Time at the end in which only callers act. */
+const TAIL_MS = 2000;
+
+const NANOSECONDS_PER_MILLISECOND = 1e6;
 
 export type PlatformSoakResult = {
 	readonly requests: number;
 	readonly successes: number;
 	readonly faults: number;
+	readonly namedVersions: number;
+	readonly endlessAnswers: number;
+
+	/** Largest resident memory of an entry, in megabytes. */
+	readonly entryPeakMb: number;
+
+	/** Longest time in which this process answered nobody, in milliseconds. */
+	readonly longestPauseMs: number;
 	readonly breaches: readonly Breach[];
 };
 
-export const runPlatformSoak = async ({seed, seconds, progress}: {
+const boundsOf = (random: Random): FleetBounds => ({...USUAL_BOUNDS, versionMs: 3000 + Math.round(random.next() * 2000), stableMs: 1000});
+
+export const runPlatformSoak = async ({seed, seconds, progress, size = USUAL_SIZE}: {
 	readonly seed: string;
 	readonly seconds: number;
 	readonly progress: (line: string) => void;
+	readonly size?: FleetSize;
 }): Promise<PlatformSoakResult> => {
 	const startedAt = performance.now();
 	const now = (): number => performance.now();
-	const random = seededRandom(seed);
-	const fleet = new SoakFleet({random, now});
+	const bounds = boundsOf(seededRandom(`${seed} bounds`));
+	const fleet = new SoakFleet({
+		random: seededRandom(`${seed} upstreams`), now, size, bounds,
+	});
 	const exchanges: Exchange[] = [];
 	const breaches: Breach[] = [];
-	const note = (breach: Omit<Breach, 'at'>): void => {
-		breaches.push({...breach, at: Math.round(now() - startedAt) / 1000});
+	const note = ({at, ...breach}: Omit<Breach, 'at'> & {readonly at?: number}): void => {
+		breaches.push({...breach, at: Math.round((at ?? now()) - startedAt) / 1000});
 	};
 
 	let faultCount = 0;
+	const faultRandom = seededRandom(`${seed} faults`);
 	const faults = new Faults({
-		fleet, random,
-		report(line) {
-			faultCount++;
-			progress(line);
-		},
+		fleet, random: faultRandom, bounds, now,
 	});
+	const report = (line: string): void => {
+		faultCount++;
+		progress(line);
+	};
+
 	const stopping = new AbortController();
+	const pauses = monitorEventLoopDelay();
+	const memory = new MemoryWatch(() => fleet.processes);
 	try {
 		await fleet.start();
 		faults.nameVersion();
-		await awaitWorking({
+		await checkWorking({
 			fleet, version: faults.version, limitMs: START_LIMIT_MS, now, note,
 		});
-		const callers = Array.from({length: CALLERS}, (_, id) => new Caller({id, random, now}));
-		const calling = callers.map(async caller => caller.run(stopping.signal, {
+		pauses.enable();
+		const calling = Array.from({length: CALLERS}, async (_, id) => new Caller({id, random: seededRandom(`${seed} caller ${id}`), now}).run(stopping.signal, {
 			entryOf: fleet.chooseEntry,
 			onExchange(exchange) {
 				exchanges.push(exchange);
 			},
 		}));
-		const faulting = new AbortController();
-		const injecting = faults.run(faulting.signal);
-		await delay(seconds * 1000);
-		faulting.abort();
-		await injecting;
-		progress('calm');
-		await awaitWorking({
-			fleet, version: faults.version, limitMs: RECOVERY_MS, now, note,
-		});
+		let calmFrom = now();
+		let leftMs = seconds * 1000;
+		while (leftMs > 0) {
+			const milliseconds = Math.min(leftMs, STORM_MS * (1 + faultRandom.next()));
+			leftMs -= milliseconds;
+			await runStorm({
+				faults, random: faultRandom, milliseconds, report,
+			});
+			calmFrom = now();
+			progress('calm');
+			await checkWorking({
+				fleet, version: faults.version, limitMs: bounds.recoverMs, now, note,
+			});
+			progress('works again');
+		}
+
+		await delay(Math.max(0, bounds.recoverMs - (now() - calmFrom)) + TAIL_MS);
 		stopping.abort();
 		await Promise.all(calling);
+		checkServed({exchanges, from: calmFrom + bounds.recoverMs, note});
 	} finally {
 		stopping.abort();
+		memory.close();
 		await fleet.close();
 	}
 
-	for (const exchange of exchanges) {
-		const excuses = {entry: fleet.entries[exchange.entry].excuses, paths: fleet.pathFaults};
-		for (const breach of checkExchange(exchange, fleet.runs.get(exchange.requestId) ?? [], excuses)) {
-			breaches.push({...breach, at: Math.round(exchange.sentAt - startedAt) / 1000});
-		}
-	}
-
-	checkUpstreams(fleet, note);
-	for (const node of [...fleet.entries, ...fleet.agents]) {
-		for (const fault of node.faults) {
-			note({promise: fault.startsWith('ended') ? 'exit' : 'fault-line', detail: `${node.name}: ${fault.slice(0, 300)}`});
-		}
-	}
-
+	checkRun({
+		fleet, exchanges, memory, bounds, note,
+	});
 	return {
-		requests: exchanges.length, successes: exchanges.filter(({status, isComplete}) => status === 200 && isComplete).length, faults: faultCount, breaches,
+		requests: exchanges.length,
+		successes: exchanges.filter(({status, isComplete}) => status === 200 && isComplete).length,
+		faults: faultCount,
+		namedVersions: faults.version,
+		endlessAnswers: [...fleet.runs.values()].flat().filter(({endless}) => endless !== undefined).length,
+		entryPeakMb: Math.round(Math.max(...fleet.entries.map(entry => memory.peaks.get(entry) ?? 0))),
+		longestPauseMs: Math.round(pauses.max / NANOSECONDS_PER_MILLISECOND),
+		breaches,
 	};
 };
-
-/** Waits until all engines hold the version and each entry serves each kind of request. */
-const awaitWorking = async ({fleet, version, limitMs, now, note}: {
-	readonly fleet: SoakFleet;
-	readonly version: number;
-	readonly limitMs: number;
-	readonly now: () => number;
-	readonly note: (breach: Omit<Breach, 'at'>) => void;
-}): Promise<void> => {
-	const until = now() + limitMs;
-	const engines = fleet.upstreams.flatMap(({engine}) => engine ?? []);
-	const isCurrent = (): boolean => engines.every(({loadedVersion}) => loadedVersion === version);
-	const areReady = await fleet.awaitReady(limitMs);
-	while (!isCurrent() && now() < until) {
-		await delay(100);
-	}
-
-	if (!isCurrent() || !areReady) {
-		note({promise: 'recover', detail: `ready: ${areReady}; versions ${engines.map(({loadedVersion}) => loadedVersion ?? 'none').join(' ')} instead of ${version}`});
-	}
-
-	const probe = new Caller({id: Math.round(now()), random: seededRandom('probe'), now});
-	for (const [index, {ip}] of fleet.entries.entries()) {
-		for (const kind of REQUEST_KINDS) {
-			let status: number | undefined;
-			do {
-				({status} = await probe.call({index, ip}, kind));
-			} while (status !== 200 && now() < until);
-
-			if (status !== 200) {
-				note({promise: 'recover', detail: `entry ${index} answers ${status ?? 'nothing'} to ${kind}`});
-			}
-		}
-	}
-};
-
-const checkUpstreams = ({upstreams, runs}: SoakFleet, note: (breach: Omit<Breach, 'at'>) => void): void => {
-	for (const {engine} of upstreams) {
-		for (const {wrong, version} of engine?.orders ?? []) {
-			if (wrong.length > 0) {
-				note({promise: 'whole', detail: `an order for version ${version} with wrong pieces ${wrong.join(' ')}`});
-			}
-		}
-	}
-
-	for (const [requestId, all] of runs) {
-		if (all.some(({account, hasKey}) => account !== ACCOUNT || hasKey)) {
-			note({promise: 'unasked', detail: `${requestId} ran with a key or for another account`});
-		}
-	}
-};
--- a/packages/bench/src/platform-soak/soak-fleet.ts
+++ b/packages/bench/src/platform-soak/soak-fleet.ts
@@ -3,22 +3,25 @@
 import process from 'node:process';
 import {delay, type Random} from '@yuccawood/common';
 import {
-	configurationOf, CONFIGURATION_KEY, EngineStandIn, JsonServer, OriginStandIn, readinessAddressOf, type RequestStandIn, StoreStandIn, type Run,
+	configurationOf, CONFIGURATION_KEY, EngineStandIn, type FleetBounds, JsonServer, OriginStandIn, readinessAddressOf, StoreStandIn, type Run,
 } from '@yuccawood/platform/testing';
-import {NodeProcess} from './node-process.js';
-import type {Interval} from './types.js';
+import {TcpRelay} from '../soak/tcp-relay.js';
+import {NodeProcess, type NodeProcessOptions} from './node-process.js';
+import type {Change} from './check-bounds.js';
+import {Disruptions} from './disruptions.js';
+import type {Interval, TimedRun} from './types.js';
 import {SoakUpstream} from './upstreams.js';
 
+/** How many of each there are. */
+export type FleetSize = {readonly entries: number; readonly engines: number; readonly plain: number};
+
+export const USUAL_SIZE: FleetSize = {entries: 3, engines: 4, plain: 2};
+
 /**
-Entries and engines of the usual size. Each has a loopback address of its own, because peer ports are the same everywhere;
-the network depends on the process id, so that runs do not meet.
+Each VM has a loopback address of its own, because peer ports are the same everywhere; the network depends on the process id,
+so that runs do not meet. Upstreams begin at this host number, entries at 1.
 */
-const ENTRIES = 3;
-const ENGINES_COUNT = 4;
-const PLAIN_COUNT = 2;
-
-/** Host number of the first upstream; entries begin at 1. */
-const UPSTREAM_HOSTS = 101;
+const UPSTREAM_HOSTS = 51;
 const READINESS_INTERVAL_MS = 200;
 
 /** Time after a fault of a path in which its streams may still break. */
@@ -34,34 +37,53 @@
 	readonly agents: NodeProcess[] = [];
 	readonly upstreams: SoakUpstream[] = [];
 	readonly pathFaults: Interval[] = [];
-	readonly runs = new Map<string, Run[]>();
+	readonly runs = new Map<string, TimedRun[]>();
+	readonly disruptions: Disruptions;
+
+	/** Changes that the store accepted and that forbid runs after a bound. */
+	readonly changes: Change[] = [];
+
+	/** Paths of single processes to the store. */
+	readonly storePaths = new Map<NodeProcess, TcpRelay>();
+
+	/** Times at which callers closed the connections of answers without an end. */
+	readonly endlessClosed = new Map<string, number>();
 	readonly #network = `127.${1 + (Math.floor(process.pid / 250) % 250)}.${process.pid % 250}`;
 	readonly #random: Random;
 	readonly #now: () => number;
+	readonly #size: FleetSize;
+	readonly #bounds: FleetBounds;
 	readonly #misses: number[] = [];
 	#timer: NodeJS.Timeout | undefined;
 
-	constructor({random, now}: {readonly random: Random; readonly now: () => number}) {
+	constructor({random, now, size, bounds}: {
+		readonly random: Random;
+		readonly now: () => number;
+		readonly size: FleetSize;
+		readonly bounds: FleetBounds;
+	}) {
 		this.#random = random;
 		this.#now = now;
+		this.#size = size;
+		this.#bounds = bounds;
+		this.disruptions = new Disruptions({now});
 	}
 
 	async start(): Promise<void> {
 		await this.store.listen();
 		await this.origin.listen();
 		this.store.put(CONFIGURATION_KEY, this.configuration(1));
-		const entryIps = Array.from({length: ENTRIES}, (_, index) => `${this.#network}.${index + 1}`);
-		for (let i = 0; i < ENGINES_COUNT + PLAIN_COUNT; i++) {
-			await this.#addUpstream(i, i < ENGINES_COUNT, entryIps);
+		const {entries, engines, plain} = this.#size;
+		const entryIps = Array.from({length: entries}, (_, index) => `${this.#network}.${index + 1}`);
+		for (let i = 0; i < engines + plain; i++) {
+			await this.#addUpstream(i, i < engines, entryIps);
 		}
 
 		for (const [index, ip] of entryIps.entries()) {
-			const entry = new NodeProcess({
-				vm: `entry-${index}`, ip, role: 'entry', storeAddress: this.store.address, entryIps, now: this.#now,
-			});
-			this.entries.push(entry);
 			this.#misses.push(MISSES);
-			await entry.start();
+			this.entries.push(await this.#startProcess({
+				vm: `entry-${index}`, ip, role: 'entry', entryIps,
+			}));
 		}
 
 		this.#timer = setInterval(() => {
@@ -84,8 +106,8 @@
 		return {index, ip: this.entries[index].ip};
 	};
 
-	async stopEntry(entry: NodeProcess): Promise<void> {
-		await entry.stop();
+	get processes(): readonly NodeProcess[] {
+		return [...this.entries, ...this.agents];
 	}
 
 	notePathFault(milliseconds: number): void {
@@ -108,8 +130,9 @@
 
 	async close(): Promise<void> {
 		clearInterval(this.#timer);
-		await Promise.all([...this.entries, ...this.agents].map(async node => node.close()));
+		await Promise.all(this.processes.map(async node => node.close()));
 		await Promise.all(this.upstreams.map(async upstream => upstream.close()));
+		await Promise.all([...this.storePaths.values()].map(async relay => relay.close()));
 		await Promise.all([this.store.close(), this.origin.close()]);
 	}
 
@@ -125,9 +148,12 @@
 		await engine?.listen();
 		await plain?.listen();
 		const upstream = new SoakUpstream({
-			id, isEngine, store: this.store, random: this.#random, target: {engine, plain},
+			id, isEngine, store: this.store, random: this.#random, target: {engine, plain}, now: this.#now,
 			onRun: run => {
-				this.runs.set(run.requestId, [...this.runs.get(run.requestId) ?? [], run]);
+				this.#noteRun(run, id);
+			},
+			onEndlessClosed: requestId => {
+				this.endlessClosed.set(requestId, this.#now());
 			},
 		});
 		if (engine) {
@@ -137,12 +163,31 @@
 		await upstream.start(ip);
 		this.upstreams.push(upstream);
 		if (isEngine) {
-			const agent = new NodeProcess({
-				vm: `agent-${index}`, ip, role: 'agent', storeAddress: this.store.address, entryIps, upstreamAddress: upstream.address, now: this.#now,
-			});
-			this.agents.push(agent);
-			await agent.start();
+			this.agents.push(await this.#startProcess({
+				vm: `agent-${index}`, ip, role: 'agent', entryIps, upstreamAddress: upstream.address,
+			}));
+		}
+	}
+
+	async #startProcess(options: Omit<NodeProcessOptions, 'storeAddress' | 'bounds' | 'now'>): Promise<NodeProcess> {
+		const path = new TcpRelay({target: this.store.address});
+		const node = new NodeProcess({
+			...options, storeAddress: await path.listen(), bounds: this.#bounds, now: this.#now,
+		});
+		this.storePaths.set(node, path);
+		await node.start();
+		return node;
+	}
+
+	#noteRun(run: Run, upstream: string): void {
+		const timed = {...run, upstream, at: this.#now()};
+		const known = this.runs.get(run.requestId);
+		if (known) {
+			known.push(timed);
+			return;
 		}
+
+		this.runs.set(run.requestId, [timed]);
 	}
 
 	async #askReadiness(index: number): Promise<void> {
--- a/packages/bench/src/platform-soak/types.ts
+++ b/packages/bench/src/platform-soak/types.ts
@@ -1,8 +1,8 @@
-import type {RequestKind} from '@yuccawood/platform/testing';
+import type {RequestKind, Run} from '@yuccawood/platform/testing';
 
 /** A promise that was broken, with the request or process that shows it. */
 export type Breach = {
-	readonly promise: 'mixed' | 'order' | 'twice' | 'refused-ran' | 'unasked' | 'no-answer' | 'late-answer' | 'whole' | 'recover' | 'exit' | 'fault-line';
+	readonly promise: 'mixed' | 'order' | 'twice' | 'refused-ran' | 'unasked' | 'no-answer' | 'late-answer' | 'whole' | 'recover' | 'exit' | 'fault-line' | 'version' | 'drain' | 'memory' | 'endless';
 	readonly detail: string;
 
 	/** Seconds since the start of the faults. */
@@ -22,8 +22,12 @@
 	readonly isSealed: boolean;
 	readonly body: string;
 	readonly isComplete: boolean;
-	readonly wasConnected: boolean;
+	/** `new`: one was made for the request, to an entry that the balancer chose. `none`: no connection came about. */
+	readonly connection: 'new' | 'kept' | 'none';
 };
 
 /** Times in which an excuse holds, for example while a process was killed or frozen. */
 export type Interval = {readonly from: number; readonly to: number};
+
+/** A run of a request at an upstream, with the time at which it began. */
+export type TimedRun = Run & {readonly upstream: string; readonly at: number};
--- a/packages/bench/src/soak/tcp-relay.ts
+++ b/packages/bench/src/soak/tcp-relay.ts
@@ -1,11 +1,19 @@
-/** TCP relay that can make established connections go silent while new ones work. */
+/** TCP relay that delays, cuts one way, silences or resets connections. */
 import net, {type AddressInfo, type Socket} from 'node:net';
+import {Transform} from 'node:stream';
+import {delay} from '@yuccawood/common';
+
+export type Direction = 'toTarget' | 'toCaller';
 
 export class TcpRelay {
+	/** Time by which data comes late, in milliseconds. */
+	delayMs = 0;
 	readonly #target: {readonly host: string; readonly port: number};
 	readonly #sockets = new Set<Socket>();
 	readonly #silent = new Set<Socket>();
 	readonly #server: net.Server;
+	readonly #held = new Set<Direction>();
+	readonly #waiting = new Set<() => void>();
 
 	/** `target` is `IP:port`. */
 	constructor({target}: {readonly target: string}) {
@@ -43,6 +51,22 @@
 		return count;
 	}
 
+	/** Holds back what comes on present and new connections; it arrives once it is released, as after a partition. */
+	hold(...directions: readonly Direction[]): void {
+		for (const direction of directions) {
+			this.#held.add(direction);
+		}
+	}
+
+	release(): void {
+		this.#held.clear();
+		for (const wake of this.#waiting) {
+			wake();
+		}
+
+		this.#waiting.clear();
+	}
+
 	/** Breaks the connections that have gone silent. */
 	cutSilent(): void {
 		for (const socket of this.#silent) {
@@ -58,6 +82,7 @@
 	}
 
 	async close(): Promise<void> {
+		this.release();
 		this.cut();
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
@@ -69,17 +94,58 @@
 	#relay(near: Socket): void {
 		const far = net.connect({...this.#target, noDelay: true, allowHalfOpen: true});
 		near.setNoDelay(true);
-		for (const [one, other] of [[near, far], [far, near]] as const) {
+		for (const [one, other, direction] of [[near, far, 'toTarget'], [far, near, 'toCaller']] as const) {
+			const gate = this.#gate(direction);
 			this.#sockets.add(one);
 			one.on('error', () => {
 				one.destroy();
 			});
-			one.on('close', () => {
+			one.on('close', (hadError: boolean) => {
 				this.#sockets.delete(one);
 				this.#silent.delete(one);
-				other.destroy();
+				if (hadError) {
+					other.resetAndDestroy();
+					return;
+				}
+
+				if (one.readableEnded && !gate.readableEnded) {
+					// The end of an answer may still be on its way through the gate.
+					gate.once('end', () => {
+						other.destroySoon();
+					});
+					return;
+				}
+
+				other.destroySoon();
 			});
-			one.pipe(other);
+			one.pipe(gate).pipe(other);
 		}
 	}
+
+	#gate(direction: Direction): Transform {
+		return new Transform({
+			transform: (data, _encoding, done) => {
+				void this.#pass(direction, () => {
+					done(undefined, data);
+				});
+			},
+			flush: done => {
+				void this.#pass(direction, done);
+			},
+		});
+	}
+
+	async #pass(direction: Direction, go: () => void): Promise<void> {
+		if (this.delayMs > 0) {
+			await delay(this.delayMs);
+		}
+
+		while (this.#held.has(direction)) {
+			await new Promise<void>(resolve => {
+				this.#waiting.add(resolve);
+			});
+		}
+
+		go();
+	}
 }
