Take removals around an outage that any watch noticed for lapses

With a watch for each part, the one of the upstreams need not notice that the store was away: entries that lapsed meanwhile were dropped at once when it delivered them.

--- a/packages/fleet/src/item-log.test.ts
+++ b/packages/fleet/src/item-log.test.ts
@@ -8,20 +8,20 @@
 		const asker = new ItemLog({clock});
 		const peer = new ItemLog({clock});
 		for (const log of [asker, peer]) {
-			log.record({key: 'servers/a', value: 'ready', revision: 30});
+			log.record({key: 'upstreams/a', value: 'ready', revision: 30});
 		}
 
-		peer.record({key: 'op/version/m', value: '3', revision: 20});
-		expect(peer.changesSince(asker.stateOf('op/version/', 10)).map(({key}) => key)).to.deep.equal(['op/version/m']);
+		peer.record({key: 'versions/m', value: '3', revision: 20});
+		expect(peer.changesSince(asker.stateOf('versions/', 10)).map(({key}) => key)).to.deep.equal(['versions/m']);
 	});
 
 	it('gives what one peer lacked when another peer is asked, and nothing twice', () => {
 		const clock = new SystemClock();
 		const asker = new ItemLog({clock});
 		const peer = new ItemLog({clock});
-		asker.record({key: 'servers/b', value: undefined, revision: 32});
-		peer.record({key: 'servers/a', value: 'draining', revision: 31});
-		peer.record({key: 'servers/b', value: undefined, revision: 32});
-		expect(peer.changesSince(asker.stateOf('servers/', 30)).map(({key}) => key)).to.deep.equal(['servers/a']);
+		asker.record({key: 'upstreams/b', value: undefined, revision: 32});
+		peer.record({key: 'upstreams/a', value: 'draining', revision: 31});
+		peer.record({key: 'upstreams/b', value: undefined, revision: 32});
+		expect(peer.changesSince(asker.stateOf('upstreams/', 30)).map(({key}) => key)).to.deep.equal(['upstreams/a']);
 	});
 });
--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -95,10 +95,15 @@
 			}
 
 			const part = this.#partOf(item.key);
-			view.apply(decoded.val, {revision: item.revision, mayBeLapse: part?.mayBeLapse ?? false, ...this.#ages(item, {part, learnedBy})});
+			view.apply(decoded.val, {revision: item.revision, mayBeLapse: this.#mayBeLapse, ...this.#ages(item, {part, learnedBy})});
 		}
 	}
 
+	/** Whether a removal may come from an outage of the store, which the watch of the removed item need not have noticed. */
+	get #mayBeLapse(): boolean {
+		return this.#parts.some(({mayBeLapse}) => mayBeLapse);
+	}
+
 	#partOf(key: string): PartFollower | undefined {
 		return this.#parts.find(({part}) => key.startsWith(part.prefix));
 	}
