Close connections whose bytes are no answer and do not end

An upstream in trouble may send a status line, informational answers, blank lines, chunk extensions or trailers without end, or let them trickle. Its caller waited for the whole time limit of the route and then got 504, the connection stayed busy, and the entry kept parsing. The parser accepts such bytes one by one and reports none of them; the time limits of undici are off, and bytes would not end them either. After a complete answer, blank lines on a kept connection were read for ever, too.

ConnectionWatch counts the bytes of a connection at its socket, against the parts of the answer that were reported: a head has 64 KiB, 16 informational answers and 1 s from its first byte, framing has 64 KiB and 8 bytes for each byte of body, and an idle connection nothing. Beyond that the connection is closed: the request may have run, so it fails as unknown and is repeated where its kind allows it, and the upstream is judged as after other failures. Bytes that are no answer no longer count as a death in the crash watch: a request that meets them three times would have been refused as a poison.

An abort closes the socket itself now. undici keeps an aborted request in the queue of its client, and opens a connection for it once the old one is closed.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -59,3 +59,17 @@
 
 /** Entries that are assumed to share limits while this entry does not know the others, as after a restart without the store. */
 export const ASSUMED_ENTRIES = 8;
+
+/** Bytes of an upstream before the body of an answer: its head, and the informational answers before it. */
+export const MAX_HEAD_BYTES = 64 * 1024;
+export const MAX_INFORMATIONAL_ANSWERS = 16;
+
+/** Time in which a head that has begun must be complete, and in which bytes of a body must bring some of it. */
+export const MAX_HEAD_MS = 1000;
+
+/** Bytes of a chunked body beside its data. A chunk of one byte takes five more. */
+export const MAX_FRAMING_BYTES = 64 * 1024;
+export const FRAMING_BYTES_PER_BODY_BYTE = 8;
+
+/** End of a chunk and size of the next, which may arrive long before its data. */
+export const MAX_CHUNK_LINE_BYTES = 32;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -173,7 +173,7 @@
 
 	async #send(state: UpstreamState): Promise<SendResult> {
 		const {clock, codec, placer, states} = this.#context;
-		const {method, path, rawHeaders, body, account, deadlineAt, service} = this.#request;
+		const {method, path, rawHeaders, body, account, deadlineAt, service, requestId} = this.#request;
 		this.#sends++;
 		const headers = codec.forward(rawHeaders, {
 			upstreamId: state.upstream.id,
@@ -190,7 +190,7 @@
 			timing: this.#timing,
 			state,
 			sent: {
-				method, path, headers, body: body && Buffer.from(body.buffer, body.byteOffset, body.byteLength),
+				method, path, headers, body: body && Buffer.from(body.buffer, body.byteOffset, body.byteLength), requestId,
 			},
 			fingerprint: this.#fingerprint,
 			ended: this.#ended.signal,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -57,7 +57,15 @@
 		const {view, clock, random, metrics, log} = options;
 		this.#options = options;
 		this.#log = log.part('gateway');
-		const states = new UpstreamStates({...options, log: this.#log});
+		const decisions = new DecisionLog({log, clock});
+		const states = new UpstreamStates({
+			...options,
+			log: this.#log,
+			onExcess({id, address}, requestId) {
+				metrics.count('gateway.excess_bytes');
+				decisions.unusual(requestId, 'Bytes followed a complete answer.', () => ({upstream: id, address}));
+			},
+		});
 		this.#context = {
 			...options,
 			states,
@@ -69,7 +77,7 @@
 			}),
 			budgetOf: service => this.#budgetOf(service),
 			isLeaving: () => this.#isLeaving,
-			decisions: new DecisionLog({log, clock}),
+			decisions,
 		};
 		this.#versionTurns = new VersionTurns({...options, log: this.#log});
 		view.onChange(change => {
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -2,6 +2,7 @@
 import type {ServerResponse} from 'node:http';
 import type {SendFailure} from '@yuccawood/dispatch';
 import {HeldAnswer, type EventRelay} from './answer-sinks.js';
+import {isMalformed} from './connection-watch.js';
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
 import type {AnswerHead} from './types.js';
 import type {Send, SendRequest} from './upstream-link.js';
@@ -245,7 +246,7 @@
 			};
 		}
 
-		if (!this.#isWrong && !(error instanceof SilenceError)) {
+		if (!this.#isWrong && !(error instanceof SilenceError) && !isMalformed(error)) {
 			context.crashes.noteBreak(state.upstream.key, fingerprint, state.ownRequests - 1);
 		}
 
--- a/packages/gateway/src/upstream-link.ts
+++ b/packages/gateway/src/upstream-link.ts
@@ -1,14 +1,29 @@
 /** Connections to one upstream, and one send over them. */
 import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
-import {buildConnector, Pool, type Dispatcher} from 'undici';
+import {
+	buildConnector, Pool, type Client, type Dispatcher,
+} from 'undici';
+import type {ConnectionWatch} from './connection-watch.js';
 import {CONNECT_TIMEOUT_MS, KEEP_ALIVE_PROBE_MS, UPSTREAM_IDLE_MS} from './constants.js';
+import {WatchedClient, type WatchedOptions} from './watched-client.js';
 
 export type SendRequest = {
 	readonly method: string;
 	readonly path: string;
 	readonly headers: string[];
 	readonly body: Uint8Array | undefined;
+
+	/** Id of the request, for reports. */
+	readonly requestId?: string;
+};
+
+export type UpstreamLinkOptions = {
+	readonly address: string;
+	readonly connections: number;
+
+	/** Told when bytes follow a complete answer. Their connection is closed. */
+	readonly onExcess?: (requestId: string) => void;
 };
 
 /** Receives the parts of one answer. Exactly one of `end` and `error` is called last. */
@@ -37,11 +52,13 @@
 	/** Connections that failed and are not closed yet. */
 	#failing = 0;
 
-	constructor({address, connections}: {readonly address: string; readonly connections: number}) {
+	constructor({address, connections, onExcess = () => undefined}: UpstreamLinkOptions) {
+		const connect = this.#connector();
 		this.#pool = new Pool(`http://${address}`, {
 			connections,
 			pipelining: 1,
-			connect: this.#connector(),
+			connect,
+			factory: (origin, options) => new WatchedClient(origin, {...options as Client.Options, connect}, onExcess),
 			keepAliveTimeout: UPSTREAM_IDLE_MS,
 			keepAliveMaxTimeout: UPSTREAM_IDLE_MS,
 			headersTimeout: 0,
@@ -53,6 +70,9 @@
 		let controller: Dispatcher.DispatchController | undefined;
 		let wasSent = false;
 		let isOver = false;
+
+		/** Whether the connection may carry another send. */
+		let isComplete = false;
 		let abortReason: Error | undefined;
 		const finish = (call: () => void): void => {
 			if (!isOver) {
@@ -61,9 +81,14 @@
 			}
 		};
 
-		this.#pool.dispatch({
+		let watch: ConnectionWatch | undefined;
+		const options: WatchedOptions = {
 			method: request.method, path: request.path, headers: request.headers, body: request.body,
-		}, {
+			onAssigned(assigned) {
+				watch = assigned;
+			},
+		};
+		this.#pool.dispatch(options, {
 			onRequestStart(started: Dispatcher.DispatchController) {
 				controller = started;
 				if (abortReason) {
@@ -72,18 +97,23 @@
 				}
 
 				wasSent = true;
+				watch?.begin(request.requestId ?? '');
 			},
 			onResponseStart(started: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>) {
+				watch?.takeHead(status);
 				if (!isOver && status >= 200) {
 					sink.head(status, headers, ((started.rawHeaders ?? []) as unknown as ReadonlyArray<Uint8Array | string>).map(value => headerText(value)));
 				}
 			},
 			onResponseData(started: Dispatcher.DispatchController, chunk: Uint8Array) {
+				watch?.takeBody(chunk.byteLength);
 				if (!isOver && !sink.data(chunk)) {
 					started.pause();
 				}
 			},
 			onResponseEnd: () => {
+				isComplete = true;
+				watch?.end();
 				finish(() => {
 					if (this.#failing > 0) {
 						sink.error(new Error('the connection was reset within the answer'), wasSent);
@@ -93,6 +123,11 @@
 				});
 			},
 			onResponseError(_controller: Dispatcher.DispatchController, error: Error) {
+				isComplete = true;
+				if (wasSent) {
+					watch?.abandon();
+				}
+
 				finish(() => {
 					sink.error(error, wasSent);
 				});
@@ -100,8 +135,18 @@
 		});
 		return {
 			abort(reason) {
+				if (isComplete) {
+					return;
+				}
+
 				abortReason = reason;
-				controller?.abort(reason);
+				if (wasSent && watch) {
+					// An abort of undici would open a connection for the request that it drops then.
+					watch.abort(reason);
+				} else {
+					controller?.abort(reason);
+				}
+
 				finish(() => {
 					sink.error(reason, wasSent);
 				});
--- a/packages/gateway/src/upstream-states.ts
+++ b/packages/gateway/src/upstream-states.ts
@@ -135,6 +135,9 @@
 	readonly clock: Clock;
 	readonly log: Log;
 	readonly metrics: Metrics;
+
+	/** Told when bytes follow a complete answer of an upstream. */
+	readonly onExcess?: (upstream: Upstream, requestId: string) => void;
 };
 
 export class UpstreamStates {
@@ -216,10 +219,16 @@
 		})]));
 	}
 
-	#connect({address, service}: Upstream): UpstreamLink {
-		const {view} = this.#options;
+	#connect(upstream: Upstream): UpstreamLink {
+		const {address, service} = upstream;
+		const {view, onExcess} = this.#options;
 		const limit = view.inForce?.configuration.services.find(({name}) => name === service)?.maxConnections ?? MIN_CONNECTIONS;
 		const connections = Math.max(MIN_CONNECTIONS, Math.floor(limit * CONNECTION_SHARE / sharingEntries(view)));
-		return new UpstreamLink({address, connections});
+		return new UpstreamLink({
+			address, connections,
+			onExcess(requestId) {
+				onExcess?.(upstream, requestId);
+			},
+		});
 	}
 }
