End streams whose bytes bring no new event

An upstream in trouble may send an event without end, or events without ids or with known ids without end. The first grew in the entry's memory and was copied with each part, the others were passed on or dropped until the time limit. Nothing was repeated elsewhere, and the pause between events does not show it because bytes keep coming.

A stream must bring a numbered event that its caller has not got within 256 KiB, in which a repeated beginning of a stream fits. Otherwise its connection is closed, and the stream goes on at another upstream or is cut. The parts of an event are joined once, at its end. A stream that lacks events is no longer taken for a death of its upstream, either.

--- a/packages/gateway/src/answer-sinks.ts
+++ b/packages/gateway/src/answer-sinks.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {MAX_BUFFERED_ANSWER_BYTES} from './constants.js';
-import {EventSplitter} from './event-stream.js';
+import {EventSplitter, type StreamFault} from './event-stream.js';
 
 export type BufferedAnswer = {
 	readonly status: number;
@@ -129,11 +129,11 @@
 		}
 	}
 
-	/** @returns whether the caller takes more now; nothing when the events do not continue those that were sent */
-	add(chunk: Uint8Array): boolean | undefined {
+	/** @returns whether the caller takes more now, or why the events do not continue those that were sent */
+	add(chunk: Uint8Array): boolean | StreamFault {
 		const batch = this.#splitter.push(chunk);
-		if (!batch) {
-			return undefined;
+		if (typeof batch === 'string') {
+			return batch;
 		}
 
 		if (batch.count === 0) {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -73,3 +73,6 @@
 
 /** End of a chunk and size of the next, which may arrive long before its data. */
 export const MAX_CHUNK_LINE_BYTES = 32;
+
+/** Bytes of a stream in which an event must end that the caller did not have. A repeated beginning fits into them. */
+export const MAX_BYTES_WITHOUT_EVENT = 256 * 1024;
--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -1,5 +1,6 @@
 /** Cuts the bytes of a server-sent event stream into whole events and numbers them. */
 import {Buffer} from 'node:buffer';
+import {MAX_BYTES_WITHOUT_EVENT} from './constants.js';
 
 export type EventBatch = {
 	/** Whole events, as the upstream sent them, without those that the caller has. */
@@ -9,11 +10,21 @@
 	readonly count: number;
 };
 
+/** Why a stream cannot go on: events are missing, or its bytes bring no new event. */
+export type StreamFault = 'gap' | 'no-event';
+
 const EVENT_END = '\n\n';
 
 export class EventSplitter {
 	readonly #eventNumber: (id: string) => number | undefined;
-	#partial = '';
+
+	/** Parts of an event that has not ended. */
+	#partial: string[] = [];
+
+	#partialBytes = 0;
+
+	/** Bytes of whole events since the last numbered one that the caller did not have. */
+	#staleBytes = 0;
 	#lastId: string | undefined;
 	#lastNumber: number | undefined;
 
@@ -35,30 +46,36 @@
 
 	/** Whether an event has begun and not ended. */
 	get hasPartial(): boolean {
-		return this.#partial.length > 0;
+		return this.#partialBytes > 0;
 	}
 
 	/** Drops a half event, because the stream goes on at another upstream. */
 	dropPartial(): void {
-		this.#partial = '';
+		this.#partial = [];
+		this.#partialBytes = 0;
+		this.#staleBytes = 0;
 	}
 
-	/** @returns the whole events, or nothing when the sequence has a gap. */
-	push(chunk: Uint8Array): EventBatch | undefined {
-		const text = this.#partial + Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength).toString('latin1');
-		const end = text.lastIndexOf(EVENT_END);
-		if (end === -1) {
-			this.#partial = text;
-			return {bytes: new Uint8Array(0), count: 0};
+	push(chunk: Uint8Array): EventBatch | StreamFault {
+		const added = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength).toString('latin1');
+		if (!((this.#partial.at(-1)?.at(-1) ?? '') + added).includes(EVENT_END)) {
+			this.#partial.push(added);
+			this.#partialBytes += added.length;
+			return this.#isIdle ? 'no-event' : {bytes: new Uint8Array(0), count: 0};
 		}
 
-		this.#partial = text.slice(end + EVENT_END.length);
+		const text = this.#partial.join('') + added;
+		const end = text.lastIndexOf(EVENT_END);
+		const rest = text.slice(end + EVENT_END.length);
+		this.#partial = [rest];
+		this.#partialBytes = rest.length;
 		let accepted = '';
 		let count = 0;
 		for (const event of text.slice(0, end).split(EVENT_END)) {
+			this.#staleBytes += event.length + EVENT_END.length;
 			const verdict = this.#take(event);
 			if (verdict === 'gap') {
-				return undefined;
+				return 'gap';
 			}
 
 			if (verdict === 'new') {
@@ -67,7 +84,11 @@
 			}
 		}
 
-		return {bytes: Buffer.from(accepted, 'latin1'), count};
+		return this.#isIdle ? 'no-event' : {bytes: Buffer.from(accepted, 'latin1'), count};
+	}
+
+	get #isIdle(): boolean {
+		return this.#partialBytes + this.#staleBytes > MAX_BYTES_WITHOUT_EVENT;
 	}
 
 	#take(event: string): 'new' | 'known' | 'gap' {
@@ -87,6 +108,7 @@
 
 		this.#lastId = id;
 		this.#lastNumber = number;
+		this.#staleBytes = 0;
 		return 'new';
 	}
 }
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -2,7 +2,9 @@
 import type {ServerResponse} from 'node:http';
 import type {SendFailure} from '@yuccawood/dispatch';
 import {HeldAnswer, type EventRelay} from './answer-sinks.js';
-import {isMalformed} from './connection-watch.js';
+import {isMalformed, MalformedAnswerError} from './connection-watch.js';
+import {MAX_BYTES_WITHOUT_EVENT} from './constants.js';
+import type {StreamFault} from './event-stream.js';
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
 import type {AnswerHead} from './types.js';
 import type {Send, SendRequest} from './upstream-link.js';
@@ -66,6 +68,11 @@
 
 class SilenceError extends Error {}
 
+const FAULTS: Readonly<Record<StreamFault, string>> = {
+	gap: 'events are missing',
+	'no-event': `no new event in ${MAX_BYTES_WITHOUT_EVENT} bytes`,
+};
+
 /** Resolves when the send is over. */
 export const transmit = async (options: TransmitOptions): Promise<SendResult> => new Promise(resolve => {
 	new Transmission(options, resolve).start();
@@ -195,8 +202,8 @@
 
 		this.#watchSilence();
 		const wantsMore = relay!.add(chunk);
-		if (wantsMore === undefined) {
-			this.#send?.abort(new Error('events are missing'));
+		if (typeof wantsMore === 'string') {
+			this.#send?.abort(new MalformedAnswerError(FAULTS[wantsMore]));
 			return true;
 		}
 
