Bound answers without a length, and take a refusal at its head

An answer without a length that never ends kept its caller and a processor busy until the time limit: 1.1 GB reached the caller of the test within 4 s. A refusal (not run) whose body never ends was worse: beyond 256 KiB its body went to the caller as if it were the answer, and a trickling one kept the request until its time limit, which ended as 504 although another upstream was free. The sink for whole answers held every body, also those that nobody needs, and only the deadline bounded one of unknown length.

An answer that states no length is cut at 64 MiB, so that it does not look complete; answers with a length pass whatever their size. A refusal counts from its head on, and its body is dropped: up to 16 KiB and 500 ms, so that the connection can be kept; beyond that it is closed, told in the log and held against the upstream like another failure.

Before: the tests of refusals got 503 and 504 where another upstream would have answered 200, and an answer was cut after 4.0 s. After: 200 each, and a cut after 0.5 s.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -76,3 +76,10 @@
 
 /** Bytes of a stream in which an event must end that the caller did not have. A repeated beginning fits into them. */
 export const MAX_BYTES_WITHOUT_EVENT = 256 * 1024;
+
+/** Largest answer that states no length. */
+export const MAX_UNSIZED_ANSWER_BYTES = 64 * 1024 * 1024;
+
+/** What is read of the body of a refusal, so that its connection can be kept. */
+export const MAX_REFUSAL_BYTES = 16 * 1024;
+export const MAX_REFUSAL_MS = 500;
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -3,7 +3,9 @@
 import type {SendFailure} from '@yuccawood/dispatch';
 import {HeldAnswer, type EventRelay} from './answer-sinks.js';
 import {isMalformed, MalformedAnswerError} from './connection-watch.js';
-import {MAX_BYTES_WITHOUT_EVENT} from './constants.js';
+import {
+	MAX_BYTES_WITHOUT_EVENT, MAX_REFUSAL_BYTES, MAX_REFUSAL_MS, MAX_UNSIZED_ANSWER_BYTES,
+} from './constants.js';
 import type {StreamFault} from './event-stream.js';
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
 import type {AnswerHead} from './types.js';
@@ -89,8 +91,14 @@
 	#isStream = false;
 	#isWrong = false;
 	#hasData = false;
+	#bytes = 0;
+	#hasLength = false;
+	#isFinished = false;
 	#silence: NodeJS.Timeout | undefined;
 
+	/** Ends the read of a refusal. */
+	#refusal: NodeJS.Timeout | undefined;
+
 	constructor(options: TransmitOptions, resolve: (result: SendResult) => void) {
 		this.#options = options;
 		this.#resolve = resolve;
@@ -114,10 +122,18 @@
 			},
 			data: chunk => this.#takeData(chunk),
 			end: () => {
-				this.#finish(this.#resultOfEnd());
+				if (this.#isFinished) {
+					clearTimeout(this.#refusal);
+				} else {
+					this.#finish(this.#resultOfEnd());
+				}
 			},
 			error: (error, wasSent) => {
-				this.#finish(this.#resultOfError(error, wasSent));
+				if (this.#isFinished) {
+					this.#noteBrokenRefusal(error);
+				} else {
+					this.#finish(this.#resultOfError(error, wasSent));
+				}
 			},
 		});
 	}
@@ -131,6 +147,7 @@
 	};
 
 	#finish(result: SendResult): void {
+		this.#isFinished = true;
 		const {state, ended, response} = this.#options;
 		clearTimeout(this.#silence);
 		state.noteData(this.#mark);
@@ -174,6 +191,13 @@
 			return;
 		}
 
+		if (head.isNotRun) {
+			this.#finish(this.#resultOfRefusal(`status ${status}`));
+			this.#endRefusal();
+			return;
+		}
+
+		this.#hasLength = headers['content-length'] !== undefined;
 		this.#isStream = relay !== undefined && status === 200;
 		if (this.#isStream) {
 			relay!.start(rawHeaders);
@@ -186,6 +210,20 @@
 
 	/** @returns whether more is wanted now */
 	#takeData(chunk: Uint8Array): boolean {
+		this.#bytes += chunk.byteLength;
+		if (this.#head?.isNotRun) {
+			if (this.#bytes > MAX_REFUSAL_BYTES) {
+				this.#send?.abort(new MalformedAnswerError(`the body of the refusal exceeds ${MAX_REFUSAL_BYTES} bytes`));
+			}
+
+			return true;
+		}
+
+		if (!this.#hasLength && this.#bytes > MAX_UNSIZED_ANSWER_BYTES) {
+			this.#send?.abort(new MalformedAnswerError(`the answer has no length and exceeds ${MAX_UNSIZED_ANSWER_BYTES} bytes`));
+			return true;
+		}
+
 		const {context, request, relay, state, timing} = this.#options;
 		const now = context.clock.monotonic();
 		timing.noteData(now);
@@ -210,14 +248,30 @@
 		return wantsMore;
 	}
 
-	#resultOfEnd(): SendResult {
-		const held = this.#held;
-		if (this.#head?.isNotRun) {
-			return {
-				kind: 'failed', failure: 'not-run', detail: `status ${held?.status ?? 0}`, mayHaveRun: false, isMisdirected: this.#head.isMisdirected,
-			};
+	/** The head tells all; what follows is read for a moment, so that the connection can be kept. */
+	#endRefusal(): void {
+		this.#refusal = setTimeout(() => {
+			this.#send?.abort(new MalformedAnswerError(`the refusal did not end within ${MAX_REFUSAL_MS} ms`));
+		}, MAX_REFUSAL_MS);
+	}
+
+	#noteBrokenRefusal(error: Error): void {
+		clearTimeout(this.#refusal);
+		if (isMalformed(error)) {
+			const {context, request, state} = this.#options;
+			state.failed(context.clock.monotonic(), false);
+			context.decisions.unusual(request.requestId, 'The body of a refusal was cut.', () => ({upstream: state.upstream.id, detail: error.message}));
 		}
+	}
 
+	#resultOfRefusal(detail: string): SendResult {
+		return {
+			kind: 'failed', failure: 'not-run', detail, mayHaveRun: false, isMisdirected: this.#head?.isMisdirected,
+		};
+	}
+
+	#resultOfEnd(): SendResult {
+		const held = this.#held;
 		if (this.#isStream) {
 			const {relay} = this.#options;
 			if (relay!.hasPartial) {
@@ -247,9 +301,9 @@
 			return {kind: 'ended', by, mayHaveRun: wasSent};
 		}
 
-		if (!wasSent || this.#head?.isNotRun) {
+		if (!wasSent) {
 			return {
-				kind: 'failed', failure: wasSent ? 'not-run' : 'not-sent', detail: error.message, mayHaveRun: false,
+				kind: 'failed', failure: 'not-sent', detail: error.message, mayHaveRun: false,
 			};
 		}
 
