Forecast which of two versions in a row an engine can use first

Cause: a newer version replaced the transfer of an older one only when it was named within 0.3 of the bound (2.91 s); later it waited until all pieces of the older one were held.

The older version goes first only where that leaves less time in which the engine may serve neither version.

Also mends that a member that reads all pieces of a region itself never said that it held them, so that it never gave up an older transfer.

The test names a second version after 0.35 of the bound while the origin lacks the pieces of the first.

--- a/packages/weights/src/staged/constants.ts
+++ b/packages/weights/src/staged/constants.ts
@@ -46,11 +46,14 @@
 /** Time between the end of a transfer and the turn to switch. */
 export const TRANSFER_MARGIN_MS = 300;
 
-/**
-Share of the bound within which a newer version replaces the transfer of an older one: it can then still reach the
-engine before the bound of the older. Later the older transfer ends first.
-*/
-export const SUPERSEDE_SHARE = 0.3;
+/** Share of the line rate at which pieces arrive while all members fetch: the uplinks of readers and links between regions are shared. */
+export const EXPECTED_TRANSFER_SHARE = 0.45;
+
+/** Expected time from all pieces to the first request on their version. */
+export const EXPECTED_SWITCH_MS = 600;
+
+/** Interval at which the order of two transfers is decided anew. */
+export const TRANSFER_ORDER_MS = 250;
 
 /** Pieces that are requested from peers at the same time, besides those that this member passes on. */
 export const OUTSTANDING_PIECES = 10;
--- a/packages/weights/src/staged/staged-transfer.ts
+++ b/packages/weights/src/staged/staged-transfer.ts
@@ -72,6 +72,13 @@
 
 	let ownReads = 0;
 	let hasToldOwn = false;
+	const tellOwn = (): void => {
+		if (ownReads === 0 && !hasToldOwn) {
+			hasToldOwn = true;
+			onOwnPieces();
+		}
+	};
+
 	const readOwn = async (): Promise<void> => {
 		while (pending.size > 0 && !signal.aborted) {
 			const index = takeNext(true);
@@ -82,13 +89,14 @@
 				continue;
 			}
 
-			if (ownReads === 0 && !hasToldOwn) {
-				hasToldOwn = true;
-				onOwnPieces();
-			}
-
+			tellOwn();
 			await clock.sleep(REPLAN_MS, signal);
 		}
+
+		// A member that reads all pieces itself leaves the loop with the last of them.
+		if (!signal.aborted) {
+			tellOwn();
+		}
 	};
 
 	const readOthers = async (): Promise<void> => {
--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -9,13 +9,14 @@
 import type {WeightSettings} from '../types.js';
 import {
 	DIGEST_PATIENCE_MS, DIGEST_PEERS, DIGEST_READERS, FIRST_WAVE_SHARE, IDLE_TRANSFER_SHARE, ORIGIN_RETRY_LIMIT_MS, REMEMBERED_VERSIONS, REPORT_POLL_MS,
-	SUPERSEDE_SHARE, TIME_BALANCE, TRANSFER_MARGIN_MS, UPLOAD_SHARE,
+	EXPECTED_SWITCH_MS, EXPECTED_TRANSFER_SHARE, SERVING_TRANSFER_SHARE, TIME_BALANCE, TRANSFER_MARGIN_MS, TRANSFER_ORDER_MS, UPLOAD_SHARE,
 } from './constants.js';
 import {IndexedOrigin} from './indexed-origin.js';
 import {Stage} from './stage.js';
 import type {StagedManifest} from './staged-manifest.js';
 import {rollOutStaged} from './staged-rollout.js';
 import {switchWave} from './switch-wave.js';
+import {idleTimes, transferOrder, type TransferForecast} from './transfer-order.js';
 import {transferRate, type TransferProgress} from './transfer-rate.js';
 import type {
 	HeldVersion, StagedEngine, StagedEngineState, VersionedOrigin, VersionDigests,
@@ -218,19 +219,43 @@
 	}
 
 	/**
-	Ends transfers of older versions that the newer one can still replace before their bound. Called once the newer one is
-	sure to arrive: until then the origin may go away, and the older version is better than none.
+	Ends transfers of older versions that the newer one replaces in time. Called once the newer one is sure to arrive: until
+	then the origin may go away, and the older version is better than none.
 	*/
-	#supersede(target: StagedTarget): void {
-		for (const {target: older, hasPieces, controller} of this.#running) {
-			const isEarly = target.learnedAt - older.learnedAt < this.#options.versionBoundMs * SUPERSEDE_SHARE;
-			if (older.version < target.version && !hasPieces && isEarly && !controller.signal.aborted) {
-				this.#log.info('A newer version arrives; the transfer of the older one ends.', {from: older.version, to: target.version});
-				controller.abort();
+	async #supersede(target: StagedTarget, signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			const pending = this.#running.filter(({target: {version}, hasPieces, controller}) => version < target.version && !hasPieces && !controller.signal.aborted);
+			if (pending.length === 0) {
+				return;
+			}
+
+			for (const {target: older, controller} of pending) {
+				const forecast = this.#forecast(older, target);
+				if (transferOrder(forecast) === 'newer only') {
+					this.#log.info('A newer version arrives; the transfer of the older one ends.', {
+						from: older.version, to: target.version, olderBytes: forecast.older.remainingBytes, newerBytes: forecast.newer.remainingBytes, idleMs: idleTimes(forecast),
+					});
+					controller.abort();
+				}
 			}
+
+			await this.#clock.sleep(TRANSFER_ORDER_MS, signal);
 		}
 	}
 
+	#forecast(older: StagedTarget, newer: StagedTarget): TransferForecast {
+		const {settings: {linkBytesPerSecond = Number.POSITIVE_INFINITY}, versionBoundMs, boundMarginMs} = this.#options;
+		const pieces = this.#digests.get(newer.version) ?? [];
+		const {store} = this.#exchange;
+		// An older version whose digests are not known yet lacks all its pieces.
+		const missing = ({version}: StagedTarget): number => this.#digests.get(version)?.filter(hash => !store.has(hash)).length ?? pieces.length;
+		const pending = (target: StagedTarget) => ({learnedAt: target.learnedAt, remainingBytes: missing(target) * this.#pieceBytes});
+		return {
+			older: pending(older), newer: pending(newer), now: this.#clock.monotonic(), bytesPerSecond: linkBytesPerSecond * EXPECTED_TRANSFER_SHARE,
+			switchMs: EXPECTED_SWITCH_MS, usableMs: versionBoundMs - boundMarginMs,
+		};
+	}
+
 	#start(target: StagedTarget, signal: AbortSignal): void {
 		const previous = this.#running.map(async ({done}) => done);
 		const previousPieces = this.#running.map(async ({pieces}) => pieces);
@@ -249,7 +274,7 @@
 					...this.#rolloutOptions(target),
 					onOwnPieces: () => {
 						this.#log.info('The pieces that this agent passes on are held.', {version: target.version});
-						this.#supersede(target);
+						void this.#supersede(target, combined);
 					},
 					// One paced transfer at a time leaves each the whole pace.
 					async onTurnToFetch() {
@@ -369,6 +394,11 @@
 			return linkBytesPerSecond * IDLE_TRANSFER_SHARE;
 		}
 
+		// A newer version waits for the link.
+		if (this.#options.targets().some(({version}) => version > target.version)) {
+			return linkBytesPerSecond * SERVING_TRANSFER_SHARE;
+		}
+
 		const dueAt = this.#boundStart(target) + (this.#options.versionBoundMs * FIRST_WAVE_SHARE) - TRANSFER_MARGIN_MS;
 		return transferRate({
 			totalBytes, remainingBytes, startedAt, dueAt, now: this.#clock.monotonic(), linkBytesPerSecond,
