Do not count an outage of the store for all against a version

What callers would see: a version that is named while the store is away reaches every process only when the store is back. Each then counted the bound from before the outage, so after it nobody sent anything to the older version although no engine could hold the newer one yet.

What a process assumes stays cautious until three peers that followed the versions before have told since when they know. If none has known for longer, the store was away for all, and the bound counts from then. A process that was cut off alone hears of an earlier time and counts from that. Ten peers are asked, so that one next to the store is among the entries of the larger deployments.

--- a/packages/dispatch/src/beliefs.test.ts
+++ b/packages/dispatch/src/beliefs.test.ts
@@ -45,7 +45,7 @@
 
 describe('requiredVersion', () => {
 	const target = (version: number, learnedAt: number): ModelTarget => ({
-		model: 'm', version, learnedAt, namedBefore: learnedAt,
+		model: 'm', version, learnedAt, namedBefore: learnedAt, isWitnessed: true,
 	});
 
 	it('allows the old version until shortly before the bound, and not beyond', () => {
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -96,11 +96,13 @@
 	/** For how long the versions are known here, for peers that learned of them later. */
 	get targetAges(): readonly TargetAge[] {
 		const now = this.#clock.monotonic();
-		return this.targets.map(({model, version, namedBefore}) => ({model, version, ageMs: now - namedBefore}));
+		return this.targets.map(({model, version, namedBefore, isWitnessed}) => ({
+			model, version, ageMs: now - namedBefore, isWitnessed,
+		}));
 	}
 
 	/** Takes from a peer for how long it has known of a version. Unknown versions are left to the store. */
-	noteTargetAge({model, version, ageMs}: TargetAge): void {
+	noteTargetAge({model, version, ageMs}: Omit<TargetAge, 'isWitnessed'>): void {
 		const known = this.targetsOf(model).find(target => target.version === version);
 		const namedBefore = this.#clock.monotonic() - ageMs;
 		if (!known || namedBefore >= known.namedBefore) {
@@ -115,6 +117,21 @@
 		}
 	}
 
+	/**
+	Takes what enough peers have witnessed in place of a cautious assumption: while the store was away for all of them, nobody
+	could learn of the version, and its bound counts from when it became known.
+	*/
+	settleTarget({model, version}: Pick<ModelTarget, 'model' | 'version'>): void {
+		const known = this.targetsOf(model).find(target => target.version === version);
+		if (!known || known.learnedAt === known.namedBefore) {
+			return;
+		}
+
+		this.#targets.set(model, this.targetsOf(model).map(target => target === known ? {...known, learnedAt: known.namedBefore} : target));
+		this.#log.info('Peers have not known of the version for longer; its bound counts from when it became known.', {model, version, byMs: round(known.namedBefore - known.learnedAt)});
+		this.#changes.publish('targets');
+	}
+
 	/** Versions of the model that were named since this process started, oldest first. Each has its own bound. */
 	targetsOf(model: string): readonly ModelTarget[] {
 		return this.#targets.get(model) ?? [];
@@ -206,7 +223,7 @@
 		const countedMs = ageMs ?? this.#initialTargetAgeMs();
 		const now = this.#clock.monotonic();
 		const targets = [...this.targetsOf(model), {
-			model, version, learnedAt: now - countedMs, namedBefore: now,
+			model, version, learnedAt: now - countedMs, namedBefore: now, isWitnessed: ageMs !== undefined,
 		}];
 		this.#targets.set(model, targets.slice(-MAX_TARGETS));
 		this.#log.info('New target version.', {
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -165,6 +165,9 @@
 
 	/** Monotonic time at which the version was known to be named for certain, here or at a peer. */
 	readonly namedBefore: number;
+
+	/** Whether this process followed the named versions before, so that it had learned of the version late, but not any time before. */
+	readonly isWitnessed: boolean;
 };
 
 /** How long a process has known for certain that a version was named. */
@@ -172,6 +175,9 @@
 	readonly model: string;
 	readonly version: number;
 	readonly ageMs: number;
+
+	/** Whether that process followed the named versions before it learned of this one. */
+	readonly isWitnessed: boolean;
 };
 
 /** State of an upstream as the agent beside it sees it. */
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -68,5 +68,12 @@
 /** Pause after a write of the directory, in which the watch delivers it. */
 export const DIRECTORY_WRITE_RETRY_MS = 1000;
 
-/** Peers that are asked for the age of a version; among as many entries of the larger deployments one is next to the store in 97 of 100 cases. */
-export const AGE_PEERS = 6;
+/** Peers that are asked for the age of a version, so that one next to the store is among them. */
+export const AGE_PEERS = 10;
+
+/** Peers that must have followed the versions before, so that what they know replaces a cautious assumption. */
+export const AGE_WITNESSES = 3;
+
+/** Questions until enough of them know of the version, and the pause between two. */
+export const AGE_QUESTIONS = 4;
+export const AGE_QUESTION_MS = 500;
--- a/packages/node/src/target-ages.test.ts
+++ b/packages/node/src/target-ages.test.ts
@@ -61,4 +61,30 @@
 		await clock.sleep(150);
 		expect(other.targetOf('m')!.learnedAt).to.be.at.least(namedAt);
 	});
+
+	it('does not count an outage of the store for all against a version, so that engines have time to load it', async () => {
+		const others = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [])));
+		const late = await start('127.0.73.8', [1, 2, 3].map(index => `127.0.73.${index}:${PORT}`));
+		const returnedAt = clock.monotonic();
+		for (const view of [late, ...others]) {
+			name(view, 2, 9000);
+		}
+
+		expect(late.targetOf('m')!.learnedAt).to.be.below(returnedAt - 8000);
+		await clock.sleep(150);
+		expect(late.targetOf('m')!.learnedAt).to.be.at.least(returnedAt);
+	});
+
+	it('stays cautious while its peers have just started and cannot tell', async () => {
+		const started = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [])));
+		const late = await start('127.0.73.8', [1, 2, 3].map(index => `127.0.73.${index}:${PORT}`));
+		for (const view of started) {
+			view.apply({kind: 'target', model: 'm', version: 2}, {revision: 2, mayBeLapse: false});
+		}
+
+		const learnedAt = clock.monotonic();
+		name(late, 2, 9000);
+		await clock.sleep(150);
+		expect(late.targetOf('m')!.learnedAt).to.be.below(learnedAt - 8000);
+	});
 });
--- a/packages/node/src/target-ages.ts
+++ b/packages/node/src/target-ages.ts
@@ -2,13 +2,17 @@
 Asks peers for how long they have known of a version when this process learns of it.
 
 News may arrive late here without a sign, because the way to the store was slow for a moment. Ages are durations, so clocks
-need not agree, and peers nearer to the store learn earlier.
+need not agree, and peers nearer to the store learn earlier. Where no peer has known for longer, the store was away for all.
 */
 import {
-	describeError, type Log, type PeerClient, type PeerServer, type Random,
+	delay, describeError, type Log, type PeerClient, type PeerServer, type Random,
 } from '@yuccawood/common';
-import {PEER_CALL_TIMEOUT_MS, type FleetView, type TargetAge} from '@yuccawood/fleet';
-import {AGE_PEERS} from './constants.js';
+import {
+	PEER_CALL_TIMEOUT_MS, type FleetView, type ModelTarget, type TargetAge,
+} from '@yuccawood/fleet';
+import {
+	AGE_PEERS, AGE_QUESTION_MS, AGE_QUESTIONS, AGE_WITNESSES,
+} from './constants.js';
 
 const AGES_METHOD = 'fleet.targetAges';
 
@@ -41,28 +45,45 @@
 	}
 
 	async #askOfNew(): Promise<void> {
-		const {view, random, addresses} = this.#options;
-		const fresh = view.targets.map(({model, version}) => `${model}@${version}`).filter(name => !this.#asked.has(name));
-		if (fresh.length === 0) {
-			return;
+		const fresh = this.#options.view.targets.filter(target => !this.#asked.has(nameOf(target)));
+		for (const target of fresh) {
+			this.#asked.add(nameOf(target));
 		}
 
-		for (const name of fresh) {
-			this.#asked.add(name);
+		for (let question = 0; question < AGE_QUESTIONS && fresh.length > 0; question++) {
+			const answers = await this.#askPeers();
+			for (const target of fresh.filter(other => isWitnessedBy(answers, other))) {
+				this.#options.view.settleTarget(target);
+				fresh.splice(fresh.indexOf(target), 1);
+			}
+
+			await delay(AGE_QUESTION_MS);
 		}
+	}
 
-		await Promise.all(random.sample(addresses(), AGE_PEERS).map(async address => this.#ask(address)));
+	/** @returns the answers of those that answered */
+	async #askPeers(): Promise<ReadonlyArray<readonly TargetAge[]>> {
+		const {random, addresses} = this.#options;
+		return Promise.all(random.sample(addresses(), AGE_PEERS).map(async address => this.#ask(address)));
 	}
 
-	async #ask(address: string): Promise<void> {
+	async #ask(address: string): Promise<readonly TargetAge[]> {
 		const {view, peers, log} = this.#options;
 		try {
 			const ages = await peers.call<readonly TargetAge[]>(address, AGES_METHOD, {}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
 			for (const age of ages) {
 				view.noteTargetAge(age);
 			}
+
+			return ages;
 		} catch (error) {
 			log.info('A peer did not tell for how long it knows the versions.', {address, error: describeError(error)});
+			return [];
 		}
 	}
 }
+
+const nameOf = ({model, version}: Pick<ModelTarget, 'model' | 'version'>): string => `${model}@${version}`;
+
+const isWitnessedBy = (answers: ReadonlyArray<readonly TargetAge[]>, target: ModelTarget): boolean =>
+	answers.filter(ages => ages.some(age => age.isWitnessed && nameOf(age) === nameOf(target))).length >= AGE_WITNESSES;
