Leave feeds of agents whose lines have no end or are no reports

The entry kept the unfinished line of an agent's feed without a bound and split it anew with each part. Lines that are no report each gave a warning, and the feed was read on. A process that took over the address of an agent could so fill an entry's memory and log.

A line has 16 Ki characters; a feed with a longer one, or with a line that is no report, is closed and called again after the usual pause, which the log tells.

--- a/packages/reports/src/constants.ts
+++ b/packages/reports/src/constants.ts
@@ -8,6 +8,9 @@
 /** Bytes that may wait for a slow reader before its connection is cut. */
 export const MAX_PENDING_BYTES = 16 * 1024;
 
+/** Longest line of a feed; a report takes a few hundred characters. */
+export const MAX_LINE_CHARACTERS = 16 * 1024;
+
 /** First and longest pause before an agent is called again. */
 export const RECONNECT_MS = 250;
 export const MAX_RECONNECT_MS = 1000;
--- a/packages/reports/src/report-reader.ts
+++ b/packages/reports/src/report-reader.ts
@@ -5,7 +5,7 @@
 } from '@yuccawood/common';
 import type {UpstreamReport} from '@yuccawood/fleet';
 import {
-	CONNECT_TIMEOUT_MS, FEED_PATH, MAX_RECONNECT_MS, RECONNECT_MS, SILENT_FEED_MS,
+	CONNECT_TIMEOUT_MS, FEED_PATH, MAX_LINE_CHARACTERS, MAX_RECONNECT_MS, RECONNECT_MS, SILENT_FEED_MS,
 } from './constants.js';
 
 export type ReportReaderOptions = {
@@ -92,7 +92,11 @@
 					expect(SILENT_FEED_MS);
 					const lines = (partial + text).split('\n');
 					partial = lines.pop()!;
-					this.#takeLast(lines);
+					if (partial.length > MAX_LINE_CHARACTERS) {
+						finish(new Error(`a line exceeds ${MAX_LINE_CHARACTERS} characters`));
+					} else if (!this.#takeLast(lines)) {
+						finish(new Error('a line is no report'));
+					}
 				});
 				response.on('end', () => {
 					finish(new Error('the agent closed the feed'));
@@ -117,18 +121,18 @@
 		});
 	}
 
-	/** Only the newest of several lines that arrived together matters. */
-	#takeLast(lines: readonly string[]): void {
+	/** Only the newest of several lines that arrived together matters. @returns whether it was a report */
+	#takeLast(lines: readonly string[]): boolean {
 		const line = lines.at(-1);
 		if (line === undefined) {
-			return;
+			return true;
 		}
 
 		try {
 			const report: unknown = JSON.parse(line);
 			if (isReport(report)) {
 				this.#options.onReport(report);
-				return;
+				return true;
 			}
 		} catch {
 			// Reported below like any other line that is no report.
@@ -136,5 +140,6 @@
 
 		this.#options.metrics.count('reports.unreadable_lines');
 		this.#log.warn('An agent sent a line that is no report.', {line: line.slice(0, 80)});
+		return false;
 	}
 }
