Bound the answers of the store, the origin, engines and peers

Calls to services of the platform and to peers collected whatever body came, as long as the time limit lasted, at the speed of the link: up to 8 s in the tests, 30 s and more for a watch. Reads of the origin restarted their time limit with every byte, so that a trickle held one of its few connections for ever.

An answer has 16 MiB, more than a page of the store or a chunk of weights; beyond that the call fails and its connection is closed. A time limit that restarts with the body does so only for each KiB of it.

--- a/packages/common/src/constants.ts
+++ b/packages/common/src/constants.ts
@@ -4,6 +4,9 @@
 /** Largest body of a JSON-RPC message, in bytes. A configuration document is at most one megabyte. */
 export const MAX_RPC_BODY_BYTES = 4 * 1024 * 1024;
 
+/** Largest answer to a JSON-RPC call, in bytes. It may hold all that a peer knows. */
+export const MAX_RPC_ANSWER_BYTES = 16 * 1024 * 1024;
+
 /** Time that a JSON-RPC call may take when its caller names no other limit. */
 export const DEFAULT_RPC_TIMEOUT_MS = 2000;
 
--- a/packages/common/src/peer-client.ts
+++ b/packages/common/src/peer-client.ts
@@ -1,6 +1,7 @@
 import {Pool, request, Agent} from 'undici';
-import {CONNECTIONS_PER_PEER, DEFAULT_RPC_TIMEOUT_MS} from './constants.js';
+import {CONNECTIONS_PER_PEER, DEFAULT_RPC_TIMEOUT_MS, MAX_RPC_ANSWER_BYTES} from './constants.js';
 import {describeError} from './errors.js';
+import {readBody} from './http-bodies.js';
 import {RpcError} from './rpc-errors.js';
 
 export type PeerClientOptions = {
@@ -75,7 +76,7 @@
 			const response = await request(`http://${address}/rpc`, {
 				dispatcher, method: 'POST', body, headers: {'content-type': 'application/json'}, signal: AbortSignal.timeout(timeoutMs),
 			});
-			return await response.body.text();
+			return new TextDecoder().decode(await readBody(response.body, MAX_RPC_ANSWER_BYTES));
 		} catch (error) {
 			if (NOT_CONNECTED_CODES.has(errorCode(error))) {
 				throw new RpcError({
--- a/packages/interfaces/src/constants.ts
+++ b/packages/interfaces/src/constants.ts
@@ -12,3 +12,9 @@
 
 /** Time that a long poll may take beyond the time its caller asked for. */
 export const WATCH_MARGIN_MS = 2000;
+
+/** Largest answer of a service of the platform. A page of the key-value service and a chunk of weights are smaller. */
+export const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** Bytes of a body within its idle time limit; fewer are a trickle. */
+export const MIN_PROGRESS_BYTES = 1024;
--- a/packages/interfaces/src/http-caller.ts
+++ b/packages/interfaces/src/http-caller.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {Pool} from 'undici';
 import {describeError, Err, Ok} from '@yuccawood/common';
-import {CONNECT_TIMEOUT_MS} from './constants.js';
+import {CONNECT_TIMEOUT_MS, MAX_ANSWER_BYTES, MIN_PROGRESS_BYTES} from './constants.js';
 import {PlatformError, type PlatformErrorKind} from './errors.js';
 import type {Outcome} from './types.js';
 import {FAILURE_STATUS, type FailureBody} from './wire.js';
@@ -13,10 +13,10 @@
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly timeoutMs?: number;
 
-	/** Restarts the time limit with each part of the body. */
+	/** Restarts the time limit with each {@link MIN_PROGRESS_BYTES} of the body. */
 	readonly isIdleTimeout?: boolean;
 
-	/** Time limit between two parts of the body, instead of the time limit of the call, once the head of the answer has arrived. */
+	/** Time limit for each {@link MIN_PROGRESS_BYTES} of the body, instead of the time limit of the call, once the head of the answer has arrived. */
 	readonly idleTimeoutMs?: number;
 
 	/** Called when the head of the answer has arrived. */
@@ -93,15 +93,13 @@
 				timer = setTimeout(expire, idleTimeoutMs, idleTimeoutMs);
 			}
 
-			const parts: Uint8Array[] = [];
-			for await (const part of response.body as AsyncIterable<Uint8Array>) {
-				parts.push(part);
+			const bytes = await readAnswer(response.body, () => {
 				if (isIdleTimeout || idleTimeoutMs !== undefined) {
 					timer.refresh();
 				}
-			}
+			});
 
-			return Ok({status: response.statusCode, bytes: Buffer.concat(parts), transferMs: performance.now() - headAt});
+			return Ok({status: response.statusCode, bytes, transferMs: performance.now() - headAt});
 		} catch (error) {
 			return Err(lostAnswer(error, subject, method !== 'GET'));
 		} finally {
@@ -123,6 +121,27 @@
 	}
 }
 
+/** @param onProgress called whenever enough of the body has arrived to count as progress */
+const readAnswer = async (body: AsyncIterable<Uint8Array>, onProgress: () => void): Promise<Uint8Array> => {
+	const parts: Uint8Array[] = [];
+	let size = 0;
+	let progressAt = 0;
+	for await (const part of body) {
+		size += part.byteLength;
+		if (size > MAX_ANSWER_BYTES) {
+			throw new Error(`the answer exceeds ${MAX_ANSWER_BYTES} bytes`);
+		}
+
+		parts.push(part);
+		if (size - progressAt >= MIN_PROGRESS_BYTES) {
+			progressAt = size;
+			onProgress();
+		}
+	}
+
+	return Buffer.concat(parts, size);
+};
+
 const parse = <Value>(bytes: Uint8Array | undefined, path: string, method: string) => {
 	try {
 		return Ok((bytes === undefined ? undefined : JSON.parse(new TextDecoder().decode(bytes))) as Value);
