Pass over a region whose members do not answer for pieces

Cause: regions form a chain for pieces, and a reader asked every member of the region before its own, 2.5 s each, before it went on to the region before that or to the origin.

A region of which two members failed is now passed over. Tests: "expected 'north-6' to match /^east/" and "expected 'north-5' to equal 'origin'" before.

--- a/packages/weights/src/star-plan.test.ts
+++ b/packages/weights/src/star-plan.test.ts
@@ -67,4 +67,27 @@
 			expect(counts.get('origin') ?? 0).to.be.at.most(48);
 		});
 	});
+
+	describe('a region that does not answer', () => {
+		const sourceOf = (avoided: readonly string[]) => new StarPlanner().plan({
+			index: 0, chunks, manifest: MANIFEST, selfId: 'west-0', region: 'west', storeRegion: 'east', participants: [...fleet({east: 6, north: 8}), member('west-0', 'west')],
+			isAvoided: id => avoided.includes(id), tree: {key: chunks[0], isReversed: false},
+		}).source;
+		const idOf = (avoided: readonly string[]): string => {
+			const source = sourceOf(avoided);
+			return source.kind === 'peer' ? source.id : source.kind;
+		};
+
+		it('is passed over after two of its members failed, instead of asking each of them in turn', () => {
+			const first = idOf([]);
+			expect(first).to.match(/^north/);
+			const second = idOf([first]);
+			expect(second).to.match(/^north/);
+			expect(idOf([first, second])).to.match(/^east/);
+		});
+
+		it('leaves the origin when no region before this one answers', () => {
+			expect(idOf(['north-0', 'north-1', 'east-0', 'east-1'])).to.equal('origin');
+		});
+	});
 });
--- a/packages/weights/src/star-plan.ts
+++ b/packages/weights/src/star-plan.ts
@@ -20,6 +20,12 @@
 /** Share of a region's members that must hold a version before they alone serve the others: fewer uplinks would be too slow. */
 const HOLDER_SHARE = 0.5;
 
+/**
+Members of a region that failed, from which on the region is passed over: its link is down or full. Asking all of them in
+turn would take a time limit each.
+*/
+const FAILED_READERS = 2;
+
 /** Members that may read for a region: those that hold the version already, if they are many, or else all. */
 const candidatesOf = (members: readonly MemberRecord[], region: string, manifest: string): readonly string[] => {
 	const local = members.filter(member => member.region === region);
@@ -76,6 +82,11 @@
 			.filter(member => member.id !== selfId && isHolder(member, manifest) && !isAvoided(member.id)).map(({id}) => id)).at(0);
 		const chain = [storeRegion, ...[...new Set(participants.map(member => member.region))].filter(other => other !== storeRegion).sort()];
 		for (const before of chain.slice(0, Math.max(0, chain.indexOf(region))).reverse()) {
+			const candidates = candidatesOf(participants, before, manifest);
+			if (candidates.filter(id => isAvoided(id)).length >= FAILED_READERS) {
+				continue;
+			}
+
 			const reader = readerIn(before);
 			if (reader !== undefined && reader !== selfId) {
 				return {source: sourceOf(reader), position: 0, hasSibling: false};
