Ask neighbours and the origin for digests at the same time

Cause: members were asked one after the other, of any region, with 0.8 s each, then the origin with 1 s; with the links between regions full, each round took 3 s and more.

Members of the own region are asked first, all questions are open at the same time, and the first answer counts.

--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -5,6 +5,7 @@
 import {
 	CUT_STREAMS, DIGEST_RETRY_MS, DRAIN_TIMEOUT_MS, LOAD_TIMEOUT_MS, STEP_RETRY_MS, SWITCH_NOTICE_MS, VERIFICATION_LIFE_MS,
 } from './constants.js';
+import {firstAnswer} from './digest-peers.js';
 import type {IndexedOrigin} from './indexed-origin.js';
 import type {Stage} from './stage.js';
 import {toStagedManifest, type StagedManifest} from './staged-manifest.js';
@@ -139,8 +140,15 @@
 	const originFrom = clock.monotonic() + digestPatienceMs(version);
 	while (!signal.aborted) {
 		const mayAskOrigin = clock.monotonic() >= originFrom;
-		const digests = mayAskOrigin ? await origin()?.digests(name, version) : undefined;
-		const told = digests?.ok ? digests.val : await askDigests(name, version);
+		let error = 'no usable answer';
+		const readOrigin = async (): Promise<VersionDigests | undefined> => {
+			const digests = await origin()?.digests(name, version);
+			error = digests?.err ? digests.val.message : error;
+			return digests?.ok ? digests.val : undefined;
+		};
+
+		// An origin that hangs does not hold up what a member knows by now.
+		const told = await firstAnswer([...(mayAskOrigin ? [readOrigin()] : []), askDigests(name, version)]);
 		const manifest = told && toStagedManifest(told);
 		if (manifest && seen.has(manifest.hash)) {
 			return manifest;
@@ -153,7 +161,7 @@
 
 		if (mayAskOrigin) {
 			log.warn('The digests of a version cannot be read; trying again.', {
-				model: name, version, error: digests?.err ? digests.val.message : 'no usable answer',
+				model: name, version, error,
 			});
 		}
 
--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -8,9 +8,10 @@
 import {StarPlanner} from '../star-plan.js';
 import type {WeightSettings} from '../types.js';
 import {
-	DIGEST_PATIENCE_MS, DIGEST_PEERS, DIGEST_READERS, FIRST_WAVE_SHARE, IDLE_TRANSFER_SHARE, ORIGIN_RETRY_LIMIT_MS, REMEMBERED_VERSIONS, REPORT_POLL_MS,
+	DIGEST_PATIENCE_MS, DIGEST_READERS, FIRST_WAVE_SHARE, IDLE_TRANSFER_SHARE, ORIGIN_RETRY_LIMIT_MS, REMEMBERED_VERSIONS, REPORT_POLL_MS,
 	EXPECTED_SWITCH_MS, EXPECTED_TRANSFER_SHARE, SERVING_TRANSFER_SHARE, TIME_BALANCE, TRANSFER_MARGIN_MS, TRANSFER_ORDER_MS, UPLOAD_SHARE,
 } from './constants.js';
+import {digestPeers, firstAnswer} from './digest-peers.js';
 import {IndexedOrigin} from './indexed-origin.js';
 import {Stage} from './stage.js';
 import type {StagedManifest} from './staged-manifest.js';
@@ -341,23 +342,16 @@
 		return topRanked(String(version), this.#options.members.members.map(({id}) => id), DIGEST_READERS);
 	}
 
-	/** Asks members for the digests of a version, readers first. Wrong ones are harmless: no piece verifies against them. */
+	/** Asks members for the digests of a version. Wrong ones are harmless: no piece verifies against them. */
 	async #askDigests(model: string, version: number): Promise<VersionDigests | undefined> {
-		const {members, selfId, random = systemRandom(), askPeer} = this.#options;
-		const readers = this.#digestReaders(version);
-		const others = members.members.filter(({id}) => id !== selfId);
-		const asked = [
-			...random.sample(others.filter(({id}) => readers.includes(id)), DIGEST_PEERS),
-			...random.sample(others.filter(({id}) => !readers.includes(id)), 1),
-		];
-		for (const {address} of asked) {
+		const {members, random = systemRandom(), askPeer} = this.#options;
+		const asked = digestPeers({
+			members: members.members, self: members.self, readers: this.#digestReaders(version), random,
+		});
+		return firstAnswer(asked.map(async ({address}) => {
 			const digests = await askPeer<VersionDigests | null>(address, DIGESTS_METHOD, {model, version}); // eslint-disable-line @typescript-eslint/no-restricted-types
-			if (digests) {
-				return digests;
-			}
-		}
-
-		return undefined;
+			return digests ?? undefined;
+		}));
 	}
 
 	/** Whether this engine's group may switch; an engine that serves nothing waits for nobody. */
