Log what a transfer of weights waits for

Agents now log how long the digests and the list of members took, and every 2 s of an unfinished transfer how many pieces are missing and which sources (4 at most) hold open requests.

--- a/packages/weights/src/chunk-fetcher.ts
+++ b/packages/weights/src/chunk-fetcher.ts
@@ -67,11 +67,17 @@
 
 export class ChunkFetcher {
 	readonly #options: ChunkFetcherOptions;
+	readonly #awaited = new Map<string, number>();
 
 	constructor(options: ChunkFetcherOptions) {
 		this.#options = options;
 	}
 
+	/** Requests that wait for an answer, by source: ids of members, or `origin`. */
+	get awaited(): ReadonlyMap<string, number> {
+		return this.#awaited;
+	}
+
 	/** @returns the chunk, or nothing when the signal aborted. */
 	async fetch(task: ChunkTask): Promise<VerifiedChunk | undefined> {
 		const {clock, avoidance} = this.#options;
@@ -81,7 +87,7 @@
 		try {
 			while (!task.signal.aborted) {
 				const plan = this.#plan(task, state);
-				const chunk = plan.source.kind === 'origin' ? await this.#readOrigin(task, state) : await this.#askPeer(task, plan, plan.source, state);
+				const chunk = await this.#ask(task, plan, state);
 				if (chunk) {
 					return chunk;
 				}
@@ -98,6 +104,22 @@
 		return this.#plan({...place, hash: place.chunks[place.index]}, {asksSibling: false}).position === 0;
 	}
 
+	async #ask(task: ChunkTask, plan: Plan, state: FetchState): Promise<VerifiedChunk | undefined> {
+		const {source} = plan;
+		const name = source.kind === 'origin' ? source.kind : source.id;
+		this.#awaited.set(name, (this.#awaited.get(name) ?? 0) + 1);
+		try {
+			return await (source.kind === 'origin' ? this.#readOrigin(task, state) : this.#askPeer(task, plan, source, state));
+		} finally {
+			const left = this.#awaited.get(name)! - 1;
+			if (left > 0) {
+				this.#awaited.set(name, left);
+			} else {
+				this.#awaited.delete(name);
+			}
+		}
+	}
+
 	#plan({hash, tree, manifest, index, chunks}: Pick<ChunkTask, 'hash' | 'tree' | 'manifest' | 'index' | 'chunks'>, {asksSibling}: Pick<FetchState, 'asksSibling'>): Plan {
 		const {selfId, service, storeRegion, members, avoidance, planner} = this.#options;
 		return planner.plan({
--- a/packages/weights/src/staged/constants.ts
+++ b/packages/weights/src/staged/constants.ts
@@ -58,6 +58,10 @@
 /** Pieces that are requested from peers at the same time, besides those that this member passes on. */
 export const OUTSTANDING_PIECES = 10;
 
+/** Interval at which an unfinished transfer is logged, and the sources named in a line. */
+export const TRANSFER_LOG_MS = 2000;
+export const LOGGED_SOURCES = 4;
+
 /** Idle time that the pace of a transfer may make up for. */
 export const PACE_BURST_MS = 150;
 
--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -9,6 +9,7 @@
 import type {IndexedOrigin} from './indexed-origin.js';
 import type {Stage} from './stage.js';
 import {toStagedManifest, type StagedManifest} from './staged-manifest.js';
+import {logTransfer} from './transfer-log.js';
 import {transferStaged} from './staged-transfer.js';
 import type {TransferProgress} from './transfer-rate.js';
 import type {
@@ -99,13 +100,22 @@
 	pieces.register(manifest);
 	// Before anything is awaited: the rollout of an older version releases all manifests but its own and the newest known.
 	options.onManifest(manifest);
+	const manifestAt = clock.monotonic();
 	await options.refreshMembers();
+	log.info('The members of the transfer are known.', {
+		version: target.version, digestsMs: Math.round(manifestAt - startedAt), membersMs: Math.round(clock.monotonic() - manifestAt),
+	});
 	const adopted = await stage.adopt(manifest, signal);
 	const totalBytes = manifest.manifest.sizeBytes;
+	const transferred = new AbortController();
+	void logTransfer({
+		version: target.version, missing: () => manifest.manifest.chunks.filter(hash => !store.has(hash)).length, awaited: () => fetcher.awaited, clock, log,
+	}, AbortSignal.any([transferred.signal, signal]));
 	await transferStaged({
 		staged: manifest, store, fetcher, selfId: options.selfId, clock, signal,
 		bytesPerSecond: remainingBytes => options.paceOf({totalBytes, remainingBytes, startedAt}), onOwnPieces: options.onOwnPieces, onTurn: options.onTurnToFetch,
 	});
+	transferred.abort();
 	if (signal.aborted) {
 		store.release(manifest.hash);
 		return;
