--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -5,9 +5,11 @@
 import {
 	CUT_STREAMS, DIGEST_RETRY_MS, DRAIN_TIMEOUT_MS, LOAD_TIMEOUT_MS, STEP_RETRY_MS, SWITCH_NOTICE_MS, VERIFICATION_LIFE_MS,
 } from './constants.js';
+import {firstAnswer} from './digest-peers.js';
 import type {IndexedOrigin} from './indexed-origin.js';
 import type {Stage} from './stage.js';
 import {toStagedManifest, type StagedManifest} from './staged-manifest.js';
+import {logTransfer} from './transfer-log.js';
 import {transferStaged} from './staged-transfer.js';
 import type {TransferProgress} from './transfer-rate.js';
 import type {
@@ -98,13 +100,22 @@
 	pieces.register(manifest);
 	// Before anything is awaited: the rollout of an older version releases all manifests but its own and the newest known.
 	options.onManifest(manifest);
+	const manifestAt = clock.monotonic();
 	await options.refreshMembers();
+	log.info('The members of the transfer are known.', {
+		version: target.version, digestsMs: Math.round(manifestAt - startedAt), membersMs: Math.round(clock.monotonic() - manifestAt),
+	});
 	const adopted = await stage.adopt(manifest, signal);
 	const totalBytes = manifest.manifest.sizeBytes;
+	const transferred = new AbortController();
+	void logTransfer({
+		version: target.version, missing: () => manifest.manifest.chunks.filter(hash => !store.has(hash)).length, awaited: () => fetcher.awaited, clock, log,
+	}, AbortSignal.any([transferred.signal, signal]));
 	await transferStaged({
 		staged: manifest, store, fetcher, selfId: options.selfId, clock, signal,
 		bytesPerSecond: remainingBytes => options.paceOf({totalBytes, remainingBytes, startedAt}), onOwnPieces: options.onOwnPieces, onTurn: options.onTurnToFetch,
 	});
+	transferred.abort();
 	if (signal.aborted) {
 		store.release(manifest.hash);
 		return;
@@ -139,8 +150,15 @@
 	const originFrom = clock.monotonic() + digestPatienceMs(version);
 	while (!signal.aborted) {
 		const mayAskOrigin = clock.monotonic() >= originFrom;
-		const digests = mayAskOrigin ? await origin()?.digests(name, version) : undefined;
-		const told = digests?.ok ? digests.val : await askDigests(name, version);
+		let error = 'no usable answer';
+		const readOrigin = async (): Promise<VersionDigests | undefined> => {
+			const digests = await origin()?.digests(name, version);
+			error = digests?.err ? digests.val.message : error;
+			return digests?.ok ? digests.val : undefined;
+		};
+
+		// An origin that hangs does not hold up what a member knows by now.
+		const told = await firstAnswer([...(mayAskOrigin ? [readOrigin()] : []), askDigests(name, version)]);
 		const manifest = told && toStagedManifest(told);
 		if (manifest && seen.has(manifest.hash)) {
 			return manifest;
@@ -153,7 +171,7 @@
 
 		if (mayAskOrigin) {
 			log.warn('The digests of a version cannot be read; trying again.', {
-				model: name, version, error: digests?.err ? digests.val.message : 'no usable answer',
+				model: name, version, error,
 			});
 		}
 
