--- a/packages/bench/src/fleet/child.ts
+++ b/packages/bench/src/fleet/child.ts
@@ -20,6 +20,9 @@
 
 	/** Variables added to the environment. */
 	readonly environment?: Readonly<Record<string, string>>;
+
+	/** Told all that the process writes, for logs that outlive the kept lines. */
+	readonly onOutput?: (text: string) => void;
 };
 
 /** Path of a compiled program of a workspace package. */
@@ -34,12 +37,14 @@
 	/** Resolves when the process has ended. */
 	readonly exited: Promise<void>;
 	readonly #process: ChildProcess;
+	readonly #onOutput: ((text: string) => void) | undefined;
 	readonly #lines: string[] = [];
 	#exitCode: number | undefined;
 
-	constructor({name, script, args, environment = {}}: ChildOptions) {
+	constructor({name, script, args, environment = {}, onOutput}: ChildOptions) {
 		this.name = name;
 		this.args = args;
+		this.#onOutput = onOutput;
 		this.#process = spawn(process.execPath, ['--enable-source-maps', script, ...args], {stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...environment}});
 		this.#process.stdout?.on('data', data => {
 			this.#keep(String(data));
@@ -113,6 +118,7 @@
 	}
 
 	#keep(text: string): void {
+		this.#onOutput?.(text);
 		this.#lines.push(...text.split('\n').filter(line => line !== ''));
 		this.#lines.splice(0, Math.max(0, this.#lines.length - MAX_KEPT_LINES));
 	}
--- a/packages/bench/src/platform-soak.ts
+++ b/packages/bench/src/platform-soak.ts
@@ -1,4 +1,6 @@
 /** `npm run platform-soak -- --seed S --seconds T`: a randomised run of entries and agents against stand-ins of the platform. */
+import {appendFileSync} from 'node:fs';
+import path from 'node:path';
 import process from 'node:process';
 import {Command} from 'commander';
 import {runPlatformSoak} from './platform-soak/run-platform-soak.js';
@@ -11,11 +13,17 @@
 	.option('--entries <number>', 'entries', String(USUAL_SIZE.entries))
 	.option('--engines <number>', 'model engines, each with an agent', String(USUAL_SIZE.engines))
 	.option('--plain <number>', 'plain upstreams', String(USUAL_SIZE.plain))
-	.action(async ({seed, seconds, entries, engines, plain}: Readonly<Record<'seed' | 'seconds' | 'entries' | 'engines' | 'plain', string>>) => {
+	.option('--logs <directory>', 'existing directory to which the output of each process is appended')
+	.action(async ({seed, seconds, entries, engines, plain, logs}: Readonly<Record<'seed' | 'seconds' | 'entries' | 'engines' | 'plain', string>> & {readonly logs?: string}) => {
 		const startedAt = performance.now();
 		process.stderr.write(`Seed ${seed}.\n`);
 		const {breaches, ...counts} = await runPlatformSoak({
 			seed, seconds: Number(seconds), size: {entries: Number(entries), engines: Number(engines), plain: Number(plain)},
+			onOutput: logs === undefined
+				? undefined
+				: (vm, text) => {
+					appendFileSync(path.join(logs, `${vm}.log`), text);
+				},
 			progress(line) {
 				process.stderr.write(`${((performance.now() - startedAt) / 1000).toFixed(1)} s  ${line}\n`);
 			},
--- a/packages/bench/src/platform-soak/node-process.ts
+++ b/packages/bench/src/platform-soak/node-process.ts
@@ -24,6 +24,9 @@
 export type NodeProcessOptions = Parameters<typeof settingsText>[0] & {
 	readonly role: 'entry' | 'agent';
 	readonly bounds: FleetBounds;
+
+	/** Told all that the process writes. */
+	readonly onOutput: ((text: string) => void) | undefined;
 	readonly now: () => number;
 };
 
@@ -129,6 +132,7 @@
 			const child = new Child({
 				name: this.name, script: programOf('node'), args: [role],
 				environment: {...settingsEnvironment(this.#file), NODE_OPTIONS: RUNTIME_FLAGS[role]},
+				onOutput: this.#options.onOutput,
 			});
 			this.#child = child;
 			this.#isAskedToEnd = false;
--- a/packages/bench/src/platform-soak/run-platform-soak.ts
+++ b/packages/bench/src/platform-soak/run-platform-soak.ts
@@ -37,17 +37,20 @@
 
 const boundsOf = (random: Random): FleetBounds => ({...USUAL_BOUNDS, versionMs: 3000 + Math.round(random.next() * 2000), stableMs: 1000});
 
-export const runPlatformSoak = async ({seed, seconds, progress, size = USUAL_SIZE}: {
+export const runPlatformSoak = async ({seed, seconds, progress, onOutput, size = USUAL_SIZE}: {
 	readonly seed: string;
 	readonly seconds: number;
 	readonly progress: (line: string) => void;
 	readonly size?: FleetSize;
+
+	/** Told all that the processes write. */
+	readonly onOutput?: (vm: string, text: string) => void;
 }): Promise<PlatformSoakResult> => {
 	const startedAt = performance.now();
 	const now = (): number => performance.now();
 	const bounds = boundsOf(seededRandom(`${seed} bounds`));
 	const fleet = new SoakFleet({
-		random: seededRandom(`${seed} upstreams`), now, size, bounds,
+		random: seededRandom(`${seed} upstreams`), now, size, bounds, onOutput,
 	});
 	const exchanges: Exchange[] = [];
 	const breaches: Breach[] = [];
--- a/packages/bench/src/platform-soak/soak-fleet.ts
+++ b/packages/bench/src/platform-soak/soak-fleet.ts
@@ -53,19 +53,22 @@
 	readonly #now: () => number;
 	readonly #size: FleetSize;
 	readonly #bounds: FleetBounds;
+	readonly #onOutput: ((vm: string, text: string) => void) | undefined;
 	readonly #misses: number[] = [];
 	#timer: NodeJS.Timeout | undefined;
 
-	constructor({random, now, size, bounds}: {
+	constructor({random, now, size, bounds, onOutput}: {
 		readonly random: Random;
 		readonly now: () => number;
 		readonly size: FleetSize;
 		readonly bounds: FleetBounds;
+		readonly onOutput: ((vm: string, text: string) => void) | undefined;
 	}) {
 		this.#random = random;
 		this.#now = now;
 		this.#size = size;
 		this.#bounds = bounds;
+		this.#onOutput = onOutput;
 		this.disruptions = new Disruptions({now});
 	}
 
@@ -169,10 +172,10 @@
 		}
 	}
 
-	async #startProcess(options: Omit<NodeProcessOptions, 'storeAddress' | 'bounds' | 'now'>): Promise<NodeProcess> {
+	async #startProcess(options: Omit<NodeProcessOptions, 'storeAddress' | 'bounds' | 'now' | 'onOutput'>): Promise<NodeProcess> {
 		const path = new TcpRelay({target: this.store.address});
 		const node = new NodeProcess({
-			...options, storeAddress: await path.listen(), bounds: this.#bounds, now: this.#now,
+			...options, storeAddress: await path.listen(), bounds: this.#bounds, now: this.#now, onOutput: this.#onOutput && (text => this.#onOutput?.(options.vm, text)),
 		});
 		this.storePaths.set(node, path);
 		await node.start();
