--- a/packages/bench/src/platform-soak/caller.ts
+++ b/packages/bench/src/platform-soak/caller.ts
@@ -10,7 +10,7 @@
 const LONGEST_PAUSE_MS = 120;
 
 /** Bytes of an answer that are kept; more come only in answers without an end. */
-const MAX_BODY_LENGTH = 16 * 1024;
+const MAX_BODY_LENGTH = 1024 * 1024;
 
 type Entry = {readonly index: number; readonly ip: string};
 
