Keep the pieces of every version that waits for the engine

Cause: rollouts whose pieces are held wait for each other. The first one that went on released all manifests but its own and the newest, so also those of the versions between. When the turn of such a version came, its stage could never become whole; it waited for ever, and all newer rollouts behind it.

Log of agent-0: pieces of 5, 6, 7, 9, 10 and 14 held; orders for 5 and 6; after that no order, although 14 was held 1.6 s later.

Now a rollout that goes on keeps the pieces of all newer ones, and it ends at once when the pieces of a newer one are held: the engine loads the newest that it can. The older one is not needed any more, since nothing of the newer has to arrive.

--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -63,11 +63,11 @@
 	/** Asks members for the digests of a version. */
 	readonly askDigests: (model: string, version: number) => Promise<VersionDigests | undefined>;
 
-	/** Called when all pieces are held; resolves when the engine is free for this version. */
+	/** Called when all pieces are held; resolves when the engine is free for this version, or a newer one takes its place. */
 	readonly onPieces: () => Promise<void>;
 
-	/** Manifest of the newest version whose transfer has begun; its pieces are kept. */
-	readonly newestManifest: () => string | undefined;
+	/** Whether the manifest belongs to a newer version whose transfer has begun; its pieces are kept. */
+	readonly isNewer: (manifest: string) => boolean;
 
 	/** Called with the manifest when the transfer begins. */
 	readonly onManifest: (manifest: StagedManifest) => void;
@@ -114,8 +114,13 @@
 		model: target.name, version: target.version, adopted, originReads: pieces.readsOf(target.version), milliseconds: Math.round(clock.monotonic() - startedAt),
 	});
 	await options.onPieces();
+	if (signal.aborted) {
+		store.release(manifest.hash);
+		return;
+	}
+
 	for (const hash of store.retained) {
-		if (hash !== manifest.hash && hash !== options.newestManifest()) {
+		if (hash !== manifest.hash && !options.isNewer(hash)) {
 			store.release(hash);
 		}
 	}
--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -81,6 +81,9 @@
 	readonly controller: AbortController;
 	hasPieces: boolean;
 
+	/** Hash of the manifest, once its digests are known. */
+	manifest: string | undefined;
+
 	/** Settles when all pieces are held or the rollout ended without. */
 	readonly pieces: Promise<void>;
 	readonly done: Promise<void>;
@@ -280,11 +283,21 @@
 					async onTurnToFetch() {
 						await Promise.all(previousPieces);
 					},
-					async onPieces() {
+					onManifest: staged => {
+						running.manifest = staged.hash;
+						this.#remember(staged);
+						this.#log.info('Transfer begins.', {manifest: staged.hash, version: staged.version, origin: this.#options.origin() !== undefined});
+					},
+					isNewer: manifest => this.#running.some(other => other.manifest === manifest && other.target.version > target.version),
+					onPieces: async () => {
 						running.hasPieces = true;
 						releasePieces();
 						// The stage and the engine take one version at a time.
 						await Promise.all(previous);
+						if (this.#running.some(other => other.target.version > target.version && other.hasPieces)) {
+							this.#log.info('The pieces of a newer version are held; this one is not loaded.', {version: target.version});
+							controller.abort();
+						}
 					},
 				}, combined);
 			} catch (error) {
@@ -296,12 +309,12 @@
 		};
 
 		const running: Running = {
-			target, controller, hasPieces: false, pieces, done: run(),
+			target, controller, hasPieces: false, manifest: undefined, pieces, done: run(),
 		};
 		this.#running = [...this.#running, running];
 	}
 
-	#rolloutOptions(target: StagedTarget): Omit<Parameters<typeof rollOutStaged>[1], 'onPieces' | 'onOwnPieces' | 'onTurnToFetch'> {
+	#rolloutOptions(target: StagedTarget): Omit<Parameters<typeof rollOutStaged>[1], 'onPieces' | 'onOwnPieces' | 'onTurnToFetch' | 'onManifest' | 'isNewer'> {
 		const {engine, origin, metrics, listMembers = async () => undefined, refreshMembers, mayCut, refreshMayCut = async () => undefined, selfId} = this.#options;
 		return {
 			engine,
@@ -323,13 +336,8 @@
 				this.#isSwitching = isSwitching;
 				this.#published.publish(this.status);
 			},
-			newestManifest: () => this.#hashes.get(Math.max(...this.#hashes.keys())),
 			digestPatienceMs: version => this.#digestReaders(version).includes(selfId) ? 0 : DIGEST_PATIENCE_MS,
 			askDigests: async (model, version) => this.#askDigests(model, version),
-			onManifest: staged => {
-				this.#remember(staged);
-				this.#log.info('Transfer begins.', {manifest: staged.hash, version: staged.version, origin: origin() !== undefined});
-			},
 			clock: this.#clock,
 			log: this.#log,
 			metrics,
