Take back what waits at an engine when its version expires

A request that was sent in time may wait in the queue of an engine and begin on the old version after the bound; only the margin of 1.3 s stood against it.

0.4 s before the bound an entry now closes the connections of requests whose answer has not begun, and places them again, where the route lets them be repeated: an engine drops what waits when its connection closes. This is no failure of the engine and no sign of a crash. Requests that cannot be repeated go to the newer version 1.8 s before the bound.

--- a/packages/dispatch/src/beliefs.test.ts
+++ b/packages/dispatch/src/beliefs.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import type {ModelTarget, Route, TrafficConfiguration} from '@yuccawood/fleet';
 import {pickBackend, RouteTable} from './match-route.js';
-import {requiredVersion} from './required-version.js';
+import {recallAt, requiredVersion} from './required-version.js';
 import {
 	afterFailure, afterSuccess, afterTrialStart, HEALTHY, standing,
 } from './upstream-health.js';
@@ -49,13 +49,22 @@
 	});
 
 	it('allows the old version until shortly before the bound, and not beyond', () => {
-		const options = {boundMs: 8000};
+		const options = {boundMs: 8000, canRecall: true};
 		expect(requiredVersion([target(2, 0)], {...options, now: 5000})).to.equal(undefined);
 		expect(requiredVersion([target(2, 0)], {...options, now: 7500})).to.equal(2);
 	});
 
 	it('keeps the bound of an older version when a newer one is named, so that the clock does not start again', () => {
-		expect(requiredVersion([target(2, 0), target(3, 4000)], {now: 7500, boundMs: 8000})).to.equal(2);
+		expect(requiredVersion([target(2, 0), target(3, 4000)], {now: 7500, boundMs: 8000, canRecall: true})).to.equal(2);
+	});
+});
+
+describe('recallAt', () => {
+	it('is the moment before the first bound that the held version breaks, and none while nothing newer is named', () => {
+		const targets: readonly ModelTarget[] = [2, 3].map(version => ({
+			model: 'm', version, learnedAt: version * 1000, namedBefore: version * 1000, isWitnessed: true,
+		}));
+		expect([1, 2, 3].map(heldVersion => recallAt(targets, {heldVersion, boundMs: 8000}))).to.deep.equal([9600, 10_600, undefined]);
 	});
 });
 
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -40,6 +40,12 @@
 /** Time before the bound on old versions after which only upstreams on the target version are used. */
 export const VERSION_MARGIN_MS = 1300;
 
+/** The same for requests that cannot be repeated: what waits at an upstream cannot be taken back from it. */
+export const UNREPEATABLE_MARGIN_MS = 1800;
+
+/** Time before the bound at which requests without any data are taken back from upstreams on older versions. */
+export const RECALL_MARGIN_MS = 400;
+
 /**
 Time before that margin in which upstreams on the older version are filled to a part of their slots only. Entries that
 decide on reports of the same age overfill the few that still take requests, and what waits there begins after the bound.
--- a/packages/dispatch/src/decide-resend.ts
+++ b/packages/dispatch/src/decide-resend.ts
@@ -7,7 +7,8 @@
 import {MAX_SENDS, MIN_RESEND_MS} from './constants.js';
 import type {Resend, ResendNeed} from './types.js';
 
-const isRepeatable = ({kind, isResumable}: ResendNeed): boolean => kind === 'idempotent' || (kind === 'stream' && isResumable);
+/** Whether a request that may have run may be sent once more. */
+export const isRepeatable = ({kind, isResumable}: Pick<ResendNeed, 'kind' | 'isResumable'>): boolean => kind === 'idempotent' || (kind === 'stream' && isResumable);
 
 export const decideResend = (need: ResendNeed): Resend => {
 	const {failure, runs, sends, attempts, remainingMs, hasBudget} = need;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,12 +3,12 @@
 export {chooseUpstream, estimateLoad} from './choose-upstream.js';
 export {admitWaiting, retryAfterMs} from './admit-waiting.js';
 export {WaitingLine, type Waiting} from './waiting-line.js';
-export {decideResend} from './decide-resend.js';
+export {decideResend, isRepeatable} from './decide-resend.js';
 export {ResendBudget, type ResendBudgetOptions} from './resend-budget.js';
 export {
 	afterFailure, afterSuccess, afterTrialStart, HEALTHY, standing, type Health,
 } from './upstream-health.js';
 export {nearUpstreams} from './near-upstreams.js';
 export {pickBackend, RouteTable} from './match-route.js';
-export {requiredVersion} from './required-version.js';
+export {recallAt, requiredVersion} from './required-version.js';
 export {CRASHES_BEFORE_REJECTION, EXPIRING_MS, VERSION_MARGIN_MS} from './constants.js';
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -80,6 +80,9 @@
 /** Largest answer that states no length. */
 export const MAX_UNSIZED_ANSWER_BYTES = 64 * 1024 * 1024;
 
+/** Interval at which a send without data looks whether the version of its upstream is about to expire. */
+export const MAX_RECALL_CHECK_MS = 250;
+
 /** What is read of the body of a refusal, so that its connection can be kept. */
 export const MAX_REFUSAL_BYTES = 16 * 1024;
 export const MAX_REFUSAL_MS = 500;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {
-	decideResend, EXPIRING_MS, requiredVersion, type PlacementNeed,
+	decideResend, EXPIRING_MS, isRepeatable, recallAt, requiredVersion, type PlacementNeed,
 } from '@yuccawood/dispatch';
 import {EventRelay} from './answer-sinks.js';
 import {
@@ -126,10 +126,10 @@
 
 	#placementNeed(): Omit<PlacementNeed, 'usualStartMs'> {
 		const {view, clock, versionBoundMs, failureDomain, states} = this.#context;
-		const {service} = this.#request;
+		const {service, route} = this.#request;
 		const hasEngine = view.inForce?.configuration.services.find(({name}) => name === service)?.engine !== undefined;
 		const model = hasEngine ? this.#modelOf(service) : undefined;
-		const oldestAt = (now: number): number | undefined => model === undefined ? undefined : requiredVersion(view.targetsOf(model), {now, boundMs: versionBoundMs});
+		const oldestAt = (now: number): number | undefined => model === undefined ? undefined : requiredVersion(view.targetsOf(model), {now, boundMs: versionBoundMs, canRecall: isRepeatable(route)});
 		const now = clock.monotonic();
 		const oldestVersion = oldestAt(now);
 		this.#expectedVersion = oldestVersion;
@@ -197,6 +197,7 @@
 			endedBy: () => this.#endedBy,
 			silenceMs: this.#silenceMs(),
 			isWorthMoving: () => this.#isWorthMoving(state),
+			recallInMs: () => this.#recallInMs(state),
 		});
 		if (result.mayHaveRun) {
 			this.#runs++;
@@ -228,7 +229,7 @@
 	/** Time without data after which the request goes to another upstream; none where that is not allowed. */
 	#silenceMs(): number | undefined {
 		const {route} = this.#request;
-		if (route.kind === 'once' || (route.kind === 'stream' && !route.isResumable)) {
+		if (!isRepeatable(route)) {
 			return undefined;
 		}
 
@@ -237,6 +238,20 @@
 			: Math.max(MIN_SLOW_ANSWER_MS, route.goalMs * SLOW_ANSWER_GOALS);
 	}
 
+	/** Time until the request must not wait at the upstream any more; nothing where that does not matter or it cannot be repeated. */
+	#recallInMs(state: UpstreamState): number | undefined {
+		const {view, clock, versionBoundMs} = this.#context;
+		const now = clock.monotonic();
+		const {heldVersion} = state.view(now, true);
+		const model = state.upstream.model?.name;
+		if (heldVersion === undefined || model === undefined || !isRepeatable(this.#request.route)) {
+			return undefined;
+		}
+
+		const at = recallAt(view.targetsOf(model), {heldVersion, boundMs: versionBoundMs});
+		return at === undefined ? undefined : Math.max(0, at - now);
+	}
+
 	/** Whether another upstream can take the request over now. Without a place there, the answer of the silent one may still come. */
 	#isWorthMoving(state: UpstreamState): boolean {
 		const {clock, budgetOf, placer} = this.#context;
@@ -258,7 +273,7 @@
 			return;
 		}
 
-		if (result.kind === 'ended' || (result.failure === 'not-run' && !result.isMisdirected)) {
+		if (result.kind === 'ended' || result.isRecalled === true || (result.failure === 'not-run' && !result.isMisdirected)) {
 			return;
 		}
 
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -4,7 +4,7 @@
 import {HeldAnswer, type EventRelay} from './answer-sinks.js';
 import {isMalformed, MalformedAnswerError} from './connection-watch.js';
 import {
-	MAX_BYTES_WITHOUT_EVENT, MAX_REFUSAL_BYTES, MAX_REFUSAL_MS, MAX_UNSIZED_ANSWER_BYTES,
+	MAX_BYTES_WITHOUT_EVENT, MAX_RECALL_CHECK_MS, MAX_REFUSAL_BYTES, MAX_REFUSAL_MS, MAX_UNSIZED_ANSWER_BYTES,
 } from './constants.js';
 import type {StreamFault} from './event-stream.js';
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
@@ -18,7 +18,7 @@
 /** What became of one send. `mayHaveRun` is false only on proof. */
 export type SendResult = {readonly mayHaveRun: boolean} & (
 	{readonly kind: 'delivered'}
-	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly detail: string; readonly held?: HeldAnswer; readonly isMisdirected?: boolean}
+	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly detail: string; readonly held?: HeldAnswer; readonly isMisdirected?: boolean; readonly isRecalled?: boolean}
 	| {readonly kind: 'ended'; readonly by: EarlyEnd}
 );
 
@@ -66,10 +66,15 @@
 	/** Time without data after which the request may move to another upstream; nothing where that is not allowed. */
 	readonly silenceMs: number | undefined;
 	readonly isWorthMoving: () => boolean;
+
+	/** Time until the request must not wait at the upstream any more, in milliseconds; nothing while it may. */
+	readonly recallInMs: () => number | undefined;
 };
 
 class SilenceError extends Error {}
 
+class RecallError extends Error {}
+
 const FAULTS: Readonly<Record<StreamFault, string>> = {
 	gap: 'events are missing',
 	'no-event': `no new event in ${MAX_BYTES_WITHOUT_EVENT} bytes`,
@@ -95,6 +100,7 @@
 	#hasLength = false;
 	#isFinished = false;
 	#silence: NodeJS.Timeout | undefined;
+	#recall: NodeJS.Timeout | undefined;
 
 	/** Ends the read of a refusal. */
 	#refusal: NodeJS.Timeout | undefined;
@@ -136,6 +142,7 @@
 				}
 			},
 		});
+		this.#watchRecall();
 	}
 
 	readonly #onEnded = (): void => {
@@ -150,6 +157,7 @@
 		this.#isFinished = true;
 		const {state, ended, response} = this.#options;
 		clearTimeout(this.#silence);
+		clearTimeout(this.#recall);
 		state.noteData(this.#mark);
 		ended.removeEventListener('abort', this.#onEnded);
 		response.off('drain', this.#onDrain);
@@ -173,10 +181,30 @@
 		}, silenceMs);
 	}
 
+	/** Aborts the send shortly before the version of the upstream expires, while its answer has not begun: an upstream drops what waits when its connection closes. */
+	#watchRecall(): void {
+		const inMs = this.#options.recallInMs();
+		if (inMs === undefined || this.#isFinished) {
+			return;
+		}
+
+		if (inMs === 0) {
+			this.#options.context.metrics.count('gateway.recalled', {service: this.#options.request.service});
+			this.#send?.abort(new RecallError('the version of the upstream expires'));
+			return;
+		}
+
+		// The upstream may load the newer version meanwhile, or the bound turn out to be earlier.
+		this.#recall = setTimeout(() => {
+			this.#watchRecall();
+		}, Math.min(inMs, MAX_RECALL_CHECK_MS));
+	}
+
 	#takeHead(status: number, headers: Readonly<Record<string, string | readonly string[] | undefined>>, rawHeaders: readonly string[]): void {
 		const {context, request, response, relay, state} = this.#options;
 		const head = context.codec.readAnswer(headers, status);
 		this.#head = head;
+		clearTimeout(this.#recall);
 		if (head.load) {
 			state.takeLoad(head.load.running + head.load.waiting, context.clock.monotonic());
 		}
@@ -307,12 +335,12 @@
 			};
 		}
 
-		if (!this.#isWrong && !(error instanceof SilenceError) && !isMalformed(error)) {
+		if (!this.#isWrong && !(error instanceof SilenceError) && !(error instanceof RecallError) && !isMalformed(error)) {
 			context.crashes.noteBreak(state.upstream.key, fingerprint, state.ownRequests - 1);
 		}
 
 		return {
-			kind: 'failed', failure: 'unknown', detail: error.message, held: this.#held, mayHaveRun: true,
+			kind: 'failed', failure: 'unknown', detail: error.message, held: this.#held, mayHaveRun: true, isRecalled: error instanceof RecallError,
 		};
 	}
 }
