Read the newest configuration after a failed watch of it

A watch tells every configuration since the last one in full. After an outage these may be more than the 16 MiB that an answer may hold, and the same watch was asked again until the store forgot the changes: a process would stay on an old configuration for the 20 s of the store's history. After a failed watch of a bulky part its newest value is read.

--- /dev/null
+++ b/packages/fleet/src/part-follower.test.ts
@@ -0,0 +1,49 @@
+import {
+	Err, MemoryMetrics, Ok, seededRandom, SILENT_LOG, SystemClock,
+} from '@yuccawood/common';
+import {PlatformError} from '@yuccawood/interfaces';
+import {expect} from 'chai';
+import {ItemLog} from './item-log.js';
+import {PartFollower} from './part-follower.js';
+import {RevisionTimes} from './revision-times.js';
+import type {ItemSource} from './types.js';
+
+const clock = new SystemClock();
+const TRANSFER = {bytes: 1, milliseconds: 0};
+
+/** A store whose watches fail from revision 1 on, as when the missed changes are more than an answer may hold. */
+const source: ItemSource = {
+	snapshot: async () => Ok({items: [{key: 'big', value: 'newest', revision: 50}], revision: 50, transfer: TRANSFER}),
+	watch: async () => Err(new PlatformError({kind: 'unavailable', detail: 'The answer is too large.', remedy: 'Read the newest value.'})),
+	recentRevision: async () => Ok(50),
+	revision: async () => Ok(1),
+};
+
+describe('PartFollower', () => {
+	it('reads the newest value of a bulky part when the missed changes are more than an answer may hold', async () => {
+		const items = new ItemLog({clock});
+		const stop = new AbortController();
+		let reads = 0;
+		const follower = new PartFollower({
+			part: {name: 'big', prefix: 'big', isBulky: true}, items, times: new RevisionTimes(), clock, random: seededRandom(1), log: SILENT_LOG, metrics: new MemoryMetrics(),
+			source: {
+				...source,
+				async snapshot(prefix, options) {
+					reads++;
+					return reads === 1 ? Ok({items: [{key: 'big', value: 'first', revision: 1}], revision: 1, transfer: TRANSFER}) : source.snapshot(prefix, options);
+				},
+			},
+			onItems(told) {
+				for (const item of told) {
+					items.record(item);
+				}
+			},
+			onKnown: () => undefined,
+		});
+		const running = follower.run(stop.signal);
+		await clock.sleep(1000);
+		stop.abort();
+		await running;
+		expect(items.stateOf('big', 0).later).to.deep.equal({big: 50});
+	});
+});
--- a/packages/fleet/src/part-follower.ts
+++ b/packages/fleet/src/part-follower.ts
@@ -230,6 +230,11 @@
 
 		if (!controller.signal.aborted) {
 			this.#noteFailure(result.val);
+			if (this.part.isBulky) {
+				// The changes in between may be more than can be read; only the newest value matters.
+				this.#watchFrom = undefined;
+			}
+
 			return undefined;
 		}
 
