Leave upstreams time after an informational answer

What callers saw: an upstream that sends 103 Early Hints and needs more than 1 s for the answer was cut off, and the caller of a request that runs once got 502.

Cause: the time in which a head must be complete began with the bytes of the informational answer, since the check runs after it was parsed. It now begins with the first byte after the last informational answer.

The test failed before: "expected [ 502, ...(1) ] to deeply equal [ 200, 'done' ]". After: endless-answers and endless-streams, 58 passing.

--- a/packages/gateway/src/connection-watch.ts
+++ b/packages/gateway/src/connection-watch.ts
@@ -33,6 +33,9 @@
 	/** Bytes of the connection at the start of the phase. */
 	#phaseStart = 0;
 	#informational = 0;
+
+	/** Bytes of the connection after the newest informational answer. */
+	#headStart = 0;
 	#bodyBytes = 0;
 
 	/** Bytes of the connection at the newest part of the body, and when bytes without body began to follow it. */
@@ -77,6 +80,8 @@
 			this.#framingSince = undefined;
 		} else if (++this.#informational > MAX_INFORMATIONAL_ANSWERS) {
 			this.#fail(`more than ${MAX_INFORMATIONAL_ANSWERS} informational answers`);
+		} else {
+			this.#headStart = this.#bytesRead;
 		}
 	}
 
@@ -110,6 +115,7 @@
 		this.#headTimer = undefined;
 		this.#phase = phase;
 		this.#phaseStart = this.#bytesRead;
+		this.#headStart = this.#phaseStart;
 	}
 
 	#check(socket: Socket): void {
@@ -131,7 +137,7 @@
 	#checkHead(bytes: number): void {
 		if (bytes > MAX_HEAD_BYTES) {
 			this.#fail(`no whole head in ${MAX_HEAD_BYTES} bytes`);
-		} else if (bytes > 0) {
+		} else if (this.#bytesRead > this.#headStart) {
 			this.#headTimer ??= setTimeout(() => {
 				this.#fail(`no whole head ${MAX_HEAD_MS} ms after its first byte`);
 			}, MAX_HEAD_MS);
