Ask peers for the configuration apart from urgent news

While the store is away, a process asked a peer for all parts in one answer within 800 ms. Where a large configuration takes longer, the answer was given up and asked for again, and versions and leaving upstreams in it were never learned. A call that times out also ends the other calls over the connections to that peer.

Bulky parts are now asked for by a call of their own, over a connection of its own and with the time limit of a bulky read.

The test failed before: "the condition did not come true within 3000 ms". After: urgent-news, store-client and the tests of packages/node pass.

--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -14,8 +14,8 @@
 	ItemDecoder, ItemSource, PartState, StoreItem, StorePart,
 } from './types.js';
 
-/** Asks one peer for the items that are missing in some parts; nothing when no peer answered. */
-export type AskPeer = (parts: readonly PartState[]) => Promise<readonly StoreItem[] | undefined>;
+/** Asks one peer for the items that are missing in some parts, bulky or not; nothing when no peer answered. */
+export type AskPeer = (parts: readonly PartState[], isBulky: boolean) => Promise<readonly StoreItem[] | undefined>;
 
 export type StoreFollowerOptions = {
 	readonly source: ItemSource;
@@ -67,7 +67,7 @@
 
 	/** Runs until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		await Promise.all([...this.#parts.map(async part => part.run(signal)), this.#checkRevision(signal), this.#pollPeers(signal)]);
+		await Promise.all([...this.#parts.map(async part => part.run(signal)), this.#checkRevision(signal), this.#pollPeers(false, signal), this.#pollPeers(true, signal)]);
 	}
 
 	/** Takes items that were read elsewhere: from a peer, or from a part that is not followed. */
@@ -202,7 +202,8 @@
 		this.#seen.advance(revision);
 	}
 
-	async #pollPeers(signal: AbortSignal): Promise<void> {
+	/** Bulky parts are asked for apart from the others, which would wait for them. */
+	async #pollPeers(isBulky: boolean, signal: AbortSignal): Promise<void> {
 		const {askPeer, random} = this.#options;
 		if (!askPeer) {
 			return;
@@ -210,12 +211,12 @@
 
 		while (!signal.aborted) {
 			await delay(PEER_POLL_MS * (0.75 + (random.next() / 2)), signal);
-			const away = this.#parts.filter(part => !part.isReachable && !part.isReceiving);
+			const away = this.#parts.filter(({part, isReachable, isReceiving}) => part.isBulky === isBulky && !isReachable && !isReceiving);
 			if (away.length === 0 || signal.aborted) {
 				continue;
 			}
 
-			const items = await askPeer(away.map(({state}) => state));
+			const items = await askPeer(away.map(({state}) => state), isBulky);
 			if (items && items.length > 0) {
 				this.#log.info('Changes were learned from a peer while the store is away.', {items: items.length});
 				this.take(items);
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -5,7 +5,7 @@
 	BoundedOutput, createLog, describeError, PeerClient, PeerServer, PrometheusMetrics, SystemClock, systemRandom, type Clock, type Log, type Random,
 } from '@yuccawood/common';
 import {
-	FleetView, PEER_CALL_TIMEOUT_MS, StoreFollower, type AskPeer, type PartState, type StoreItem, type StorePart,
+	BULKY_TIMEOUT_MS, FleetView, PEER_CALL_TIMEOUT_MS, StoreFollower, type AskPeer, type PartState, type StoreItem, type StorePart,
 } from '@yuccawood/fleet';
 import {
 	parseNodeSettings, PlatformItemDecoder, SETTINGS_VARIABLE, StoreClient, type NodeSettings,
@@ -60,11 +60,13 @@
 	readonly random: Random;
 	readonly log: Log;
 	readonly addresses: () => ReadonlyArray<readonly string[]>;
-}): AskPeer => async parts => {
+}): AskPeer => async (parts, isBulky) => {
+	// A call that takes too long ends all others over the same connections.
+	const options = isBulky ? {timeoutMs: BULKY_TIMEOUT_MS, fresh: true} : {timeoutMs: PEER_CALL_TIMEOUT_MS};
 	for (const group of addresses()) {
 		for (const address of random.sample(group, 1)) {
 			try {
-				return await peers.call<readonly StoreItem[]>(address, CHANGES_METHOD, {parts}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
+				return await peers.call<readonly StoreItem[]>(address, CHANGES_METHOD, {parts}, options);
 			} catch (error) {
 				log.info('A peer did not answer; another one is asked.', {address, method: CHANGES_METHOD, error: describeError(error)});
 			}
