--- a/packages/node/src/target-ages.test.ts
+++ b/packages/node/src/target-ages.test.ts
@@ -75,6 +75,18 @@
 		expect(late.targetOf('m')!.learnedAt).to.be.at.least(returnedAt);
 	});
 
+	it('stays cautious while those that could know better do not answer, because the way to them is slow as well', async () => {
+		const neighbours = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [])));
+		const late = await start('127.0.73.8', [1, 2, 3, 9].map(index => `127.0.73.${index}:${PORT}`));
+		const learnedAt = clock.monotonic();
+		for (const view of [late, ...neighbours]) {
+			name(view, 2, 3000);
+		}
+
+		await clock.sleep(400);
+		expect(late.targetOf('m')!.learnedAt).to.be.below(learnedAt - 2500);
+	});
+
 	it('stays cautious while its peers have just started and cannot tell', async () => {
 		const started = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [])));
 		const late = await start('127.0.73.8', [1, 2, 3].map(index => `127.0.73.${index}:${PORT}`));
--- a/packages/weights/src/staged/transfer-order.test.ts
+++ b/packages/weights/src/staged/transfer-order.test.ts
@@ -32,6 +32,14 @@
 		expect(transferOrder(forecast)).to.equal('older first');
 	});
 
+	it('finishes an older version that is nearly complete, because the newer one may be held up', () => {
+		const forecast = {
+			...base, older: {learnedAt: 0, remainingBytes: BYTES / 50}, newer: {learnedAt: 3000, remainingBytes: BYTES / 2}, now: 4000,
+		};
+		expect(idleTimes(forecast)).to.deep.equal({'newer only': 0, 'older first': 0});
+		expect(transferOrder(forecast)).to.equal('older first');
+	});
+
 	it('skips an older version that would come after the bound of the newer one', () => {
 		expect(transferOrder({...base, older: {learnedAt: 0, remainingBytes: BYTES * 2}, newer: {learnedAt: 1000, remainingBytes: BYTES}})).to.equal('newer only');
 	});
