--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -100,7 +100,8 @@
 					break;
 				}
 
-				case 'crashers': {
+				case 'crashers':
+				case 'engines': {
 					break;
 				}
 			}
