Keep a transfer that is nearly complete when a newer version is named

A tie of the forecast gave up the older version, also with 2 in 100 of its bytes missing. The newer one may still be held up, and the engine then holds neither.

--- a/packages/weights/src/staged/constants.ts
+++ b/packages/weights/src/staged/constants.ts
@@ -52,6 +52,9 @@
 /** Expected time from all pieces to the first request on their version. */
 export const EXPECTED_SWITCH_MS = 600;
 
+/** Missing bytes of an older version, as a share of those of the newer one, up to which it is nearly complete. */
+export const NEARLY_COMPLETE_SHARE = 0.25;
+
 /** Interval at which the order of two transfers is decided anew. */
 export const TRANSFER_ORDER_MS = 250;
 
--- a/packages/weights/src/staged/transfer-order.ts
+++ b/packages/weights/src/staged/transfer-order.ts
@@ -7,6 +7,8 @@
 the older.
 */
 
+import {NEARLY_COMPLETE_SHARE} from './constants.js';
+
 /** Times in monotonic milliseconds. */
 export type PendingVersion = {
 	/** When the version was named. */
@@ -45,8 +47,16 @@
 	};
 };
 
-/** The older version goes first only where that leaves the engine with less time in which it may serve nothing. */
+/**
+The older version goes first only where that leaves the engine with less time in which it may serve nothing, or where it
+costs little and the newer one may still be held up.
+*/
 export const transferOrder = (forecast: TransferForecast): TransferOrder => {
+	const {older, newer} = forecast;
 	const idle = idleTimes(forecast);
+	if (idle['older first'] === idle['newer only']) {
+		return older.remainingBytes <= newer.remainingBytes * NEARLY_COMPLETE_SHARE ? 'older first' : 'newer only';
+	}
+
 	return idle['older first'] < idle['newer only'] ? 'older first' : 'newer only';
 };
