Read a configuration once although other items change beside it

After each configuration the newest one was read again when the store's revision had moved on, also when an upstream had changed. Found by review: 588,158 bytes for a configuration of about 294,000. A revision that another part has told does not call for a read any more.

--- a/packages/fleet/src/part-follower.test.ts
+++ b/packages/fleet/src/part-follower.test.ts
@@ -38,6 +38,7 @@
 					items.record(item);
 				}
 			},
+			isExplained: () => false,
 			onKnown: () => undefined,
 		});
 		const running = follower.run(stop.signal);
--- a/packages/fleet/src/part-follower.ts
+++ b/packages/fleet/src/part-follower.ts
@@ -23,6 +23,9 @@
 	readonly times: RevisionTimes;
 	readonly onItems: TakeItems;
 
+	/** Whether all changes of the store up to a revision were seen, in this part or another one. */
+	readonly isExplained: (revision: number) => boolean;
+
 	/** Called when the part is known up to some revision. */
 	readonly onKnown: () => void;
 	readonly clock: Clock;
@@ -90,7 +93,7 @@
 			this.#failures = 0;
 			await delay(this.#pauseAfter(result), signal);
 			if (this.part.isBulky && result.hasChanges && !signal.aborted) {
-				await this.#skipToNewest();
+				await this.#skipToNewest(signal);
 			}
 		}
 	}
@@ -170,9 +173,16 @@
 	}
 
 	/** A watch tells every value in between in full. When the store has changed since the last answer, the newest value is read instead. */
-	async #skipToNewest(): Promise<void> {
-		const revision = await this.#options.source.revision();
-		if (revision.ok && this.#watchFrom !== undefined && revision.val > this.#watchFrom) {
+	async #skipToNewest(signal: AbortSignal): Promise<void> {
+		const {source, isExplained} = this.#options;
+		const revision = await source.revision();
+		if (revision.err || this.#watchFrom === undefined || revision.val <= this.#watchFrom || isExplained(revision.val)) {
+			return;
+		}
+
+		// Other parts may have changed instead, which their watches are about to tell.
+		await delay(COALESCE_MS * 2, signal);
+		if (!isExplained(revision.val)) {
 			this.#watchFrom = undefined;
 		}
 	}
--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -57,6 +57,7 @@
 			onItems: (items, learnedBy) => {
 				this.#take(items, learnedBy);
 			},
+			isExplained: revision => this.#isSeen(revision),
 			onKnown: () => {
 				if (this.#parts.every(({part, isKnown}) => part.isBulky || isKnown)) {
 					this.#options.view.markCurrent();
