Stay cautious about a version until each region has a witness

Three neighbours that learned of a version as late as this process were enough to count it from its arrival, when peers next to the store could not be reached in time. Found by review; its test "stays cautious while those that could know better do not answer" failed before and passes now. Peers tell their region, and a witness in every other one is needed.

--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -180,6 +180,12 @@
 	readonly isWitnessed: boolean;
 };
 
+/** What a peer answers when it is asked for the ages of the versions that it knows. */
+export type TargetAges = {
+	readonly region: string;
+	readonly ages: readonly TargetAge[];
+};
+
 /** State of an upstream as the agent beside it sees it. */
 export type UpstreamReport = {
 	/** Address of the upstream, `IP:port`. */
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -116,6 +116,7 @@
 	});
 	new TargetAges({
 		view, peers, peerServer, random, log: log.part('fleet'), addresses: () => peerAddresses(view, settings)[0],
+		region: settings.region, regions: [...new Set(settings.regions.values())],
 	}).start();
 	peerServer.method(CHANGES_METHOD, ({parts}: {readonly parts: readonly PartState[]}) => parts.flatMap(part => follower.items.changesSince(part)));
 	const reload = (cause: string): void => {
--- a/packages/node/src/target-ages.test.ts
+++ b/packages/node/src/target-ages.test.ts
@@ -21,12 +21,12 @@
 		}
 	});
 
-	const start = async (host: string, addresses: readonly string[]): Promise<FleetView> => {
+	const start = async (host: string, addresses: readonly string[], region = 'north'): Promise<FleetView> => {
 		const view = new FleetView({clock, log: SILENT_LOG});
 		const peers = new PeerClient({connectTimeoutMs: 300});
 		const peerServer = new PeerServer();
 		new TargetAges({
-			view, peers, peerServer, addresses: () => addresses, random: seededRandom(1), log: SILENT_LOG,
+			view, peers, peerServer, addresses: () => addresses, region, regions: ['north', 'south'], random: seededRandom(1), log: SILENT_LOG,
 		}).start();
 		await peerServer.listen(host, PORT);
 		closers.push(async () => {
@@ -63,7 +63,7 @@
 	});
 
 	it('does not count an outage of the store for all against a version, so that engines have time to load it', async () => {
-		const others = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [])));
+		const others = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [], index === 3 ? 'south' : 'north')));
 		const late = await start('127.0.73.8', [1, 2, 3].map(index => `127.0.73.${index}:${PORT}`));
 		const returnedAt = clock.monotonic();
 		for (const view of [late, ...others]) {
--- a/packages/node/src/target-ages.ts
+++ b/packages/node/src/target-ages.ts
@@ -8,7 +8,7 @@
 	delay, describeError, type Log, type PeerClient, type PeerServer, type Random,
 } from '@yuccawood/common';
 import {
-	PEER_CALL_TIMEOUT_MS, type FleetView, type ModelTarget, type TargetAge,
+	PEER_CALL_TIMEOUT_MS, type FleetView, type ModelTarget, type TargetAges as ToldAges,
 } from '@yuccawood/fleet';
 import {
 	AGE_PEERS, AGE_QUESTION_MS, AGE_QUESTIONS, AGE_WITNESSES,
@@ -21,6 +21,10 @@
 	readonly peers: PeerClient;
 	readonly peerServer: PeerServer;
 	readonly addresses: () => readonly string[];
+	readonly region: string;
+
+	/** All regions. The way to the store may be slow from a whole one. */
+	readonly regions: readonly string[];
 	readonly random: Random;
 	readonly log: Log;
 };
@@ -35,8 +39,8 @@
 
 	/** Answers peers from now on, and asks them when a version becomes known. */
 	start(): void {
-		const {peerServer, view} = this.#options;
-		peerServer.method(AGES_METHOD, () => view.targetAges);
+		const {peerServer, view, region} = this.#options;
+		peerServer.method(AGES_METHOD, (): ToldAges => ({region, ages: view.targetAges}));
 		view.onChange(change => {
 			if (change === 'targets') {
 				void this.#askOfNew();
@@ -50,9 +54,10 @@
 			this.#asked.add(nameOf(target));
 		}
 
+		const otherRegions = this.#options.regions.filter(region => region !== this.#options.region);
 		for (let question = 0; question < AGE_QUESTIONS && fresh.length > 0; question++) {
 			const answers = await this.#askPeers();
-			for (const target of fresh.filter(other => isWitnessedBy(answers, other))) {
+			for (const target of fresh.filter(other => isWitnessedBy(answers, other, otherRegions))) {
 				this.#options.view.settleTarget(target);
 				fresh.splice(fresh.indexOf(target), 1);
 			}
@@ -62,28 +67,32 @@
 	}
 
 	/** @returns the answers of those that answered */
-	async #askPeers(): Promise<ReadonlyArray<readonly TargetAge[]>> {
+	async #askPeers(): Promise<readonly ToldAges[]> {
 		const {random, addresses} = this.#options;
-		return Promise.all(random.sample(addresses(), AGE_PEERS).map(async address => this.#ask(address)));
+		const told = await Promise.all(random.sample(addresses(), AGE_PEERS).map(async address => this.#ask(address)));
+		return told.filter(answer => answer !== undefined);
 	}
 
-	async #ask(address: string): Promise<readonly TargetAge[]> {
+	async #ask(address: string): Promise<ToldAges | undefined> {
 		const {view, peers, log} = this.#options;
 		try {
-			const ages = await peers.call<readonly TargetAge[]>(address, AGES_METHOD, {}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
-			for (const age of ages) {
+			const told = await peers.call<ToldAges>(address, AGES_METHOD, {}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
+			for (const age of told.ages) {
 				view.noteTargetAge(age);
 			}
 
-			return ages;
+			return told;
 		} catch (error) {
 			log.info('A peer did not tell for how long it knows the versions.', {address, error: describeError(error)});
-			return [];
+			return undefined;
 		}
 	}
 }
 
 const nameOf = ({model, version}: Pick<ModelTarget, 'model' | 'version'>): string => `${model}@${version}`;
 
-const isWitnessedBy = (answers: ReadonlyArray<readonly TargetAge[]>, target: ModelTarget): boolean =>
-	answers.filter(ages => ages.some(age => age.isWitnessed && nameOf(age) === nameOf(target))).length >= AGE_WITNESSES;
+/** Neighbours may have learned of the version as late as this process, so there must be a witness in each other region. */
+const isWitnessedBy = (answers: readonly ToldAges[], target: ModelTarget, otherRegions: readonly string[]): boolean => {
+	const witnesses = answers.filter(({ages}) => ages.some(age => age.isWitnessed && nameOf(age) === nameOf(target)));
+	return witnesses.length >= AGE_WITNESSES && otherRegions.every(region => witnesses.some(witness => witness.region === region));
+};
