--- a/packages/fleet/src/part-follower.ts
+++ b/packages/fleet/src/part-follower.ts
@@ -127,7 +127,7 @@
 		const isSilent = this.#currentWatch === watch && !this.#isReceiving && result.val.items.some(({revision}) => revision <= expected);
 		this.#take('probe', result.val, {startedAt, learnedBy: isSilent ? 'read' : 'delivered'});
 		if (isSilent) {
-			this.#log.warn('The watch of the store delivers nothing although there are changes; it is replaced.', {part: this.part.name, watched: from, revision: result.val.revision});
+			this.#log.warn('The watch of the store delivers nothing although there are changes; it is replaced.', {storePart: this.part.name, watched: from, revision: result.val.revision});
 			metrics.count('fleet.silent_watches');
 			watch.abort();
 		}
@@ -149,7 +149,7 @@
 			this.#isReachable = true;
 			this.#regainedAt = this.#wasReached ? this.#options.clock.monotonic() : Number.NEGATIVE_INFINITY;
 			this.#wasReached = true;
-			this.#log.info('The store answers.', {part: this.part.name, revision: this.#knownTo});
+			this.#log.info('The store answers.', {storePart: this.part.name, revision: this.#knownTo});
 		}
 	}
 
@@ -157,7 +157,7 @@
 		this.#options.metrics.count('fleet.store_failures');
 		if (this.#isReachable) {
 			this.#isReachable = false;
-			this.#log.warn('The store does not answer; the last known state stays in force.', {part: this.part.name, revision: this.#knownTo, error: describeError(error)});
+			this.#log.warn('The store does not answer; the last known state stays in force.', {storePart: this.part.name, revision: this.#knownTo, error: describeError(error)});
 		}
 	}
 
@@ -242,7 +242,7 @@
 	}
 
 	#noteLostHistory(from: number): void {
-		this.#log.warn('The store no longer keeps the changes since the last watch; everything is read again.', {part: this.part.name, revision: from});
+		this.#log.warn('The store no longer keeps the changes since the last watch; everything is read again.', {storePart: this.part.name, revision: from});
 		this.#watchFrom = undefined;
 	}
 
@@ -255,7 +255,7 @@
 		if (items.some(item => item.revision > this.#knownTo)) {
 			metrics.timing('fleet.store_transfer_ms', transfer.milliseconds, labels);
 			this.#log.info('The store told changes.', {
-				...labels, items: items.length, revision, bytes: transfer.bytes, transferMs: Math.round(transfer.milliseconds), callMs: Math.round(clock.monotonic() - startedAt),
+				storePart: this.part.name, call, items: items.length, revision, bytes: transfer.bytes, transferMs: Math.round(transfer.milliseconds), callMs: Math.round(clock.monotonic() - startedAt),
 			});
 		}
 
