--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -54,5 +54,8 @@
 /** Time after the store's return during which removals may be lapsed entries. */
 export const LAPSE_WINDOW_MS = 4000;
 
+/** Difference of two ages of a version that the calls between peers explain. */
+export const AGE_TOLERANCE_MS = 50;
+
 /** Named versions of one model that are remembered with their times. */
 export const MAX_TARGETS = 16;
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -1,6 +1,6 @@
 /** What this process believes: configuration, upstreams, target versions, other entries. */
 import {Publisher, type Clock, type Log} from '@yuccawood/common';
-import {LAPSE_GRACE_MS, MAX_TARGETS} from './constants.js';
+import {AGE_TOLERANCE_MS, LAPSE_GRACE_MS, MAX_TARGETS} from './constants.js';
 import type {
 	Announcement, EngineDirectory, Learning, ModelTarget, TargetAge, TrafficConfiguration, Upstream,
 } from './types.js';
@@ -105,7 +105,7 @@
 	noteTargetAge({model, version, ageMs}: Omit<TargetAge, 'isWitnessed'>): void {
 		const known = this.targetsOf(model).find(target => target.version === version);
 		const namedBefore = this.#clock.monotonic() - ageMs;
-		if (!known || namedBefore >= known.namedBefore) {
+		if (!known || namedBefore > known.namedBefore - AGE_TOLERANCE_MS) {
 			return;
 		}
 
--- a/packages/node/src/target-ages.test.ts
+++ b/packages/node/src/target-ages.test.ts
@@ -52,6 +52,20 @@
 		expect(early.targetOf('m')!.learnedAt).to.be.within(namedAt, namedAt + 50);
 	});
 
+	it('does not tell of differences that the calls between peers explain', async () => {
+		const early = await start('127.0.73.1', []);
+		const next = await start('127.0.73.2', [`127.0.73.1:${PORT}`]);
+		const changes: string[] = [];
+		name(early, 2);
+		await clock.sleep(10);
+		next.onChange(change => {
+			changes.push(change);
+		});
+		name(next, 2);
+		await clock.sleep(150);
+		expect(changes).to.deep.equal(['targets']);
+	});
+
 	it('does not take over from a peer a time that the peer only assumes', async () => {
 		const cautious = await start('127.0.73.1', []);
 		const other = await start('127.0.73.2', [`127.0.73.1:${PORT}`]);
