--- a/packages/bench/src/platform-soak/node-process.ts
+++ b/packages/bench/src/platform-soak/node-process.ts
@@ -12,6 +12,9 @@
 /** Time after a kill or a wake in which connections of before may still break. */
 const AFTER_MS = 300;
 
+/** Time from a start in which Node.js itself loads: no program can handle signals by then. */
+const RUNTIME_START_MS = 300;
+
 /** Log lines that tell a fault of the program itself. */
 const FAULT_LINES = ['An error was not caught.', 'A promise was rejected without a handler.', 'A request failed inside the gateway.'];
 
@@ -45,6 +48,7 @@
 	#isAskedToEnd = false;
 	#isClosed = false;
 	#offUntil = 0;
+	#startedAt = 0;
 
 	constructor(options: NodeProcessOptions) {
 		this.#options = options;
@@ -109,7 +113,8 @@
 		this.disturbances.push(frozen);
 	}
 
-	reload(): void {
+	async reload(): Promise<void> {
+		await delay(Math.max(0, this.#startedAt + RUNTIME_START_MS - this.#options.now()));
 		this.#child?.signal('SIGHUP');
 	}
 
@@ -136,6 +141,7 @@
 			});
 			this.#child = child;
 			this.#isAskedToEnd = false;
+			this.#startedAt = now();
 			this.disturbances.push({from: offFrom, to: now()});
 			await child.exited;
 			offFrom = now();
--- /dev/null
+++ b/packages/node/src/main.test.ts
@@ -0,0 +1,28 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {EXIT_CONFIGURATION} from '@yuccawood/common';
+import {expect} from 'chai';
+
+const MAIN = fileURLToPath(new URL('main.js', import.meta.url));
+
+const inUrl = (script: string): string => `data:text/javascript,${encodeURIComponent(script)}`;
+
+/** Sends SIGHUP when the modules of a role begin to load. */
+const RESOLVER = inUrl(`export const resolve = (specifier, context, next) => {
+	if (specifier.includes('agent-node')) {
+		process.kill(process.pid, 'SIGHUP');
+	}
+
+	return next(specifier, context);
+};`);
+
+describe('main', () => {
+	it('goes on when it is told to read its settings again while its modules load, which ended restarted processes', async () => {
+		const {YUCCAWOOD_NODE_FILE: _, ...env} = process.env;
+		const child = spawn(process.execPath, ['--import', inUrl(`import {register} from 'node:module'; register(${JSON.stringify(RESOLVER)});`), MAIN, 'agent'], {env});
+		const [code, signal] = await once(child, 'exit') as [number | undefined, string | undefined];
+		expect(`code ${code}, signal ${signal}`).to.equal(`code ${EXIT_CONFIGURATION}, signal null`);
+	});
+});
