Do not take the refusal of another request for one's own

An extra answer may arrive late, where the next one is expected. One that refused another request was taken for a refusal of the present one, which the upstream had read: its caller was told "not run" or a request that runs once was sent to a second upstream, although the first may run it. The id was compared for answers only; a refusal may lack it, but must not name another.

The test got [503, not-run] before, and gets [502, unknown] after.

--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -213,7 +213,8 @@
 			state.takeVersion(head.version);
 		}
 
-		if (!head.isNotRun && head.requestId !== request.requestId) {
+		// A refusal may lack the id, as the upstream may not have read it.
+		if (head.requestId === undefined ? !head.isNotRun : head.requestId !== request.requestId) {
 			this.#isWrong = true;
 			this.#send?.abort(new Error(`the answer belongs to request ${head.requestId ?? 'unknown'}`));
 			return;
