Do not cut a large answer that has begun to pass because it is slow

Callers of a route whose requests may be repeated saw answers beyond 256 KiB cut 600 ms (3 goals) after the send while another upstream had a place: the time limit for slow answers asked only whether another could take over, and an answer of which the caller has bytes cannot be replaced.

The test got 300,000 of 300,003 bytes and a closed connection before, and the whole answer after.

--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -164,7 +164,7 @@
 		this.#resolve(result);
 	}
 
-	/** Aborts the send when nothing arrives for too long and another upstream could take over. */
+	/** Aborts the send when nothing arrives for too long and another upstream could take over; an answer that has begun to pass cannot be replaced. */
 	#watchSilence(): void {
 		const {silenceMs, isWorthMoving} = this.#options;
 		clearTimeout(this.#silence);
@@ -173,7 +173,7 @@
 		}
 
 		this.#silence = setTimeout(() => {
-			if (isWorthMoving()) {
+			if (!this.#held?.isPassing && isWorthMoving()) {
 				this.#send?.abort(new SilenceError(`no data for ${silenceMs} ms`));
 			} else {
 				this.#watchSilence();
