Let a paused entry read the rest of a head before it judges it

After a pause of the process the time limit of a head that had begun was due before the bytes were read that had arrived meanwhile, and a sound answer would have failed. The limit is judged after the next read now.

The test fails without it ("no whole head 1000 ms after its first byte"). Others show that a late head, slow bodies and kept connections are left alone, and that an abort opens no connection (2 instead of 1 without it).

--- a/packages/gateway/src/connection-watch.ts
+++ b/packages/gateway/src/connection-watch.ts
@@ -132,12 +132,20 @@
 		if (bytes > MAX_HEAD_BYTES) {
 			this.#fail(`no whole head in ${MAX_HEAD_BYTES} bytes`);
 		} else if (bytes > 0) {
-			this.#headTimer ??= setTimeout(() => {
-				this.#fail(`no whole head ${MAX_HEAD_MS} ms after its first byte`);
-			}, MAX_HEAD_MS);
+			this.#headTimer ??= setTimeout(this.#judgeHead, MAX_HEAD_MS);
 		}
 	}
 
+	readonly #judgeHead = (): void => {
+		const timer = this.#headTimer;
+		// A process that was paused reads first what arrived meanwhile.
+		setImmediate(() => {
+			if (timer === this.#headTimer) {
+				this.#fail(`no whole head ${MAX_HEAD_MS} ms after its first byte`);
+			}
+		});
+	};
+
 	#checkFraming(bytes: number): void {
 		if (bytes - this.#bodyBytes > MAX_FRAMING_BYTES + (this.#bodyBytes * FRAMING_BYTES_PER_BODY_BYTE)) {
 			this.#fail(`${bytes} bytes hold ${this.#bodyBytes} bytes of body`);
