--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -3,7 +3,7 @@
 import type {ChunkFetcher} from '../chunk-fetcher.js';
 import type {ChunkStore} from '../chunk-store.js';
 import {
-	CUT_STREAMS, DIGEST_RETRY_MS, DRAIN_TIMEOUT_MS, LOAD_TIMEOUT_MS, STEP_RETRY_MS, SWITCH_NOTICE_MS, VERIFICATION_LIFE_MS,
+	CUT_STREAMS, DIGEST_RETRY_MS, DRAIN_TIMEOUT_MS, LOAD_TIMEOUT_MS, STEP_RETRY_MS, SWITCH_NOTICE_MS, TRANSFER_LOG_MS, VERIFICATION_LIFE_MS,
 } from './constants.js';
 import {firstAnswer} from './digest-peers.js';
 import type {IndexedOrigin} from './indexed-origin.js';
@@ -152,6 +152,7 @@
 */
 const readManifest = async ({name, version}: HeldVersion, {origin, askDigests, digestPatienceMs, clock, log}: StagedRolloutOptions, signal: AbortSignal): Promise<StagedManifest | undefined> => {
 	const seen = new Set<string>();
+	let toldAt = Number.NEGATIVE_INFINITY;
 	const originFrom = clock.monotonic() + digestPatienceMs(version);
 	while (!signal.aborted) {
 		const mayAskOrigin = clock.monotonic() >= originFrom;
@@ -174,7 +175,8 @@
 			continue;
 		}
 
-		if (mayAskOrigin) {
+		if (mayAskOrigin && clock.monotonic() - toldAt >= TRANSFER_LOG_MS) {
+			toldAt = clock.monotonic();
 			log.warn('The digests of a version cannot be read; trying again.', {
 				model: name, version, error,
 			});
--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -9,15 +9,15 @@
 import type {WeightSettings} from '../types.js';
 import {
 	DIGEST_PATIENCE_MS, DIGEST_READERS, FIRST_WAVE_SHARE, IDLE_TRANSFER_SHARE, ORIGIN_RETRY_LIMIT_MS, REMEMBERED_VERSIONS, REPORT_POLL_MS,
-	EXPECTED_SWITCH_MS, EXPECTED_TRANSFER_SHARE, SERVING_TRANSFER_SHARE, TIME_BALANCE, TRANSFER_MARGIN_MS, TRANSFER_ORDER_MS, UPLOAD_SHARE,
+	SERVING_TRANSFER_SHARE, TIME_BALANCE, TRANSFER_MARGIN_MS, UPLOAD_SHARE,
 } from './constants.js';
 import {digestPeers, firstAnswer} from './digest-peers.js';
 import {IndexedOrigin} from './indexed-origin.js';
 import {Stage} from './stage.js';
 import type {StagedManifest} from './staged-manifest.js';
 import {rollOutStaged} from './staged-rollout.js';
+import {Succession} from './succession.js';
 import {switchWave} from './switch-wave.js';
-import {idleTimes, transferOrder, type TransferForecast} from './transfer-order.js';
 import {transferRate, type TransferProgress} from './transfer-rate.js';
 import type {
 	HeldVersion, StagedEngine, StagedEngineState, VersionedOrigin, VersionDigests,
@@ -97,6 +97,7 @@
 	readonly #exchange: Exchange;
 	readonly #pieces: IndexedOrigin;
 	readonly #stage: Stage;
+	readonly #succession: Succession;
 	readonly #published = new Publisher<EngineStatus>();
 	readonly #hashes = new Map<number, string>();
 	readonly #digests = new Map<number, readonly string[]>();
@@ -132,6 +133,19 @@
 		this.#stage = new Stage({
 			engine, store: this.#exchange.store, log: this.#log, metrics,
 		});
+		this.#succession = new Succession({
+			linkBytesPerSecond: options.settings.linkBytesPerSecond ?? Number.POSITIVE_INFINITY,
+			usableMs: options.versionBoundMs - options.boundMarginMs,
+			pending: () => this.#running.filter(({hasPieces, controller}) => !hasPieces && !controller.signal.aborted).map(({target, controller}) => ({
+				transfer: target,
+				end() {
+					controller.abort();
+				},
+			})),
+			missingBytes: version => this.#bytesOf(this.#digests.get(version)?.filter(hash => !this.#exchange.store.has(hash))),
+			sizeOf: version => this.#bytesOf(this.#digests.get(version)) ?? 0,
+			clock: this.#clock, log: this.#log,
+		});
 	}
 
 	get status(): EngineStatus {
@@ -168,6 +182,10 @@
 		await this.#exchange.close();
 	}
 
+	#bytesOf(pieces: readonly string[] | undefined): number | undefined {
+		return pieces && pieces.length * this.#pieceBytes;
+	}
+
 	/** Remembers what peers may ask for, of the newest versions only. */
 	#remember({hash, version, manifest}: StagedManifest): void {
 		this.#hashes.set(version, hash);
@@ -222,44 +240,6 @@
 		}
 	}
 
-	/**
-	Ends transfers of older versions that the newer one replaces in time. Called once the newer one is sure to arrive: until
-	then the origin may go away, and the older version is better than none.
-	*/
-	async #supersede(target: StagedTarget, signal: AbortSignal): Promise<void> {
-		while (!signal.aborted) {
-			const pending = this.#running.filter(({target: {version}, hasPieces, controller}) => version < target.version && !hasPieces && !controller.signal.aborted);
-			if (pending.length === 0) {
-				return;
-			}
-
-			for (const {target: older, controller} of pending) {
-				const forecast = this.#forecast(older, target);
-				if (transferOrder(forecast) === 'newer only') {
-					this.#log.info('A newer version arrives; the transfer of the older one ends.', {
-						from: older.version, to: target.version, olderBytes: forecast.older.remainingBytes, newerBytes: forecast.newer.remainingBytes, idleMs: idleTimes(forecast),
-					});
-					controller.abort();
-				}
-			}
-
-			await this.#clock.sleep(TRANSFER_ORDER_MS, signal);
-		}
-	}
-
-	#forecast(older: StagedTarget, newer: StagedTarget): TransferForecast {
-		const {settings: {linkBytesPerSecond = Number.POSITIVE_INFINITY}, versionBoundMs, boundMarginMs} = this.#options;
-		const pieces = this.#digests.get(newer.version) ?? [];
-		const {store} = this.#exchange;
-		// An older version whose digests are not known yet lacks all its pieces.
-		const missing = ({version}: StagedTarget): number => this.#digests.get(version)?.filter(hash => !store.has(hash)).length ?? pieces.length;
-		const pending = (target: StagedTarget) => ({learnedAt: target.learnedAt, remainingBytes: missing(target) * this.#pieceBytes});
-		return {
-			older: pending(older), newer: pending(newer), now: this.#clock.monotonic(), bytesPerSecond: linkBytesPerSecond * EXPECTED_TRANSFER_SHARE,
-			switchMs: EXPECTED_SWITCH_MS, usableMs: versionBoundMs - boundMarginMs,
-		};
-	}
-
 	#start(target: StagedTarget, signal: AbortSignal): void {
 		const previous = this.#running.map(async ({done}) => done);
 		const previousPieces = this.#running.map(async ({pieces}) => pieces);
@@ -278,7 +258,7 @@
 					...this.#rolloutOptions(target),
 					onOwnPieces: () => {
 						this.#log.info('The pieces that this agent passes on are held.', {version: target.version});
-						void this.#supersede(target, combined);
+						void this.#succession.run(target, combined);
 					},
 					// One paced transfer at a time leaves each the whole pace.
 					async onTurnToFetch() {
