--- a/packages/node/src/agent-process.test.ts
+++ b/packages/node/src/agent-process.test.ts
@@ -79,7 +79,7 @@
 	});
 
 	it('begins a rollout at once although large configurations were written just before', async () => {
-		const before = link.bytes;
+		const before = link.carried;
 		for (let version = 2; version < 2 + STORM; version++) {
 			store.put(CONFIGURATION_KEY, largeConfiguration(version));
 			await clock.sleep(STORM_INTERVAL_MS);
@@ -89,7 +89,7 @@
 		store.put(`${VERSION_PREFIX}${MODEL}`, namedVersion(2));
 		await until(() => output.includes('"New target version."') && origin.manifests > 2);
 		expect({
-			bytes: link.bytes - before < 50_000 ? 'few' : link.bytes - before,
+			bytes: link.carried - before < 50_000 ? 'few' : link.carried - before,
 			begun: clock.monotonic() - namedAt < 1000 ? 'at once' : clock.monotonic() - namedAt,
 		}).to.deep.equal({bytes: 'few', begun: 'at once'});
 	});
@@ -104,7 +104,7 @@
 		const listBytes = 150 * 250;
 		store.pageItems = 500;
 		origin.refusesPieces = true;
-		const before = link.bytes;
+		const before = link.carried;
 		store.put(`${VERSION_PREFIX}${MODEL}`, namedVersion(2));
 		await until(() => output.includes('"New target version."'));
 		await clock.sleep(4000);
@@ -112,6 +112,6 @@
 			address: '127.0.42.200:1', service: 'others', version: 1, startedAt: 1000,
 		}));
 		await until(() => output.includes('"127.0.42.200:1"'));
-		expect((link.bytes - before) / listBytes).to.be.within(0.5, 2.5);
+		expect((link.carried - before) / listBytes).to.be.within(0.5, 2.5);
 	});
 });
