Ask for ages of versions only while an answer can still help

After a loss of power no process has followed the versions before, so no peer is a witness; each asked ten peers four times all the same, in the seconds in which the fleet recovers. A bulky part that fails for its size no longer makes removals of upstreams look like lapses.

--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -4,7 +4,7 @@
 /** Wait of a watch that only asks whether there are changes. */
 export const PROBE_WAIT_MS = 1;
 
-/** Pause after a batch of changes, so that a quick series costs few calls. Well below the shortest bound for configuration (2 s). */
+/** Pause after a batch of changes, so that a quick series costs few calls. */
 export const COALESCE_MS = 150;
 
 /**
--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -100,9 +100,9 @@
 		}
 	}
 
-	/** Whether a removal may come from an outage of the store, which the watch of the removed item need not have noticed. */
+	/** Whether a removal may come from an outage of the store, which the watch of the removed item need not have noticed. A bulky part may fail for its size alone. */
 	get #mayBeLapse(): boolean {
-		return this.#parts.some(({mayBeLapse}) => mayBeLapse);
+		return this.#parts.some(({part, mayBeLapse}) => !part.isBulky && mayBeLapse);
 	}
 
 	#partOf(key: string): PartFollower | undefined {
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -71,7 +71,7 @@
 /** Pause after a write of the directory, in which the watch delivers it. */
 export const DIRECTORY_WRITE_RETRY_MS = 1000;
 
-/** Peers that are asked for the age of a version, so that one next to the store is among them. */
+/** Peers that are asked for the age of a version. */
 export const AGE_PEERS = 10;
 
 /** Peers that must have followed the versions before, so that what they know replaces a cautious assumption. */
--- a/packages/node/src/target-ages.ts
+++ b/packages/node/src/target-ages.ts
@@ -62,6 +62,11 @@
 				fresh.splice(fresh.indexOf(target), 1);
 			}
 
+			// After a restart of all there is no witness, however often they are asked.
+			if (answers.length > 0 && answers.every(answer => fresh.every(target => knows(answer, target)))) {
+				return;
+			}
+
 			await delay(AGE_QUESTION_MS);
 		}
 	}
@@ -91,6 +96,8 @@
 
 const nameOf = ({model, version}: Pick<ModelTarget, 'model' | 'version'>): string => `${model}@${version}`;
 
+const knows = ({ages}: ToldAges, target: ModelTarget): boolean => ages.some(age => nameOf(age) === nameOf(target));
+
 /** Neighbours may have learned of the version as late as this process, so there must be a witness in each other region. */
 const isWitnessedBy = (answers: readonly ToldAges[], target: ModelTarget, otherRegions: readonly string[]): boolean => {
 	const witnesses = answers.filter(({ages}) => ages.some(age => age.isWitnessed && nameOf(age) === nameOf(target)));
