--- a/packages/bench/src/soak/tcp-relay.ts
+++ b/packages/bench/src/soak/tcp-relay.ts
@@ -109,7 +109,7 @@
 				}
 
 				if (one.readableEnded && !gate.readableEnded) {
-					// The end of an answer may still be on its way through the gate.
+					// The end of an answer may still have to pass the gate.
 					gate.once('end', () => {
 						other.destroySoon();
 					});
--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -8,7 +8,7 @@
 export const COALESCE_MS = 150;
 
 /**
-Pause after a change of a bulky part, as a multiple of the time that its transfer took, and its limit. While a way is slow,
+Pause after a change of a bulky part, as a multiple of the time that its transfer took, and its limit. While a link is slow,
 intermediate values are skipped. Pause and two transfers stay within the shortest bound for configuration (2 s).
 */
 export const BULKY_PAUSE_SHARE = 1;
@@ -23,7 +23,7 @@
 /** Time after which a watch that has not delivered a known revision counts as silent. */
 export const SILENT_WATCH_MS = 400;
 
-/** Time within which a small call is answered while the way to the store is free. */
+/** Time within which a small call is answered while the path to the store is free. */
 export const PROMPT_ANSWER_MS = 600;
 
 /** Age that the answer of a cheap look may have. */
--- a/packages/fleet/src/part-follower.ts
+++ b/packages/fleet/src/part-follower.ts
@@ -66,7 +66,7 @@
 		return this.#knownTo > 0;
 	}
 
-	/** Whether an answer is arriving, so that asking a peer would only take the way's room. */
+	/** Whether an answer is arriving, so that asking a peer would only take bandwidth from it. */
 	get isReceiving(): boolean {
 		return this.#isReceiving;
 	}
--- a/packages/node/src/main.test.ts
+++ b/packages/node/src/main.test.ts
@@ -3,6 +3,7 @@
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {EXIT_CONFIGURATION} from '@yuccawood/common';
+import {settingsEnvironment} from '@yuccawood/platform/testing';
 import {expect} from 'chai';
 
 const MAIN = fileURLToPath(new URL('main.js', import.meta.url));
@@ -20,7 +21,7 @@
 
 describe('main', () => {
 	it('goes on when it is told to read its settings again while its modules load, which ended restarted processes', async () => {
-		const {YUCCAWOOD_NODE_FILE: _, ...env} = process.env;
+		const env = {...process.env, ...settingsEnvironment('missing.conf')};
 		const child = spawn(process.execPath, ['--import', inUrl(`import {register} from 'node:module'; register(${JSON.stringify(RESOLVER)});`), MAIN, 'agent'], {env});
 		const [code, signal] = await once(child, 'exit') as [number | undefined, string | undefined];
 		expect(`code ${code}, signal ${signal}`).to.equal(`code ${EXIT_CONFIGURATION}, signal null`);
--- a/packages/node/src/target-ages.test.ts
+++ b/packages/node/src/target-ages.test.ts
@@ -89,7 +89,7 @@
 		expect(late.targetOf('m')!.learnedAt).to.be.at.least(returnedAt);
 	});
 
-	it('stays cautious while those that could know better do not answer, because the way to them is slow as well', async () => {
+	it('stays cautious while those that could know better do not answer, because the path to them is slow as well', async () => {
 		const neighbours = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [])));
 		const late = await start('127.0.73.8', [1, 2, 3, 9].map(index => `127.0.73.${index}:${PORT}`));
 		const learnedAt = clock.monotonic();
--- a/packages/node/src/target-ages.ts
+++ b/packages/node/src/target-ages.ts
@@ -1,7 +1,7 @@
 /**
 Asks peers for how long they have known of a version when this process learns of it.
 
-News may arrive late here without a sign, because the way to the store was slow for a moment. Ages are durations, so clocks
+News may arrive late here without a sign, because the path to the store was slow for a moment. Ages are durations, so clocks
 need not agree, and peers nearer to the store learn earlier. Where no peer has known for longer, the store was away for all.
 */
 import {
@@ -23,7 +23,7 @@
 	readonly addresses: () => readonly string[];
 	readonly region: string;
 
-	/** All regions. The way to the store may be slow from a whole one. */
+	/** All regions. The path to the store may be slow from a whole one. */
 	readonly regions: readonly string[];
 	readonly random: Random;
 	readonly log: Log;
