Count the bound on old versions from the start of the process

Cause: a starting process assumes that versions in the store were set long ago, and lets their bound end stableMs after its start. It took the time of its first line for the start. Loading the modules takes some tenths of a second before that line, longer than the margin of 400 ms at which waiting requests are taken back.

The monotonic clock of the system begins with the process, so the start is 0.

--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -12,7 +12,10 @@
 	readonly sleep: (milliseconds: number, signal?: AbortSignal) => Promise<void>;
 }
 
-/** Clock of the operating system. */
+/** Monotonic time of {@link SystemClock} at which this process was started, before its modules were loaded. */
+export const PROCESS_START_MS = 0;
+
+/** Clock of the operating system. Its monotonic time begins with the process. */
 export class SystemClock implements Clock {
 	readonly now = (): number => Date.now();
 	readonly monotonic = (): number => performance.now();
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,7 +1,7 @@
 /** Code shared by all packages: results, errors, settings, logs, metrics and JSON-RPC between peers. */
 export {Ok, Err, type Result} from './result.js';
 export {TypedError, describeError} from './errors.js';
-export {SystemClock, type Clock} from './clock.js';
+export {PROCESS_START_MS, SystemClock, type Clock} from './clock.js';
 export {seededRandom, systemRandom, type Random} from './random.js';
 export {Publisher} from './publisher.js';
 export {rankByWeight, rendezvousWeight, topByWeight} from './rendezvous.js';
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -2,7 +2,7 @@
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {
-	DroppingOutput, createLog, describeError, PeerClient, PeerServer, PrometheusMetrics, SystemClock, systemRandom, type Clock, type Log, type Random,
+	DroppingOutput, createLog, describeError, PeerClient, PeerServer, PROCESS_START_MS, PrometheusMetrics, SystemClock, systemRandom, type Clock, type Log, type Random,
 } from '@yuccawood/common';
 import {
 	BULKY_TIMEOUT_MS, FleetView, PEER_CALL_TIMEOUT_MS, StoreFollower, type AskPeer, type PartState, type StoreItem, type StorePart,
@@ -88,7 +88,6 @@
 	readonly peerAddresses: (view: FleetView, settings: NodeSettings) => ReadonlyArray<readonly string[]>;
 }): NodeContext => {
 	const clock = new SystemClock();
-	const startedAt = clock.monotonic();
 	const random = systemRandom();
 	const first = readSettings();
 	if (first.err) {
@@ -104,8 +103,8 @@
 	const view = new FleetView({
 		clock, log,
 		// When a version was set that the store already holds is unknown. Its staleness bound is assumed to end `stableMs`
-		// after the start of this process, or immediately if that time has passed.
-		initialTargetAgeMs: () => settings.versionBoundMs - Math.max(0, startedAt + settings.stableMs - clock.monotonic()),
+		// after the start of this process, or immediately if that time has passed. Loading the modules may take a good part of it.
+		initialTargetAgeMs: () => settings.versionBoundMs - Math.max(0, PROCESS_START_MS + settings.stableMs - clock.monotonic()),
 	});
 	const peers = new PeerClient({connectTimeoutMs: PEER_CALL_TIMEOUT_MS});
 	const peerServer = new PeerServer();
