Let placement limit the connections to an upstream

Cause: the size of an entry's connection pool was computed when an upstream was first listed. Since the store is followed in parts, the list of upstreams may arrive before the configuration, and the pool then had the minimum of 4 connections for the life of the process. Placement knew nothing of that limit: with 12 slots, eight requests at each engine waited inside the pool, counted as load, fell silent for over a second and were sent again elsewhere, where they waited in the same way.

The limit is now part of the decision (maxConnections of UpstreamView) and follows the configuration and the number of entries. The pool itself has no limit and no queue. A request that is sent right after an answer waits for the connection to become usable, because it would open another one.

--- a/packages/dispatch/src/choose-upstream.test.ts
+++ b/packages/dispatch/src/choose-upstream.test.ts
@@ -9,6 +9,7 @@
 	slots: 4,
 	isLeaving: false,
 	ownRequests: 0,
+	maxConnections: 20,
 	reportedRequests: 0,
 	reportAgeMs: 50,
 	ownSinceReport: 0,
--- a/packages/dispatch/src/choose-upstream.ts
+++ b/packages/dispatch/src/choose-upstream.ts
@@ -22,7 +22,7 @@
 
 /** Average load of the upstreams in the subset, as a fraction of their slots. Assumed for upstreams outside it, which send no reports. */
 const averageSubsetLoad = (views: readonly UpstreamView[]): number => {
-	const subset = views.filter(({isInSubset: isNear}) => isNear);
+	const subset = views.filter(({isInSubset}) => isInSubset);
 	return subset.length === 0 ? 0 : subset.reduce((sum, view) => sum + (estimateLoad(view) / view.slots), 0) / subset.length;
 };
 
@@ -42,11 +42,14 @@
 	!needsWeights || (heldVersion !== undefined && heldVersion >= (oldestVersion ?? 0));
 
 /** Fraction of the slots that may be used. Requests queued at an upstream must start before its version expires. */
-const usableSlotFraction = ({heldVersion}: UpstreamView, {needsWeights, oldestVersionSoon: soonOldestVersion}: PlacementRequirements): number =>
-	needsWeights && heldVersion !== undefined && heldVersion < (soonOldestVersion ?? 0) ? EXPIRING_VERSION_SLOT_FRACTION : 1;
+const usableSlotFraction = ({heldVersion}: UpstreamView, {needsWeights, oldestVersionSoon}: PlacementRequirements): number =>
+	needsWeights && heldVersion !== undefined && heldVersion < (oldestVersionSoon ?? 0) ? EXPIRING_VERSION_SLOT_FRACTION : 1;
+
+/** Without a free connection, a request would wait where no other upstream can be chosen for it any more. */
+const hasFreeConnection = ({ownRequests, maxConnections}: UpstreamView): boolean => ownRequests < maxConnections;
 
 /** Whether earlier sends have had no response for longer than normal load explains. */
-const isUnresponsive = ({unansweredMs: silentMs}: UpstreamView, {usualStartMs}: PlacementRequirements): boolean => silentMs > Math.max(MIN_UNRESPONSIVE_MS, usualStartMs * UNRESPONSIVE_FACTOR);
+const isUnresponsive = ({unansweredMs}: UpstreamView, {usualStartMs}: PlacementRequirements): boolean => unansweredMs > Math.max(MIN_UNRESPONSIVE_MS, usualStartMs * UNRESPONSIVE_FACTOR);
 
 /**
 Chooses an upstream with a free slot, or says why there is none.
@@ -69,7 +72,7 @@
 		return {kind: 'unavailable', reason: 'all-tried', isLoading: false};
 	}
 
-	const trial = untried.find(({isDueForTrial: isOnTrial, isSwitching}) => isOnTrial && !isSwitching);
+	const trial = untried.find(view => view.isDueForTrial && !view.isSwitching && hasFreeConnection(view));
 	if (trial) {
 		return {
 			kind: 'send', key: trial.key, load: estimateLoad(trial), reason: 'trial',
@@ -83,7 +86,7 @@
 	const responsive = requirements.isRetry ? usable.filter(({startMs}) => startMs !== undefined) : usable;
 	const candidates = responsive.length > 0 ? responsive : usable;
 	const averageLoad = averageSubsetLoad(candidates);
-	const free = candidates.filter(view => !view.isSwitching && loadFraction(view, averageLoad) < usableSlotFraction(view, requirements));
+	const free = candidates.filter(view => !view.isSwitching && hasFreeConnection(view) && loadFraction(view, averageLoad) < usableSlotFraction(view, requirements));
 	if (free.length === 0) {
 		return {kind: 'busy', usable: usable.length, reason: 'all-places-taken'};
 	}
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -16,6 +16,9 @@
 	/** Requests of this entry that have no final response yet. */
 	readonly ownRequests: number;
 
+	/** Largest number of connections from this entry, each of which carries one request at a time. */
+	readonly maxConnections: number;
+
 	/** Requests of all entries according to the upstream's last report. */
 	readonly reportedRequests: number | undefined;
 	readonly reportAgeMs: number;
--- a/packages/gateway/src/connection-watch.test.ts
+++ b/packages/gateway/src/connection-watch.test.ts
@@ -30,7 +30,7 @@
 		await new Promise<void>(resolve => {
 			server.listen(0, '127.0.0.1', resolve);
 		});
-		const link = new UpstreamLink({address: `127.0.0.1:${(server.address() as AddressInfo).port}`, connections: 1});
+		const link = new UpstreamLink({address: `127.0.0.1:${(server.address() as AddressInfo).port}`});
 		closers.push(() => {
 			link.close();
 			server.close();
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -10,7 +10,7 @@
 /** Share of an upstream's connection limit that all entries together may use. */
 export const CONNECTION_SHARE = 0.8;
 
-/** Minimum size of an entry's connection pool for one upstream. */
+/** Smallest number of connections that an entry may have to one upstream. */
 export const MIN_CONNECTIONS = 4;
 
 /** Largest answer that is buffered until it is complete, so that the request can be retried if the answer is truncated. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -250,7 +250,7 @@
 	#msUntilCancel(state: UpstreamState): number | undefined {
 		const {view, clock, versionBoundMs} = this.#context;
 		const now = clock.monotonic();
-		const {heldVersion} = state.view(now, true);
+		const heldVersion = state.heldVersion(now);
 		const model = state.upstream.model?.name;
 		if (heldVersion === undefined || model === undefined || !isRetryable(this.#request.route)) {
 			return undefined;
--- a/packages/gateway/src/upstream-link.test.ts
+++ b/packages/gateway/src/upstream-link.test.ts
@@ -44,7 +44,7 @@
 		await new Promise<void>(resolve => {
 			server.listen(0, '127.0.0.1', resolve);
 		});
-		const link = new UpstreamLink({address: `127.0.0.1:${(server.address() as AddressInfo).port}`, connections: 2});
+		const link = new UpstreamLink({address: `127.0.0.1:${(server.address() as AddressInfo).port}`});
 		closers.push(() => {
 			link.close();
 			server.close();
@@ -94,7 +94,7 @@
 			await new Promise(resolve => {
 				server.close(resolve);
 			});
-			const link = new UpstreamLink({address: `127.0.0.1:${port}`, connections: 1});
+			const link = new UpstreamLink({address: `127.0.0.1:${port}`});
 			expect(await sendOnce(link)).to.deep.equal({kind: 'error', body: '', wasSent: false});
 		});
 
--- a/packages/gateway/src/upstream-link.ts
+++ b/packages/gateway/src/upstream-link.ts
@@ -1,4 +1,4 @@
-/** Connection pool of one upstream, which sends requests and passes the parts of their answers on. */
+/** Connections to one upstream, which send one request at a time and pass the parts of its answer on. Placement limits their number. */
 import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {
@@ -20,7 +20,6 @@
 
 export type UpstreamLinkOptions = {
 	readonly address: string;
-	readonly connections: number;
 
 	/** Called when bytes follow a complete answer, with the id of the request that it answered. The connection is closed. */
 	readonly onExtraBytes?: (requestId: string) => void;
@@ -51,11 +50,11 @@
 
 	/** Connections that have failed but are not closed yet. */
 	#failedConnections = 0;
+	#justFreedConnections = 0;
 
-	constructor({address, connections, onExtraBytes = () => undefined}: UpstreamLinkOptions) {
+	constructor({address, onExtraBytes = () => undefined}: UpstreamLinkOptions) {
 		const connect = this.#createConnector();
 		this.#pool = new Pool(`http://${address}`, {
-			connections,
 			pipelining: 1,
 			connect,
 			factory: (origin, options) => new WatchedClient(origin, {...options as Client.Options, connect}, onExtraBytes),
@@ -88,7 +87,7 @@
 				watch = assigned;
 			},
 		};
-		this.#pool.dispatch(options, {
+		const handler: Dispatcher.DispatchHandler = {
 			onRequestStart(started: Dispatcher.DispatchController) {
 				controller = started;
 				if (abortReason) {
@@ -113,6 +112,7 @@
 			},
 			onResponseEnd: () => {
 				isComplete = true;
+				this.#recordFreedConnection();
 				watch?.end();
 				finish(() => {
 					if (this.#failedConnections > 0) {
@@ -132,6 +132,11 @@
 					sink.error(error, wasSent);
 				});
 			},
+		};
+		this.#whenFreedConnectionsAreUsable(() => {
+			if (!isOver) {
+				this.#pool.dispatch(options, handler);
+			}
 		});
 		return {
 			abort(reason) {
@@ -205,6 +210,24 @@
 		});
 	}
 
+	/** Undici uses a connection again one turn of the event loop after the end of an answer. A request that is sent before would open another connection. */
+	#recordFreedConnection(): void {
+		this.#justFreedConnections++;
+		setImmediate(() => {
+			setImmediate(() => {
+				this.#justFreedConnections--;
+			});
+		});
+	}
+
+	#whenFreedConnectionsAreUsable(call: () => void): void {
+		if (this.#justFreedConnections > 0) {
+			setImmediate(call);
+		} else {
+			call();
+		}
+	}
+
 	async #closePool(): Promise<void> {
 		try {
 			await this.#pool.close();
--- a/packages/gateway/src/upstream-states.ts
+++ b/packages/gateway/src/upstream-states.ts
@@ -107,12 +107,18 @@
 		return this.#health.suspendedUntil > now && before.suspendedUntil <= now;
 	}
 
-	view(now: number, isInSubset: boolean): UpstreamView {
+	/** Version that the upstream holds, as far as this entry knows. */
+	heldVersion(now: number): number | undefined {
+		const agent = this.#currentAgentReport(now);
+		const version = agent ? agent.version : this.upstream.model?.version;
+		return version === undefined ? undefined : Math.max(version, this.#answeredVersion ?? 0);
+	}
+
+	view(now: number, {isInSubset, maxConnections}: Pick<UpstreamView, 'isInSubset' | 'maxConnections'>): UpstreamView {
 		const {upstream} = this;
-		const agent = now - this.#agentReportAt <= MAX_AGENT_REPORT_AGE_MS ? this.#agentReport : undefined;
+		const agent = this.#currentAgentReport(now);
 		const status = healthStatus(this.#health, now);
 		const pending = [...this.#pendingSends.values()];
-		const heldVersion = agent ? agent.version : upstream.model?.version;
 		return {
 			key: upstream.key,
 			failureDomain: upstream.failureDomain,
@@ -120,11 +126,12 @@
 			slots: Math.max(1, upstream.slots),
 			isLeaving: upstream.state === 'draining',
 			ownRequests: this.ownRequests,
+			maxConnections,
 			reportedRequests: this.#reportedRequests,
 			reportAgeMs: now - this.#reportedAt,
 			ownSinceReport: this.#ownSinceReport,
 			pace: agent?.pace ?? 1,
-			heldVersion: heldVersion === undefined ? undefined : Math.max(heldVersion, this.#answeredVersion ?? 0),
+			heldVersion: this.heldVersion(now),
 			isSwitching: agent?.isSwitching ?? false,
 			startMs: now - this.#firstDataRecordedAt <= UPSTREAM_AVERAGE_LIFETIME_MS ? this.#timeToFirstDataMs : undefined,
 			unansweredMs: pending.length === 0 ? 0 : now - pending[0].sentAt,
@@ -133,6 +140,10 @@
 			isDueForTrial: status === 'trial',
 		};
 	}
+
+	#currentAgentReport(now: number): UpstreamReport | undefined {
+		return now - this.#agentReportAt <= MAX_AGENT_REPORT_AGE_MS ? this.#agentReport : undefined;
+	}
 }
 
 export type UpstreamStatesOptions = {
@@ -165,7 +176,8 @@
 
 	/** Observed state of the upstreams of a service, as input for placement. */
 	viewsOf(service: string, now: number): readonly UpstreamView[] {
-		return this.of(service).map(state => state.view(now, this.#subset.has(state.upstream.id)));
+		const maxConnections = this.#maxConnections(service);
+		return this.of(service).map(state => state.view(now, {isInSubset: this.#subset.has(state.upstream.id), maxConnections}));
 	}
 
 	/** Engines in the subset of this entry, whose agents it receives reports from. */
@@ -227,13 +239,17 @@
 		})]));
 	}
 
-	#connect(upstream: Upstream): UpstreamLink {
-		const {address, service} = upstream;
-		const {view, onExtraBytes} = this.#options;
+	/** Connections of this entry to each upstream of a service. Follows the configuration and the number of entries, which may become known late. */
+	#maxConnections(service: string): number {
+		const {view} = this.#options;
 		const limit = view.inForce?.configuration.services.find(({name}) => name === service)?.maxConnections ?? MIN_CONNECTIONS;
-		const connections = Math.max(MIN_CONNECTIONS, Math.floor(limit * CONNECTION_SHARE / assumedEntryCount(view)));
+		return Math.max(MIN_CONNECTIONS, Math.floor(limit * CONNECTION_SHARE / assumedEntryCount(view)));
+	}
+
+	#connect(upstream: Upstream): UpstreamLink {
+		const {onExtraBytes} = this.#options;
 		return new UpstreamLink({
-			address, connections,
+			address: upstream.address,
 			onExtraBytes(requestId) {
 				onExtraBytes?.(upstream, requestId);
 			},
