Expect entries that share an engine to fill it together

Cause: entries decide on the same report, and each filled all free slots itself. Requests beyond the slots wait for a whole stream. Even within the slots, an engine reads prompts one after the other: 16 prompts take 0.9 s, the latency goal is 0.4 s.

The others wait in the entry's queue, which is asked again when an engine has read a prompt.

Tests: choose-upstream.test.ts "an engine that becomes available while requests wait at several entries". Before: four entries sent 32 requests to 8 slots, and all prompts at once.

--- a/packages/dispatch/src/choose-upstream.test.ts
+++ b/packages/dispatch/src/choose-upstream.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {chooseUpstream, estimateLoad} from './choose-upstream.js';
-import type {PlacementRequirements, UpstreamView} from './types.js';
+import type {PlacementRequirements, PromptReading, UpstreamView} from './types.js';
 
 const view = (key: string, changes: Partial<UpstreamView> = {}): UpstreamView => ({
 	key,
@@ -13,6 +13,7 @@
 	reportedRequests: 0,
 	reportAgeMs: 50,
 	ownSinceReport: 0,
+	sharingEntries: 1,
 	pace: 1,
 	heldVersion: 1,
 	isSwitching: false,
@@ -34,6 +35,38 @@
 };
 
 describe('chooseUpstream', () => {
+	describe('an engine that becomes available while requests wait at several entries', () => {
+		const slots = 8;
+		const entries = 4;
+
+		/** Sends of one entry on the same report until it finds no free slot. */
+		const fill = (changes: Partial<UpstreamView>, requirementsOf: () => Partial<PlacementRequirements> = () => ({}), promptTokens = 0): number => {
+			for (let sends = 0; ; sends++) {
+				const engine = view('engine', {
+					slots, ownRequests: sends, ownSinceReport: sends, unreadTokens: sends * promptTokens, ...changes,
+				});
+				if (keyOf([engine], requirementsOf()) === undefined) {
+					return sends;
+				}
+			}
+		};
+
+		it('is not overfilled by entries that decide on the same report', () => {
+			expect(fill({sharingEntries: entries}) * entries).to.be.at.most(slots);
+			expect(fill({sharingEntries: 1})).to.equal(slots);
+		});
+
+		it('gets no more prompts at once than it reads within the latency goal', () => {
+			const reading: PromptReading = {promptTokens: 1000, tokensPerMs: 10, limitMs: 300};
+			expect(fill({sharingEntries: 1}, () => ({reading}), 1000)).to.equal(3);
+			expect(fill({sharingEntries: 1, pace: 2}, () => ({reading}), 1000)).to.equal(1);
+		});
+
+		it('gets a prompt that is longer than it can read in time if it reads no other', () => {
+			expect(fill({sharingEntries: 1}, () => ({reading: {promptTokens: 9000, tokensPerMs: 10, limitMs: 300}}), 9000)).to.equal(1);
+		});
+	});
+
 	describe('even load', () => {
 		it('chooses the least loaded upstream, not the first', () => {
 			expect(keyOf([view('full', {reportedRequests: 3}), view('idle')])).to.equal('idle');
--- a/packages/dispatch/src/choose-upstream.ts
+++ b/packages/dispatch/src/choose-upstream.ts
@@ -2,23 +2,25 @@
 Chooses the upstream for a request.
 
 It covers even load over upstreams of equal speed; several entries that decide at the same time on reports of the same age;
-long prompts in quick succession; upstreams that are slow, behind a congested link, switching their weights, leaving or
+long prompts in quick succession; engines that become available while requests wait at all entries; upstreams that are slow, behind a congested link, switching their weights, leaving or
 failing; and the case in which no slot is free.
 */
 import {
 	EXPIRING_VERSION_SLOT_FRACTION, FAILURE_DOMAIN_PENALTY, MAX_REPORT_AGE_MS, MIN_UNRESPONSIVE_MS, NORMAL_START_FACTOR, OUTSIDE_SUBSET_PENALTY,
 	SCORE_TOLERANCE, UNREAD_TOKENS_PER_FULL_LOAD, UNRESPONSIVE_FACTOR,
 } from './constants.js';
+import {canReadInTime} from './prompt-reading.js';
 import type {Placement, PlacementRequirements, UpstreamView} from './types.js';
 
 /**
 Estimates the number of requests at an upstream: the reported number, adjusted by this entry's own sends and completions
-since the report, and at least this entry's own requests.
+since the report, and at least this entry's own requests. The entries that share the upstream decide on the same report, so
+each of them expects the others to send as many requests as it does itself.
 */
-export const estimateLoad = ({ownRequests, reportedRequests, reportAgeMs, ownSinceReport}: UpstreamView): number =>
+export const estimateLoad = ({ownRequests, reportedRequests, reportAgeMs, ownSinceReport, sharingEntries}: UpstreamView): number =>
 	reportedRequests === undefined || reportAgeMs > MAX_REPORT_AGE_MS
 		? ownRequests
-		: Math.max(ownRequests, reportedRequests + ownSinceReport);
+		: Math.max(ownRequests, reportedRequests + (ownSinceReport > 0 ? ownSinceReport * sharingEntries : ownSinceReport));
 
 /** Average load of the upstreams in the subset, as a fraction of their slots. Assumed for upstreams outside it, which send no reports. */
 const averageSubsetLoad = (views: readonly UpstreamView[]): number => {
@@ -86,7 +88,9 @@
 	const responsive = requirements.isRetry ? usable.filter(({startMs}) => startMs !== undefined) : usable;
 	const candidates = responsive.length > 0 ? responsive : usable;
 	const averageLoad = averageSubsetLoad(candidates);
-	const free = candidates.filter(view => !view.isSwitching && hasFreeConnection(view) && loadFraction(view, averageLoad) < usableSlotFraction(view, requirements));
+	const {reading} = requirements;
+	const free = candidates.filter(view => !view.isSwitching && hasFreeConnection(view)
+		&& loadFraction(view, averageLoad) < usableSlotFraction(view, requirements) && (!reading || canReadInTime(view, reading)));
 	if (free.length === 0) {
 		return {kind: 'busy', usable: usable.length, reason: 'all-places-taken'};
 	}
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -2,13 +2,16 @@
 export type * from './types.js';
 export {chooseUpstream, estimateLoad} from './choose-upstream.js';
 export {admitWaiting, retryAfterMs} from './admit-waiting.js';
+export {readingTokensPerMs} from './prompt-reading.js';
 export {RequestQueue, type QueuedRequest} from './request-queue.js';
 export {decideRetry, isRetryable} from './decide-retry.js';
 export {RetryBudget, type RetryBudgetOptions} from './retry-budget.js';
 export {
 	afterFailure, afterSuccess, afterTrialStart, HEALTHY, healthStatus, type UpstreamHealth,
 } from './upstream-health.js';
-export {upstreamSubset} from './upstream-subset.js';
+export {entriesSharingUpstream, upstreamSubset} from './upstream-subset.js';
 export {pickBackend, RouteTable} from './match-route.js';
 export {cancelAt, requiredVersion} from './required-version.js';
-export {CRASHES_BEFORE_REJECTION, EXPIRING_VERSION_MS, VERSION_MARGIN_MS} from './constants.js';
+export {
+	CRASHES_BEFORE_REJECTION, EXPIRING_VERSION_MS, MAX_READING_GOAL_SHARE, VERSION_MARGIN_MS,
+} from './constants.js';
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -26,6 +26,9 @@
 	/** Requests that this entry sent since that report, minus those that ended since. */
 	readonly ownSinceReport: number;
 
+	/** Number of entries, including this one, that are expected to send to it as this entry does. */
+	readonly sharingEntries: number;
+
 	/** Slowness relative to other upstreams of the service; above 1 when slower. */
 	readonly pace: number;
 	readonly heldVersion: number | undefined;
@@ -70,6 +73,21 @@
 
 	/** Whether the service has weights, so that an upstream that holds none cannot answer. */
 	readonly needsWeights: boolean;
+
+	/** Absent for services that read no prompts. */
+	readonly reading?: PromptReading;
+};
+
+/** What decides how long an engine reads prompts before it can start a request. */
+export type PromptReading = {
+	/** Prompt tokens of the request. */
+	readonly promptTokens: number;
+
+	/** Prompt tokens that the engine reads per millisecond beside running requests. */
+	readonly tokensPerMs: number;
+
+	/** Longest time for which the engine may read prompts before it starts the request. */
+	readonly limitMs: number;
 };
 
 /** Result of choosing an upstream. */
--- a/packages/dispatch/src/upstream-subset.ts
+++ b/packages/dispatch/src/upstream-subset.ts
@@ -8,6 +8,13 @@
 import {rankByWeight} from '@yuccawood/common';
 import {ENTRIES_PER_UPSTREAM, MIN_SUBSET_SIZE} from './constants.js';
 
+const subsetSize = (entryCount: number, upstreamCount: number): number =>
+	Math.min(upstreamCount, Math.max(MIN_SUBSET_SIZE, Math.ceil(upstreamCount * ENTRIES_PER_UPSTREAM / Math.max(1, entryCount))));
+
+/** Average number of entries that have the same upstream in their subsets; at least 1. */
+export const entriesSharingUpstream = (entryCount: number, upstreamCount: number): number =>
+	upstreamCount === 0 ? 1 : Math.max(1, entryCount * subsetSize(entryCount, upstreamCount) / upstreamCount);
+
 /**
 Takes a contiguous range of the upstreams in an order that is the same at all entries. The ranges start at even distances,
 so that each upstream is in the subsets of about the same number of entries.
@@ -21,7 +28,7 @@
 	readonly entryIds: readonly string[];
 	readonly upstreamIds: readonly string[];
 }): ReadonlySet<string> => {
-	const size = Math.max(MIN_SUBSET_SIZE, Math.ceil(upstreamIds.length * ENTRIES_PER_UPSTREAM / Math.max(1, entryIds.length)));
+	const size = subsetSize(entryIds.length, upstreamIds.length);
 	const position = rankByWeight('entries', entryIds).indexOf(selfId);
 	if (size >= upstreamIds.length || position === -1) {
 		return new Set(upstreamIds);
--- a/packages/fleet/src/engine-directory.test.ts
+++ b/packages/fleet/src/engine-directory.test.ts
@@ -9,7 +9,7 @@
 
 const engine: Service = {
 	name: 'engines', maxConnections: 1, origin: undefined, engine: {
-		models: ['m'], slots: 1, stepMs: 1, stepMsPerRequest: 1, stepsPerPass: 1, prefillTokensPerSecond: 1, usualPromptTokens: 1, usualAnswerTokens: 1, layers: 1, chunks: 1, chunkBytes: 1,
+		models: ['m'], slots: 1, stepMs: 1, stepMsPerRequest: 1, stepsPerPass: 1, prefillTokensPerSecond: 1, prefillTokensPerPass: 1, usualPromptTokens: 1, usualAnswerTokens: 1, layers: 1, chunks: 1, chunkBytes: 1,
 	},
 };
 
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -62,6 +62,9 @@
 	readonly stepsPerPass: number;
 	readonly prefillTokensPerSecond: number;
 
+	/** Largest number of prompt tokens that are read between two passes. */
+	readonly prefillTokensPerPass: number;
+
 	/** Mean token counts of requests. */
 	readonly usualPromptTokens: number;
 	readonly usualAnswerTokens: number;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {
-	decideRetry, EXPIRING_VERSION_MS, isRetryable, cancelAt, requiredVersion, type PlacementRequirements,
+	decideRetry, EXPIRING_VERSION_MS, isRetryable, cancelAt, MAX_READING_GOAL_SHARE, readingTokensPerMs, requiredVersion, type PlacementRequirements,
 } from '@yuccawood/dispatch';
 import {EventRelay} from './answer-sinks.js';
 import {
@@ -129,9 +129,9 @@
 
 	#placementNeed(): Omit<PlacementRequirements, 'usualStartMs'> {
 		const {view, clock, versionBoundMs, failureDomain, states} = this.#context;
-		const {service, route} = this.#request;
-		const hasEngine = view.inForce?.configuration.services.find(({name}) => name === service)?.engine !== undefined;
-		const model = hasEngine ? this.#modelOf(service) : undefined;
+		const {service, route, promptTokens} = this.#request;
+		const engine = view.inForce?.configuration.services.find(({name}) => name === service)?.engine;
+		const model = engine ? this.#modelOf(service) : undefined;
 		const requiredVersionAt = (now: number): number | undefined => model === undefined
 			? undefined
 			: requiredVersion(view.targetsOf(model), {now, boundMs: versionBoundMs, canCancel: isRetryable(route)});
@@ -139,7 +139,8 @@
 		const oldestVersion = requiredVersionAt(now);
 		this.#expectedVersion = oldestVersion;
 		return {
-			failureDomain, excludedKeys: this.#excluded, isRetry: this.#sendCount > 0, needsWeights: hasEngine, oldestVersion, oldestVersionSoon: requiredVersionAt(now + EXPIRING_VERSION_MS),
+			failureDomain, excludedKeys: this.#excluded, isRetry: this.#sendCount > 0, needsWeights: engine !== undefined, oldestVersion, oldestVersionSoon: requiredVersionAt(now + EXPIRING_VERSION_MS),
+			reading: engine && {promptTokens: promptTokens ?? engine.usualPromptTokens, tokensPerMs: readingTokensPerMs(engine), limitMs: route.goalMs * MAX_READING_GOAL_SHARE},
 		};
 	}
 
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -88,10 +88,11 @@
 		this.placeQueued(service);
 	}
 
-	/** Adds the time from a send to the first byte of its answer to the average of the service. */
+	/** Adds the time from a send to the first byte of its answer to the average of the service. The engine has read the prompt, so a queued request may fit. */
 	recordTimeToFirstData(service: string, milliseconds: number): void {
 		const serviceQueue = this.#queueOf(service);
 		serviceQueue.timeToFirstDataMs += (milliseconds - serviceQueue.timeToFirstDataMs) * SERVICE_AVERAGE_WEIGHT;
+		this.placeQueued(service);
 	}
 
 	/** Assigns queued requests to free slots until either runs out. */
--- a/packages/gateway/src/upstream-states.ts
+++ b/packages/gateway/src/upstream-states.ts
@@ -1,10 +1,10 @@
 /** Load, health and connections of each upstream, as this entry observes them. */
 import type {Clock, Log, Metrics} from '@yuccawood/common';
 import {
-	afterFailure, afterSuccess, afterTrialStart, HEALTHY, upstreamSubset, healthStatus, type UpstreamHealth, type UpstreamView,
+	afterFailure, afterSuccess, afterTrialStart, entriesSharingUpstream, HEALTHY, upstreamSubset, healthStatus, type UpstreamHealth, type UpstreamView,
 } from '@yuccawood/dispatch';
 import {
-	newestUpstreams, type FleetView, type Upstream, type UpstreamReport,
+	newestUpstreams, type FleetView, type Service, type Upstream, type UpstreamReport,
 } from '@yuccawood/fleet';
 import {
 	DEFAULT_ENTRY_COUNT, CONNECTION_SHARE, MIN_CONNECTIONS, UPSTREAM_AVERAGE_LIFETIME_MS, UPSTREAM_AVERAGE_WEIGHT,
@@ -114,7 +114,7 @@
 		return version === undefined ? undefined : Math.max(version, this.#answeredVersion ?? 0);
 	}
 
-	view(now: number, {isInSubset, maxConnections}: Pick<UpstreamView, 'isInSubset' | 'maxConnections'>): UpstreamView {
+	view(now: number, {isInSubset, maxConnections, sharingEntries}: Pick<UpstreamView, 'isInSubset' | 'maxConnections' | 'sharingEntries'>): UpstreamView {
 		const {upstream} = this;
 		const agent = this.#currentAgentReport(now);
 		const status = healthStatus(this.#health, now);
@@ -127,6 +127,7 @@
 			isLeaving: upstream.state === 'draining',
 			ownRequests: this.ownRequests,
 			maxConnections,
+			sharingEntries,
 			reportedRequests: this.#reportedRequests,
 			reportAgeMs: now - this.#reportedAt,
 			ownSinceReport: this.#ownSinceReport,
@@ -176,8 +177,8 @@
 
 	/** Observed state of the upstreams of a service, as input for placement. */
 	viewsOf(service: string, now: number): readonly UpstreamView[] {
-		const maxConnections = this.#maxConnections(service);
-		return this.of(service).map(state => state.view(now, {isInSubset: this.#subset.has(state.upstream.id), maxConnections}));
+		const limits = {maxConnections: this.#maxConnections(service), sharingEntries: this.#sharingEntries(service)};
+		return this.of(service).map(state => state.view(now, {isInSubset: this.#subset.has(state.upstream.id), ...limits}));
 	}
 
 	/** Engines in the subset of this entry, whose agents it receives reports from. */
@@ -241,9 +242,17 @@
 
 	/** Connections of this entry to each upstream of a service. Follows the configuration and the number of entries, which may become known late. */
 	#maxConnections(service: string): number {
-		const {view} = this.#options;
-		const limit = view.inForce?.configuration.services.find(({name}) => name === service)?.maxConnections ?? MIN_CONNECTIONS;
-		return Math.max(MIN_CONNECTIONS, Math.floor(limit * CONNECTION_SHARE / assumedEntryCount(view)));
+		const limit = this.#configured(service)?.maxConnections ?? MIN_CONNECTIONS;
+		return Math.max(MIN_CONNECTIONS, Math.floor(limit * CONNECTION_SHARE / assumedEntryCount(this.#options.view)));
+	}
+
+	/** Plain services report their load with each answer only, and answer so soon that few requests of other entries are unknown. */
+	#sharingEntries(service: string): number {
+		return this.#configured(service)?.engine ? entriesSharingUpstream(assumedEntryCount(this.#options.view), this.of(service).length) : 1;
+	}
+
+	#configured(service: string): Service | undefined {
+		return this.#options.view.inForce?.configuration.services.find(({name}) => name === service);
 	}
 
 	#connect(upstream: Upstream): UpstreamLink {
