Judge the silence of an engine against its load

Load pattern: after a restart of all processes every engine is full and requests wait in front of it. An entry that sees no data for 1.2 s sends the request again to another full engine.

Change: the limit on the time without a first event is at least twice the start that the engine's reported load, its unread prompts and its published costs predict (silence-limit.ts), and it is asked again when it is reached. Every retry after silence draws on the retry budget, and silence before the request was sent no longer counts as an engine that is gone.

--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -75,6 +75,9 @@
 export const UNRESPONSIVE_FACTOR = 4;
 export const MIN_UNRESPONSIVE_MS = 500;
 
+/** Multiple of the expected time to the first data after which an engine's load no longer explains its silence. */
+export const SILENCE_START_FACTOR = 2;
+
 /** Time to the first byte, as a multiple of the usual one, that load alone can explain. */
 export const NORMAL_START_FACTOR = 2;
 
--- a/packages/dispatch/src/decide-retry.ts
+++ b/packages/dispatch/src/decide-retry.ts
@@ -2,7 +2,7 @@
 Decides whether a request without a complete response is retried.
 
 Retries must not multiply the load while upstreams fail, so each one uses the retry budget unless the request was never
-sent. A request that may have run is retried only if the kind of its route allows that.
+sent because the upstream could not be reached. Silence is no such proof: under overload, retries after it would feed themselves. A request that may have run is retried only if the kind of its route allows that.
 */
 import {MAX_SENDS_PER_REQUEST, MIN_TIME_FOR_RETRY_MS} from './constants.js';
 import type {RetryDecision, FailedRequest} from './types.js';
@@ -11,7 +11,7 @@
 export const isRetryable = ({kind, isResumable}: Pick<FailedRequest, 'kind' | 'isResumable'>): boolean => kind === 'idempotent' || (kind === 'stream' && isResumable);
 
 export const decideRetry = (request: FailedRequest): RetryDecision => {
-	const {failure, runs, sends, attempts, remainingMs, hasBudget} = request;
+	const {failure, runs, sends, attempts, remainingMs, hasBudget, isAfterSilence = false} = request;
 	const mayHaveRun = failure === 'unknown' || failure === 'answered-error';
 	if (mayHaveRun && !isRetryable(request)) {
 		return {kind: 'give-up', reason: 'not-repeatable'};
@@ -29,6 +29,6 @@
 		return {kind: 'give-up', reason: 'no-time'};
 	}
 
-	const usesBudget = failure !== 'not-sent';
+	const usesBudget = failure !== 'not-sent' || isAfterSilence;
 	return usesBudget && !hasBudget ? {kind: 'give-up', reason: 'no-budget'} : {kind: 'resend', usesBudget};
 };
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,6 +3,7 @@
 export {chooseUpstream, estimateLoad} from './choose-upstream.js';
 export {admitWaiting, retryAfterMs} from './admit-waiting.js';
 export {readingTokensPerMs} from './prompt-reading.js';
+export {silenceLimitMs} from './silence-limit.js';
 export {RequestQueue, type QueuedRequest} from './request-queue.js';
 export {decideRetry, isRetryable} from './decide-retry.js';
 export {RetryBudget, type RetryBudgetOptions} from './retry-budget.js';
--- a/packages/dispatch/src/retry.test.ts
+++ b/packages/dispatch/src/retry.test.ts
@@ -20,6 +20,14 @@
 		});
 	});
 
+	describe('retries after silence', () => {
+		it('draw on the budget also if the request was not sent, so that they do not feed an overload', () => {
+			const silent = failedRequest({failure: 'not-sent', runs: 0, isAfterSilence: true});
+			expect(decideRetry(silent)).to.deep.equal({kind: 'resend', usesBudget: true});
+			expect(decideRetry({...silent, hasBudget: false})).to.deep.equal({kind: 'give-up', reason: 'no-budget'});
+		});
+	});
+
 	describe('streams', () => {
 		it('retries a stream if the route allows resuming it', () => {
 			expect(decideRetry(failedRequest({kind: 'stream', isResumable: true})).kind).to.equal('resend');
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -152,6 +152,9 @@
 	readonly attempts: number;
 	readonly remainingMs: number;
 	readonly hasBudget: boolean;
+
+	/** Whether the entry gave up waiting for the upstream, which may only be busy. */
+	readonly isAfterSilence?: boolean;
 };
 
 /** Whether a failed request is retried. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,8 +2,9 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {
-	decideRetry, EXPIRING_VERSION_MS, isRetryable, cancelAt, MAX_READING_GOAL_SHARE, readingTokensPerMs, requiredVersion, type PlacementRequirements,
+	decideRetry, EXPIRING_VERSION_MS, isRetryable, cancelAt, MAX_READING_GOAL_SHARE, readingTokensPerMs, requiredVersion, silenceLimitMs, type PlacementRequirements,
 } from '@yuccawood/dispatch';
+import type {EngineProfile} from '@yuccawood/fleet';
 import {EventRelay} from './answer-sinks.js';
 import {
 	MIN_NO_DATA_TIMEOUT_MS, MIN_ANSWER_TIMEOUT_MS, NO_DATA_TIMEOUT_GOALS, ANSWER_TIMEOUT_GOALS, UNAVAILABLE_RETRY_MS,
@@ -130,7 +131,7 @@
 	#placementNeed(): Omit<PlacementRequirements, 'usualStartMs'> {
 		const {view, clock, versionBoundMs, failureDomain, states} = this.#context;
 		const {service, route, promptTokens} = this.#request;
-		const engine = view.inForce?.configuration.services.find(({name}) => name === service)?.engine;
+		const engine = this.#engine;
 		const model = engine ? this.#modelOf(service) : undefined;
 		const requiredVersionAt = (now: number): number | undefined => model === undefined
 			? undefined
@@ -144,12 +145,17 @@
 		};
 	}
 
+	/** Published costs of the engines of the service; undefined for plain services. */
+	get #engine(): EngineProfile | undefined {
+		return this.#context.view.inForce?.configuration.services.find(({name}) => name === this.#request.service)?.engine;
+	}
+
 	#modelOf(service: string): string | undefined {
 		return this.#context.states.of(service).map(({upstream}) => upstream.model?.name).find(name => name !== undefined);
 	}
 
 	/** Decides whether to retry after a failed attempt. A granted retry excludes the failed upstream and may use up the retry budget. */
-	#mayRetry({failure, detail, bufferedAnswer}: SendResult & {readonly kind: 'failed'}, state: UpstreamState): boolean {
+	#mayRetry({failure, detail, bufferedAnswer, isSilence}: SendResult & {readonly kind: 'failed'}, state: UpstreamState): boolean {
 		const {clock, retryBudgetOf, decisions, metrics} = this.#context;
 		const {route, service, deadlineAt, requestId} = this.#request;
 		const now = clock.monotonic();
@@ -158,7 +164,7 @@
 			? {kind: 'give-up' as const, reason: 'answer-begun'}
 			: decideRetry({
 				kind: route.kind, isResumable: route.isResumable, failure, runs: this.#possibleRunCount, sends: this.#sendCount,
-				attempts: route.attempts, remainingMs: deadlineAt - now, hasBudget: budget.allowsRetry(now),
+				attempts: route.attempts, remainingMs: deadlineAt - now, hasBudget: budget.allowsRetry(now), isAfterSilence: isSilence,
 			});
 		decisions.unusual(requestId, decision.kind === 'resend' ? 'Sent again after a failure.' : 'Given up after a failure.', () => ({
 			route: route.name, upstream: state.upstream.id, failure, detail, sends: this.#sendCount, runs: this.#possibleRunCount,
@@ -201,7 +207,7 @@
 			fingerprint: this.#fingerprint,
 			endSignal: this.#abortController.signal,
 			endedBy: () => this.#endedBy,
-			noDataTimeoutMs: this.#noDataTimeoutMs(),
+			noDataTimeoutMs: () => this.#noDataTimeoutMs(state),
 			canRetryElsewhere: () => this.#canRetryElsewhere(state),
 			msUntilCancel: () => this.#msUntilCancel(state),
 		});
@@ -233,15 +239,22 @@
 	}
 
 	/** Time without data, in milliseconds, after which the request is retried at another upstream; undefined if the route forbids retries. */
-	#noDataTimeoutMs(): number | undefined {
-		const {route} = this.#request;
+	#noDataTimeoutMs(state: UpstreamState): number | undefined {
+		const {clock, placer, states} = this.#context;
+		const {route, service} = this.#request;
 		if (!isRetryable(route)) {
 			return undefined;
 		}
 
-		return route.kind === 'stream'
-			? Math.max(MIN_NO_DATA_TIMEOUT_MS, route.goalMs * NO_DATA_TIMEOUT_GOALS)
-			: Math.max(MIN_ANSWER_TIMEOUT_MS, route.goalMs * ANSWER_TIMEOUT_GOALS);
+		if (route.kind !== 'stream') {
+			return Math.max(MIN_ANSWER_TIMEOUT_MS, route.goalMs * ANSWER_TIMEOUT_GOALS);
+		}
+
+		const baseMs = Math.max(MIN_NO_DATA_TIMEOUT_MS, route.goalMs * NO_DATA_TIMEOUT_GOALS);
+		// Once an answer has begun, the load of its engine explains no longer gaps.
+		return this.#timing.firstDataAt === undefined
+			? silenceLimitMs(baseMs, states.viewOf(state, clock.monotonic()), {usualStartMs: placer.usualStartMs(service), engine: this.#engine})
+			: baseMs;
 	}
 
 	/**
@@ -287,7 +300,7 @@
 		}
 
 		// No process listens at the address, or a different one does. The list of upstreams may take some time to show that.
-		const isFatal = result.failure === 'not-sent' || result.isMisdirected === true;
+		const isFatal = (result.failure === 'not-sent' && result.isSilence !== true) || result.isMisdirected === true;
 		if (state.recordFailure(clock.monotonic(), isFatal)) {
 			decisions.unusual(this.#request.requestId, 'Upstream is suspended.', () => ({
 				upstream: state.upstream.id, address: state.upstream.address, failures: state.health.failures, detail: result.detail,
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -95,6 +95,11 @@
 		this.placeQueued(service);
 	}
 
+	/** Recent time from a send to the first byte of its answer at the upstreams of a service, in milliseconds. */
+	usualStartMs(service: string): number {
+		return this.#queueOf(service).timeToFirstDataMs;
+	}
+
 	/** Assigns queued requests to free slots until either runs out. */
 	placeQueued(service: string): void {
 		const {queue} = this.#queueOf(service);
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -18,7 +18,7 @@
 /** Result of one attempt. `mayHaveRun` is false only if the upstream certainly did not run the request. */
 export type SendResult = {readonly mayHaveRun: boolean} & (
 	{readonly kind: 'delivered'}
-	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly detail: string; readonly bufferedAnswer?: BufferedAnswer; readonly isMisdirected?: boolean; readonly isCancelled?: boolean}
+	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly detail: string; readonly bufferedAnswer?: BufferedAnswer; readonly isMisdirected?: boolean; readonly isCancelled?: boolean; readonly isSilence?: boolean}
 	| {readonly kind: 'ended'; readonly by: EarlyEnd}
 );
 
@@ -63,8 +63,11 @@
 	readonly endSignal: AbortSignal;
 	readonly endedBy: () => EarlyEnd | undefined;
 
-	/** Time without data, in milliseconds, after which the request may be retried at another upstream; undefined if the route forbids it. */
-	readonly noDataTimeoutMs: number | undefined;
+	/**
+	Time without data, in milliseconds, after which the request may be retried at another upstream; undefined if the route
+	forbids it. It depends on the load of the upstream at the moment.
+	*/
+	readonly noDataTimeoutMs: () => number | undefined;
 	readonly canRetryElsewhere: () => boolean;
 
 	/** Time in milliseconds until a request without an answer has to be cancelled because the upstream's version expires; undefined if it does not expire. */
@@ -100,6 +103,9 @@
 	#hasContentLength = false;
 	#isFinished = false;
 	#noDataTimer: NodeJS.Timeout | undefined;
+
+	/** Monotonic time of the latest data, or of the send, in milliseconds. */
+	#silentSince = 0;
 	#cancelTimer: NodeJS.Timeout | undefined;
 
 	/** Limits the time for reading the body of a refusal. */
@@ -169,19 +175,28 @@
 	buffered answer is being forwarded, because it can no longer be replaced.
 	*/
 	#restartNoDataTimer(): void {
-		const {noDataTimeoutMs, canRetryElsewhere} = this.#options;
+		this.#silentSince = this.#options.context.clock.monotonic();
+		this.#scheduleSilenceCheck();
+	}
+
+	#scheduleSilenceCheck(): void {
+		const {noDataTimeoutMs, canRetryElsewhere, context: {clock}} = this.#options;
 		clearTimeout(this.#noDataTimer);
-		if (noDataTimeoutMs === undefined) {
+		const limitMs = noDataTimeoutMs();
+		if (limitMs === undefined) {
 			return;
 		}
 
+		const silentMs = clock.monotonic() - this.#silentSince;
 		this.#noDataTimer = setTimeout(() => {
-			if (!this.#bufferedAnswer?.hasBegunForwarding && canRetryElsewhere()) {
-				this.#send?.abort(new SilenceError(`no data for ${noDataTimeoutMs} ms`));
+			if (clock.monotonic() - this.#silentSince < (noDataTimeoutMs() ?? 0)) {
+				this.#scheduleSilenceCheck();
+			} else if (!this.#bufferedAnswer?.hasBegunForwarding && canRetryElsewhere()) {
+				this.#send?.abort(new SilenceError(`no data for ${Math.round(clock.monotonic() - this.#silentSince)} ms`));
 			} else {
 				this.#restartNoDataTimer();
 			}
-		}, noDataTimeoutMs);
+		}, Math.max(1, Math.ceil(limitMs - silentMs)));
 	}
 
 	/**
@@ -338,7 +353,7 @@
 
 		if (!wasSent) {
 			return {
-				kind: 'failed', failure: 'not-sent', detail: error.message, mayHaveRun: false,
+				kind: 'failed', failure: 'not-sent', detail: error.message, mayHaveRun: false, isSilence: error instanceof SilenceError,
 			};
 		}
 
@@ -347,7 +362,7 @@
 		}
 
 		return {
-			kind: 'failed', failure: 'unknown', detail: error.message, bufferedAnswer: this.#bufferedAnswer, mayHaveRun: true, isCancelled: error instanceof RecallError,
+			kind: 'failed', failure: 'unknown', detail: error.message, bufferedAnswer: this.#bufferedAnswer, mayHaveRun: true, isCancelled: error instanceof RecallError, isSilence: error instanceof SilenceError,
 		};
 	}
 }
--- a/packages/gateway/src/upstream-states.ts
+++ b/packages/gateway/src/upstream-states.ts
@@ -177,10 +177,14 @@
 
 	/** Observed state of the upstreams of a service, as input for placement. */
 	viewsOf(service: string, now: number): readonly UpstreamView[] {
-		const limits = {maxConnections: this.#maxConnections(service), sharingEntries: this.#sharingEntries(service)};
+		const limits = this.#limitsOf(service);
 		return this.of(service).map(state => state.view(now, {isInSubset: this.#subset.has(state.upstream.id), ...limits}));
 	}
 
+	viewOf(state: UpstreamState, now: number): UpstreamView {
+		return state.view(now, {isInSubset: this.#subset.has(state.upstream.id), ...this.#limitsOf(state.upstream.service)});
+	}
+
 	/** Engines in the subset of this entry, whose agents it receives reports from. */
 	get enginesInSubset(): readonly Upstream[] {
 		const engines = new Set(this.#options.view.inForce?.configuration.services.filter(({engine}) => engine).map(({name}) => name));
@@ -240,6 +244,10 @@
 		})]));
 	}
 
+	#limitsOf(service: string): Pick<UpstreamView, 'maxConnections' | 'sharingEntries'> {
+		return {maxConnections: this.#maxConnections(service), sharingEntries: this.#sharingEntries(service)};
+	}
+
 	/** Connections of this entry to each upstream of a service. Follows the configuration and the number of entries, which may become known late. */
 	#maxConnections(service: string): number {
 		const limit = this.#configured(service)?.maxConnections ?? MIN_CONNECTIONS;
