Ask agents too how long a version has been known

The store was away from 18 to 26 s; versions 2 and 3 were named meanwhile. At 26.05 s entries learned of them with counted ages of 6.2 to 9.0 s, so no engine could be used until version 3 was loaded.

Cause: a process drops the cautious age when three peers in all regions followed the versions and none knew this one earlier. Entries asked other entries only. With four entries, two of which had just restarted, there are never three witnesses. Agents (log: 'counts from when it first became known') dropped it after 0.6 s.

Change: each group of peers is asked, agents as well.

Test: target-age-exchange.test.ts 'in a deployment of few entries, some of which have just restarted'. Before: the age stayed at 9 s. After: passed.

--- /dev/null
+++ b/packages/gateway/src/upstream-state.ts
@@ -0,0 +1,136 @@
+/** Load and health of one upstream, as this entry observes them. Performs no I/O. */
+import {
+	afterFailure, afterSuccess, afterTrialStart, HEALTHY, healthStatus, type UpstreamHealth, type UpstreamView,
+} from '@yuccawood/dispatch';
+import type {Upstream, UpstreamReport} from '@yuccawood/fleet';
+import {UPSTREAM_AVERAGE_LIFETIME_MS, UPSTREAM_AVERAGE_WEIGHT} from './constants.js';
+
+/** Age up to which an agent's report of version and switching takes precedence over the platform's list of upstreams. */
+const MAX_AGENT_REPORT_AGE_MS = 2500;
+
+/** A request that was sent and has received no data yet. `sentAt` is a monotonic time in milliseconds. */
+type PendingSend = {readonly sentAt: number; readonly promptTokens: number};
+
+export class UpstreamState {
+	/** Requests of this entry that the upstream has now. */
+	ownRequests = 0;
+
+	/** Sends that have received no data yet, oldest first. */
+	readonly #pendingSends = new Map<symbol, PendingSend>();
+	/** Requests of all entries at the upstream, by its latest answer or its agent's latest report. */
+	#reportedRequests: number | undefined;
+	#reportedAt = Number.NEGATIVE_INFINITY;
+	/** Requests of this entry that began since then, less those that ended. */
+	#ownSinceReport = 0;
+	#agentReport: UpstreamReport | undefined;
+	#agentReportAt = Number.NEGATIVE_INFINITY;
+	/** Newest version that an answer of the upstream stated. */
+	#answeredVersion: number | undefined;
+	/** Moving average. */
+	#timeToFirstDataMs: number | undefined;
+	#firstDataRecordedAt = Number.NEGATIVE_INFINITY;
+	#health: UpstreamHealth = HEALTHY;
+
+	constructor(public upstream: Upstream) {}
+
+	get health(): UpstreamHealth {
+		return this.#health;
+	}
+
+	/** Adds a send that waits for its first data. @returns its key for {@link removePendingSend} */
+	addPendingSend(now: number, promptTokens = 0): symbol {
+		const key = Symbol('send');
+		this.#pendingSends.set(key, {sentAt: now, promptTokens});
+		return key;
+	}
+
+	/** Called when the first data of a send arrives, or when the send ends. */
+	removePendingSend(key: symbol): void {
+		this.#pendingSends.delete(key);
+	}
+
+	/** Adds the time from a send to its first data to the average of the upstream. */
+	recordTimeToFirstData(milliseconds: number, now: number): void {
+		this.#timeToFirstDataMs = this.#timeToFirstDataMs === undefined ? milliseconds : this.#timeToFirstDataMs + ((milliseconds - this.#timeToFirstDataMs) * UPSTREAM_AVERAGE_WEIGHT);
+		this.#firstDataRecordedAt = now;
+	}
+
+	beginRequest(now: number): void {
+		this.ownRequests++;
+		this.#ownSinceReport++;
+		if (healthStatus(this.#health, now) === 'trial') {
+			this.#health = afterTrialStart(this.#health);
+		}
+	}
+
+	endRequest(): void {
+		this.ownRequests--;
+		this.#ownSinceReport--;
+	}
+
+	updateLoad(requests: number, now: number): void {
+		this.#reportedRequests = requests;
+		this.#reportedAt = now;
+		this.#ownSinceReport = 0;
+	}
+
+	updateVersion(version: number): void {
+		this.#answeredVersion = Math.max(version, this.#answeredVersion ?? 0);
+	}
+
+	applyAgentReport(report: UpstreamReport, now: number): void {
+		this.#agentReport = report;
+		this.#agentReportAt = now;
+		this.updateLoad(report.running + report.waiting, now);
+	}
+
+	recordSuccess(): void {
+		this.#health = afterSuccess(this.#health);
+	}
+
+	/** @returns whether the upstream was suspended by this failure */
+	recordFailure(now: number, isFatal: boolean): boolean {
+		const before = this.#health;
+		this.#health = afterFailure(before, now, {isFatal});
+		return this.#health.suspendedUntil > now && before.suspendedUntil <= now;
+	}
+
+	/** Version that the upstream holds, as far as this entry knows. */
+	heldVersion(now: number): number | undefined {
+		const agent = this.#currentAgentReport(now);
+		const version = agent ? agent.version : this.upstream.model?.version;
+		return version === undefined ? undefined : Math.max(version, this.#answeredVersion ?? 0);
+	}
+
+	view(now: number, {isInSubset, maxConnections, sharingEntries}: Pick<UpstreamView, 'isInSubset' | 'maxConnections' | 'sharingEntries'>): UpstreamView {
+		const {upstream} = this;
+		const agent = this.#currentAgentReport(now);
+		const status = healthStatus(this.#health, now);
+		const pending = [...this.#pendingSends.values()];
+		return {
+			key: upstream.key,
+			failureDomain: upstream.failureDomain,
+			isInSubset,
+			slots: Math.max(1, upstream.slots),
+			isLeaving: upstream.state === 'draining',
+			ownRequests: this.ownRequests,
+			maxConnections,
+			sharingEntries,
+			reportedRequests: this.#reportedRequests,
+			reportAgeMs: now - this.#reportedAt,
+			ownSinceReport: this.#ownSinceReport,
+			pace: agent?.pace ?? 1,
+			heldVersion: this.heldVersion(now),
+			isSwitching: agent?.isSwitching ?? false,
+			startMs: now - this.#firstDataRecordedAt <= UPSTREAM_AVERAGE_LIFETIME_MS ? this.#timeToFirstDataMs : undefined,
+			unansweredMs: pending.length === 0 ? 0 : now - pending[0].sentAt,
+			unreadTokens: pending.reduce((sum, {promptTokens}) => sum + promptTokens, 0),
+			isSuspended: status === 'suspended',
+			isDueForTrial: status === 'trial',
+		};
+	}
+
+	#currentAgentReport(now: number): UpstreamReport | undefined {
+		return now - this.#agentReportAt <= MAX_AGENT_REPORT_AGE_MS ? this.#agentReport : undefined;
+	}
+}
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -73,7 +73,7 @@
 /** Pause after a write of the directory, during which the store's watch delivers the new value. */
 export const DIRECTORY_WRITE_RETRY_MS = 1000;
 
-/** Number of peers that are asked how long they have known a version. */
+/** Number of peers of each group that are asked how long they have known a version. */
 export const MAX_PEERS_ASKED_FOR_AGES = 10;
 
 /** Number of peers that must have been following the versions when the version was set, so that their ages replace the cautious assumption. */
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -115,7 +115,7 @@
 		}),
 	});
 	new TargetAgeExchange({
-		view, peers, peerServer, random, log: log.part('fleet'), addresses: () => peerAddresses(view, settings)[0],
+		view, peers, peerServer, random, log: log.part('fleet'), addresses: () => peerAddresses(view, settings),
 		region: settings.region, regions: [...new Set(settings.regions.values())],
 	}).start();
 	peerServer.method(CHANGES_METHOD, ({parts}: {readonly parts: readonly PartState[]}) => parts.flatMap(part => follower.items.changesSince(part)));
--- a/packages/node/src/target-age-exchange.test.ts
+++ b/packages/node/src/target-age-exchange.test.ts
@@ -21,12 +21,12 @@
 		}
 	});
 
-	const start = async (host: string, addresses: readonly string[], region = 'north'): Promise<FleetView> => {
+	const start = async (host: string, addresses: readonly string[], {region = 'north', others = []}: {readonly region?: string; readonly others?: readonly string[]} = {}): Promise<FleetView> => {
 		const view = new FleetView({clock, log: SILENT_LOG});
 		const peers = new PeerClient({connectTimeoutMs: 300});
 		const peerServer = new PeerServer();
 		new TargetAgeExchange({
-			view, peers, peerServer, addresses: () => addresses, region, regions: ['north', 'south'], random: seededRandom(1), log: SILENT_LOG,
+			view, peers, peerServer, addresses: () => [addresses, others], region, regions: ['north', 'south'], random: seededRandom(1), log: SILENT_LOG,
 		}).start();
 		await peerServer.listen(host, PORT);
 		closers.push(async () => {
@@ -77,7 +77,7 @@
 	});
 
 	it('drops the cautious assumption if peers in all regions learned of the version just now, as after an outage of the store', async () => {
-		const others = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [], index === 3 ? 'south' : 'north')));
+		const others = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [], {region: index === 3 ? 'south' : 'north'})));
 		const late = await start('127.0.73.8', [1, 2, 3].map(index => `127.0.73.${index}:${PORT}`));
 		const returnedAt = clock.monotonic();
 		for (const view of [late, ...others]) {
@@ -89,6 +89,19 @@
 		expect(late.targetOf('m')!.learnedAt).to.be.at.least(returnedAt);
 	});
 
+	it('drops the cautious assumption in a deployment of few entries, some of which have just restarted, if the agents learned of the version just now', async () => {
+		const [restartedEntry, ...agents] = await Promise.all([1, 2, 3, 4].map(async index => start(`127.0.73.${index}`, [], {region: index === 4 ? 'south' : 'north'})));
+		const late = await start('127.0.73.8', [`127.0.73.1:${PORT}`], {others: [2, 3, 4].map(index => `127.0.73.${index}:${PORT}`)});
+		const returnedAt = clock.monotonic();
+		restartedEntry.apply({kind: 'target', model: 'm', version: 2}, {revision: 2, mayBeLeaseExpiry: false});
+		for (const view of [late, ...agents]) {
+			setTarget(view, 2, 9000);
+		}
+
+		await clock.sleep(150);
+		expect(late.targetOf('m')!.learnedAt).to.be.at.least(returnedAt);
+	});
+
 	it('keeps the cautious assumption if no peer of another region answers', async () => {
 		const neighbours = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [])));
 		const late = await start('127.0.73.8', [1, 2, 3, 9].map(index => `127.0.73.${index}:${PORT}`));
--- a/packages/node/src/target-age-exchange.ts
+++ b/packages/node/src/target-age-exchange.ts
@@ -21,7 +21,8 @@
 	readonly view: FleetView;
 	readonly peers: PeerClient;
 	readonly peerServer: PeerServer;
-	readonly addresses: () => readonly string[];
+	/** Groups of peers. Each group is asked, since one alone may have too few processes that were running when a version was set. */
+	readonly addresses: () => ReadonlyArray<readonly string[]>;
 	readonly region: string;
 
 	/** All regions. The path to the store may be slow for a whole region. */
@@ -75,7 +76,7 @@
 	/** @returns the answers of the peers that answered */
 	async #askPeers(): Promise<readonly ReportedAges[]> {
 		const {random, addresses} = this.#options;
-		const reported = await Promise.all(random.sample(addresses(), MAX_PEERS_ASKED_FOR_AGES).map(async address => this.#ask(address)));
+		const reported = await Promise.all(addresses().flatMap(group => random.sample(group, MAX_PEERS_ASKED_FOR_AGES)).map(async address => this.#ask(address)));
 		return reported.filter(answer => answer !== undefined);
 	}
 
