Free the placer and the upstream state of timers and connections

The placer used timers of the event loop, and the state of an upstream held its connection pool.

UpstreamState (upstream-state.ts) now performs no I/O; ConnectedUpstream adds the link. The placer takes its upstreams and its timers through interfaces (PlacementStates, PlacementClock).

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -15,7 +15,7 @@
 import type {PlacementResult} from './placer.js';
 import type {GatewayAnswer} from './types.js';
 import {AnswerTiming, transmit, type SendResult} from './transmit.js';
-import type {UpstreamState} from './upstream-states.js';
+import type {ConnectedUpstream} from './upstream-states.js';
 
 export class Exchange {
 	readonly #context: GatewayContext;
@@ -155,7 +155,7 @@
 	}
 
 	/** Decides whether to retry after a failed attempt. A granted retry excludes the failed upstream and may use up the retry budget. */
-	#mayRetry({failure, detail, bufferedAnswer, isSilence}: SendResult & {readonly kind: 'failed'}, state: UpstreamState): boolean {
+	#mayRetry({failure, detail, bufferedAnswer, isSilence}: SendResult & {readonly kind: 'failed'}, state: ConnectedUpstream): boolean {
 		const {clock, retryBudgetOf, decisions, metrics} = this.#context;
 		const {route, service, deadlineAt, requestId} = this.#request;
 		const now = clock.monotonic();
@@ -183,7 +183,7 @@
 		return true;
 	}
 
-	async #send(state: UpstreamState): Promise<SendResult> {
+	async #send(state: ConnectedUpstream): Promise<SendResult> {
 		const {clock, codec, placer, states} = this.#context;
 		const {method, path, rawHeaders, body, account, deadlineAt, service, requestId} = this.#request;
 		this.#sendCount++;
@@ -225,7 +225,7 @@
 		return result;
 	}
 
-	#recordDelivery(state: UpstreamState, load: number, waitedMs: number): void {
+	#recordDelivery(state: ConnectedUpstream, load: number, waitedMs: number): void {
 		const {metrics, decisions, clock} = this.#context;
 		const {service, arrivedAt, goalAt, route, requestId} = this.#request;
 		const firstMs = (this.#timing.firstDataAt ?? clock.monotonic()) - arrivedAt;
@@ -239,7 +239,7 @@
 	}
 
 	/** Time without data, in milliseconds, after which the request is retried at another upstream; undefined if the route forbids retries. */
-	#noDataTimeoutMs(state: UpstreamState): number | undefined {
+	#noDataTimeoutMs(state: ConnectedUpstream): number | undefined {
 		const {clock, placer, states} = this.#context;
 		const {route, service} = this.#request;
 		if (!isRetryable(route)) {
@@ -261,7 +261,7 @@
 	Time in milliseconds until a request that waits at the upstream has to be cancelled because the upstream's version
 	expires; undefined if the version does not expire or the request cannot be retried.
 	*/
-	#msUntilCancel(state: UpstreamState): number | undefined {
+	#msUntilCancel(state: ConnectedUpstream): number | undefined {
 		const {view, clock, versionBoundMs} = this.#context;
 		const now = clock.monotonic();
 		const heldVersion = state.heldVersion(now);
@@ -275,7 +275,7 @@
 	}
 
 	/** Whether a retry is allowed and another upstream has a free slot now. If none has, the current upstream may still answer. */
-	#canRetryElsewhere(state: UpstreamState): boolean {
+	#canRetryElsewhere(state: ConnectedUpstream): boolean {
 		const {clock, retryBudgetOf, placer} = this.#context;
 		const {route, service, deadlineAt} = this.#request;
 		const now = clock.monotonic();
@@ -288,7 +288,7 @@
 		});
 	}
 
-	#updateHealth(state: UpstreamState, result: SendResult): void {
+	#updateHealth(state: ConnectedUpstream, result: SendResult): void {
 		const {clock, decisions} = this.#context;
 		if (result.kind === 'delivered') {
 			state.recordSuccess();
@@ -328,7 +328,7 @@
 			});
 	}
 
-	#answerEndedEarly(by: 'caller' | 'deadline', state: UpstreamState | undefined): void {
+	#answerEndedEarly(by: 'caller' | 'deadline', state: ConnectedUpstream | undefined): void {
 		const {decisions, metrics} = this.#context;
 		const {requestId, route} = this.#request;
 		metrics.count('gateway.ended_early', {by});
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -5,13 +5,13 @@
 import type {DecisionLog} from './decision-log.js';
 import type {Placer} from './placer.js';
 import type {HeaderCodec} from './types.js';
-import type {UpstreamStates} from './upstream-states.js';
+import type {ConnectedUpstream, UpstreamStates} from './upstream-states.js';
 
 /** Objects and settings that all exchanges of one entry share. */
 export type GatewayContext = {
 	readonly view: FleetView;
 	readonly states: UpstreamStates;
-	readonly placer: Placer;
+	readonly placer: Placer<ConnectedUpstream>;
 	readonly crashWatch: CrashWatch;
 	readonly codec: HeaderCodec;
 	readonly retryBudgetOf: (service: string) => RetryBudget;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,7 +16,7 @@
 import {Exchange} from './exchange.js';
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
 import {sendGatewayAnswer} from './own-answer.js';
-import {Placer} from './placer.js';
+import {Placer, scheduleTimer} from './placer.js';
 import {readRequestBody} from './read-request-body.js';
 import type {CallerHeaders, HeaderCodec, GatewayAnswer} from './types.js';
 import {assumedEntryCount, UpstreamStates} from './upstream-states.js';
@@ -76,7 +76,7 @@
 			...options,
 			states,
 			placer: new Placer({
-				states, clock, random, metrics,
+				states, clock: {monotonic: clock.monotonic, schedule: scheduleTimer}, random, metrics,
 			}),
 			crashWatch: new CrashWatch({
 				clock, log, sharedCounts: () => view.crashesByFingerprint, shareCount: options.shareCrashCount,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,6 @@
 /** Reverse proxy that receives requests from callers and forwards them to upstreams. */
 export type * from './types.js';
 export {Gateway, type GatewayOptions} from './gateway.js';
+export {Placer, type PlacementClock, type PlacementStates} from './placer.js';
+export {UpstreamState} from './upstream-state.js';
 export {EventSplitter} from './event-stream.js';
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -1,10 +1,10 @@
-/** Assigns requests to free slots of upstreams: immediately, after waiting in the queue of their service, or not at all. */
-import type {Clock, Metrics, Random} from '@yuccawood/common';
+/** Assigns requests to free slots of upstreams: immediately, after waiting in the queue of their service, or not at all. Performs no I/O. */
+import type {Metrics, Random} from '@yuccawood/common';
 import {
-	admitWaiting, chooseUpstream, retryAfterMs, RequestQueue, type Placement, type PlacementRequirements, type QueuedRequest, type UnplacedRequest,
+	admitWaiting, chooseUpstream, retryAfterMs, RequestQueue, type Placement, type PlacementRequirements, type QueuedRequest, type UnplacedRequest, type UpstreamView,
 } from '@yuccawood/dispatch';
 import {SERVICE_AVERAGE_WEIGHT, DEFAULT_TIME_TO_FIRST_DATA_MS, FREED_SLOTS_WINDOW_MS} from './constants.js';
-import type {UpstreamState, UpstreamStates} from './upstream-states.js';
+import type {UpstreamState} from './upstream-state.js';
 
 export type PlacementRequest = {
 	readonly service: string;
@@ -18,36 +18,63 @@
 	readonly signal: AbortSignal;
 };
 
-export type PlacementResult =
-	{readonly kind: 'placed'; readonly state: UpstreamState; readonly load: number; readonly waitedMs: number}
+export type PlacementResult<State extends UpstreamState = UpstreamState> =
+	{readonly kind: 'placed'; readonly state: State; readonly load: number; readonly waitedMs: number}
 	| {readonly kind: 'rejected'; readonly reason: string; readonly retryAfterMs: number; readonly waitedMs: number; readonly ahead: number}
 	| {readonly kind: 'cancelled'};
 
-type Resolve = (placed: PlacementResult) => void;
-type QueuedPlacement = {readonly request: PlacementRequest; readonly resolve: Resolve; readonly queuedAt: number; timer?: NodeJS.Timeout};
+type QueuedPlacement<State extends UpstreamState> = {
+	readonly request: PlacementRequest;
+	readonly resolve: (placed: PlacementResult<State>) => void;
+	readonly queuedAt: number;
+	cancelTimer?: () => void;
+};
 
-class ServiceQueue {
-	readonly queue = new RequestQueue<QueuedPlacement>();
+class ServiceQueue<State extends UpstreamState> {
+	readonly queue = new RequestQueue<QueuedPlacement<State>>();
 	readonly slotsFreedAt: number[] = [];
 	timeToFirstDataMs = DEFAULT_TIME_TO_FIRST_DATA_MS;
 }
 
-export type PlacerOptions = {
-	readonly states: UpstreamStates;
-	readonly clock: Clock;
+/** Source of time for waiting requests. */
+export interface PlacementClock {
+	/** Monotonic milliseconds. */
+	readonly monotonic: () => number;
+
+	/** Calls the function after the time. @returns a function that cancels the call */
+	readonly schedule: (milliseconds: number, call: () => void) => () => void;
+}
+
+/** {@link PlacementClock.schedule} with timers of the event loop. */
+export const scheduleTimer: PlacementClock['schedule'] = (milliseconds, call) => {
+	const timer = setTimeout(call, milliseconds);
+	return () => {
+		clearTimeout(timer);
+	};
+};
+
+/** Upstreams of which the placer chooses. */
+export interface PlacementStates<State extends UpstreamState> {
+	readonly viewsOf: (service: string, now: number) => readonly UpstreamView[];
+	readonly find: (key: string) => State | undefined;
+}
+
+export type PlacerOptions<State extends UpstreamState> = {
+	readonly states: PlacementStates<State>;
+	readonly clock: PlacementClock;
 	readonly random: Random;
 	readonly metrics: Metrics;
 };
 
-export class Placer {
-	readonly #options: PlacerOptions;
-	readonly #queues = new Map<string, ServiceQueue>();
+export class Placer<State extends UpstreamState> {
+	readonly #options: PlacerOptions<State>;
+	readonly #queues = new Map<string, ServiceQueue<State>>();
 
-	constructor(options: PlacerOptions) {
+	constructor(options: PlacerOptions<State>) {
 		this.#options = options;
 	}
 
-	async place(request: PlacementRequest): Promise<PlacementResult> {
+	async place(request: PlacementRequest): Promise<PlacementResult<State>> {
 		const now = this.#options.clock.monotonic();
 		const serviceQueue = this.#queueOf(request.service);
 		// Slots may have become free without a notification, for example when a suspension ended. Queued requests go first.
@@ -126,10 +153,10 @@
 		return new Map([...this.#queues].map(([service, {queue}]) => [service, queue.length]));
 	}
 
-	#queueOf(service: string): ServiceQueue {
+	#queueOf(service: string): ServiceQueue<State> {
 		let serviceQueue = this.#queues.get(service);
 		if (!serviceQueue) {
-			serviceQueue = new ServiceQueue();
+			serviceQueue = new ServiceQueue<State>();
 			this.#queues.set(service, serviceQueue);
 		}
 
@@ -142,7 +169,7 @@
 		return chooseUpstream(states.viewsOf(request.service, now), need, random.next());
 	}
 
-	#takeSlot({key, load}: Placement & {readonly kind: 'send'}, since: number, now: number): PlacementResult {
+	#takeSlot({key, load}: Placement & {readonly kind: 'send'}, since: number, now: number): PlacementResult<State> {
 		const state = this.#options.states.find(key)!;
 		state.beginRequest(now);
 		return {
@@ -150,7 +177,7 @@
 		};
 	}
 
-	#admissionNeed(request: PlacementRequest, {serviceQueue, now, isServed}: {readonly serviceQueue: ServiceQueue; readonly now: number; readonly isServed: boolean}): UnplacedRequest {
+	#admissionNeed(request: PlacementRequest, {serviceQueue, now, isServed}: {readonly serviceQueue: ServiceQueue<State>; readonly now: number; readonly isServed: boolean}): UnplacedRequest {
 		const start = now - FREED_SLOTS_WINDOW_MS;
 		while (serviceQueue.slotsFreedAt.length > 0 && serviceQueue.slotsFreedAt[0] < start) {
 			serviceQueue.slotsFreedAt.shift();
@@ -166,17 +193,17 @@
 		};
 	}
 
-	#reject(reason: string, need: UnplacedRequest, waitedMs: number): PlacementResult {
+	#reject(reason: string, need: UnplacedRequest, waitedMs: number): PlacementResult<State> {
 		return {
 			kind: 'rejected', reason, retryAfterMs: retryAfterMs(need, this.#options.random.next()), waitedMs, ahead: need.ahead,
 		};
 	}
 
-	async #enqueue(request: PlacementRequest, serviceQueue: ServiceQueue, now: number, forMs: number): Promise<PlacementResult> {
+	async #enqueue(request: PlacementRequest, serviceQueue: ServiceQueue<State>, now: number, forMs: number): Promise<PlacementResult<State>> {
 		const {clock} = this.#options;
 		return new Promise(resolve => {
-			const item: QueuedPlacement = {request, resolve, queuedAt: now};
-			const waiting: QueuedRequest<QueuedPlacement> = {
+			const item: QueuedPlacement<State> = {request, resolve, queuedAt: now};
+			const waiting: QueuedRequest<QueuedPlacement<State>> = {
 				item, account: request.account, priority: request.priority, goalAt: request.goalAt - serviceQueue.timeToFirstDataMs,
 			};
 			const cancel = (): void => {
@@ -185,7 +212,7 @@
 				}
 			};
 
-			item.timer = setTimeout(() => {
+			item.cancelTimer = clock.schedule(forMs, () => {
 				request.signal.removeEventListener('abort', cancel);
 				if (serviceQueue.queue.remove(waiting)) {
 					const end = clock.monotonic();
@@ -194,15 +221,15 @@
 					const need = this.#admissionNeed(request, {serviceQueue, now: end, isServed});
 					this.#settle(item, this.#reject(isServed ? 'waited-in-vain' : placement.reason, need, end - now));
 				}
-			}, forMs);
+			});
 			request.signal.addEventListener('abort', cancel, {once: true});
 			serviceQueue.queue.add(waiting);
 			this.#options.metrics.count('gateway.waited', {service: request.service});
 		});
 	}
 
-	#settle(item: QueuedPlacement, placed: PlacementResult): void {
-		clearTimeout(item.timer);
+	#settle(item: QueuedPlacement<State>, placed: PlacementResult<State>): void {
+		item.cancelTimer?.();
 		item.resolve(placed);
 	}
 }
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -10,7 +10,7 @@
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
 import type {AnswerHeaders} from './types.js';
 import type {Send, SendRequest} from './upstream-link.js';
-import type {UpstreamState} from './upstream-states.js';
+import type {ConnectedUpstream} from './upstream-states.js';
 
 /** Why a request ended before its answer was complete: the caller disconnected, or the deadline passed. */
 export type EarlyEnd = 'caller' | 'deadline';
@@ -55,7 +55,7 @@
 	/** Forwards the events of a stream to the caller; undefined for requests without a stream. */
 	readonly relay: EventRelay | undefined;
 	readonly timing: AnswerTiming;
-	readonly state: UpstreamState;
+	readonly state: ConnectedUpstream;
 	readonly upstreamRequest: SendRequest;
 	readonly fingerprint: string;
 
