Keep slots for requests that can still meet their goal

Load pattern: half again more requests than the engines can serve, refused callers come back once. What callers saw: nearly half of what was served was late.

Causes: a returned caller, whose goal has passed, took any free slot, also when it could not be told from a new one: it came back after 0.4 to 1.2 s and had more than 0.8 of the timeout left. And a queue as long as the goal allows makes late every request whose engine starts it later than the average.

Change: requests past their goal use three quarters of an upstream's slots at most; a request is queued only if the estimated wait takes at most half of its slack; the retry delay lasts until a return is recognizable, within what callers follow.

--- a/packages/dispatch/src/admit-waiting.test.ts
+++ b/packages/dispatch/src/admit-waiting.test.ts
@@ -3,7 +3,7 @@
 import type {UnplacedRequest} from './types.js';
 
 const request = (changes: Partial<UnplacedRequest> = {}): UnplacedRequest => ({
-	isServable: true, slackMs: 250, remainingMs: 6000, ahead: 0, freedSlotsPerSecond: 50, ...changes,
+	isServable: true, slackMs: 250, remainingMs: 6000, msUntilReturnIsRecognized: 0, ahead: 0, freedSlotsPerSecond: 50, ...changes,
 });
 
 /** Simulates a queue and returns the requests per second that start within their latency goal of 250 ms. */
@@ -34,6 +34,17 @@
 			expect(plain).to.be.lessThan(10);
 		});
 
+		it('rejects a request that would get its slot only just before it misses its goal', () => {
+			expect(admitWaiting(request({slackMs: 250, ahead: 9, freedSlotsPerSecond: 50}), 0.5).kind).to.equal('reject');
+			expect(admitWaiting(request({slackMs: 250, ahead: 5, freedSlotsPerSecond: 50}), 0.5).kind).to.equal('wait');
+		});
+
+		it('lets a caller return only when its return can be told from a first attempt', () => {
+			for (const random of [0, 0.5, 0.99]) {
+				expect(retryAfterMs(request({msUntilReturnIsRecognized: 1100}), random)).to.be.within(1100, 1800);
+			}
+		});
+
 		it('returns a longer retry delay while no upstream holds the required version', () => {
 			for (const random of [0, 0.5, 0.99]) {
 				expect(retryAfterMs(request({isServable: false, freedSlotsPerSecond: 0}), random)).to.be.within(850, 1800);
--- a/packages/dispatch/src/choose-upstream.test.ts
+++ b/packages/dispatch/src/choose-upstream.test.ts
@@ -67,6 +67,18 @@
 		});
 	});
 
+	describe('callers that return after their goal while new ones arrive', () => {
+		it('leave the last slots to requests that can still meet their goal', () => {
+			const nearlyFull = view('engine', {slots: 4, reportedRequests: 3});
+			expect(keyOf([nearlyFull], {isLate: true})).to.equal(undefined);
+			expect(keyOf([nearlyFull])).to.equal('engine');
+		});
+
+		it('use the slots that the load leaves free', () => {
+			expect(keyOf([view('engine', {slots: 4, reportedRequests: 2})], {isLate: true})).to.equal('engine');
+		});
+	});
+
 	describe('even load', () => {
 		it('chooses the least loaded upstream, not the first', () => {
 			expect(keyOf([view('full', {reportedRequests: 3}), view('idle')])).to.equal('idle');
--- a/packages/dispatch/src/choose-upstream.ts
+++ b/packages/dispatch/src/choose-upstream.ts
@@ -6,7 +6,7 @@
 failing; and the case in which no slot is free.
 */
 import {
-	EXPIRING_VERSION_SLOT_FRACTION, FAILURE_DOMAIN_PENALTY, MAX_REPORT_AGE_MS, MIN_UNRESPONSIVE_MS, NORMAL_START_FACTOR, OUTSIDE_SUBSET_PENALTY,
+	EXPIRING_VERSION_SLOT_FRACTION, FAILURE_DOMAIN_PENALTY, LATE_SLOT_FRACTION, MAX_REPORT_AGE_MS, MIN_UNRESPONSIVE_MS, NORMAL_START_FACTOR, OUTSIDE_SUBSET_PENALTY,
 	SCORE_TOLERANCE, UNREAD_TOKENS_PER_FULL_LOAD, UNRESPONSIVE_FACTOR,
 } from './constants.js';
 import {canReadInTime} from './prompt-reading.js';
@@ -43,9 +43,12 @@
 const hasRequiredVersion = ({heldVersion}: UpstreamView, {needsWeights, oldestVersion}: PlacementRequirements): boolean =>
 	!needsWeights || (heldVersion !== undefined && heldVersion >= (oldestVersion ?? 0));
 
-/** Fraction of the slots that may be used. Requests queued at an upstream must start before its version expires. */
-const usableSlotFraction = ({heldVersion}: UpstreamView, {needsWeights, oldestVersionSoon}: PlacementRequirements): number =>
-	needsWeights && heldVersion !== undefined && heldVersion < (oldestVersionSoon ?? 0) ? EXPIRING_VERSION_SLOT_FRACTION : 1;
+/** Fraction of the slots that may be used. The last free slots are kept for requests that can meet their goal, since these earn more. Requests queued at an upstream must start before its version expires. */
+const usableSlotFraction = ({heldVersion}: UpstreamView, {needsWeights, oldestVersionSoon, isLate = false}: PlacementRequirements): number =>
+	Math.min(
+		isLate ? LATE_SLOT_FRACTION : 1,
+		needsWeights && heldVersion !== undefined && heldVersion < (oldestVersionSoon ?? 0) ? EXPIRING_VERSION_SLOT_FRACTION : 1,
+	);
 
 /** Without a free connection, a request would wait where no other upstream can be chosen for it any more. */
 const hasFreeConnection = ({ownRequests, maxConnections}: UpstreamView): boolean => ownRequests < maxConnections;
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -65,6 +65,21 @@
 export const EXPIRING_VERSION_MS = 1000;
 export const EXPIRING_VERSION_SLOT_FRACTION = 0.6;
 
+/** Fraction of an upstream's slots that requests may use whose latency goal has passed. */
+export const LATE_SLOT_FRACTION = 0.75;
+
+/**
+Share of the time until a request misses its goal that the estimated wait for a slot may take. Requests that wait until the
+last moment miss the goal as soon as their engine starts them a little later than usual.
+*/
+export const MAX_WAIT_SLACK_SHARE = 0.5;
+
+/**
+A caller that has less than this share of the route's timeout left is assumed to return after an earlier attempt. Callers
+state a little less than the timeout also in their first attempt.
+*/
+export const RETURNING_CALLER_SHARE = 0.8;
+
 /** Number of upstream crashes after which the request that was running each time is rejected. */
 export const CRASHES_BEFORE_REJECTION = 3;
 
@@ -88,7 +103,7 @@
 export const UNREAD_TOKENS_PER_FULL_LOAD = 2048;
 
 /** Longest time that an engine may read prompts before it starts a request, as a share of the latency goal. The rest covers the network and the first token. */
-export const MAX_READING_GOAL_SHARE = 0.75;
+export const MAX_READING_GOAL_SHARE = 0.6;
 
 /** Number of entries that have the same upstream in their subset. One entry could fail; with more, each knows less of the load. */
 export const ENTRIES_PER_UPSTREAM = 2;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -4,6 +4,7 @@
 export {admitWaiting, retryAfterMs} from './admit-waiting.js';
 export {readingTokensPerMs} from './prompt-reading.js';
 export {silenceLimitMs} from './silence-limit.js';
+export {callerTimes, type CallerTimes} from './caller-times.js';
 export {RequestQueue, type QueuedRequest} from './request-queue.js';
 export {decideRetry, isRetryable} from './decide-retry.js';
 export {RetryBudget, type RetryBudgetOptions} from './retry-budget.js';
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -74,6 +74,9 @@
 	/** Whether the service has weights, so that an upstream that holds none cannot answer. */
 	readonly needsWeights: boolean;
 
+	/** Whether the latency goal has passed, so that the slot is worth more to another request. */
+	readonly isLate?: boolean;
+
 	/** Absent for services that read no prompts. */
 	readonly reading?: PromptReading;
 };
@@ -113,6 +116,9 @@
 	/** Time until the caller's or the route's timeout. */
 	readonly remainingMs: number;
 
+	/** Time until a return of the caller can be told from a first attempt by the time that it has left. */
+	readonly msUntilReturnIsRecognized: number;
+
 	/** Number of requests before this one in the queue. */
 	readonly ahead: number;
 
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -48,9 +48,6 @@
 /** Connections to one upstream that break within this time are attributed to the same crash. */
 export const CRASH_WINDOW_MS = 150;
 
-/** A caller that has less than this share of the route's timeout left is assumed to be retrying after an earlier attempt. */
-export const CALLER_RETRY_SHARE = 0.8;
-
 /** Weight of the newest time to first data in the moving average of one upstream, which adapts faster than that of the service. */
 export const UPSTREAM_AVERAGE_WEIGHT = 0.3;
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -90,6 +90,7 @@
 				priority,
 				goalAt: this.#firstDataGoalAt(),
 				deadlineAt,
+				returnRecognizedAt: this.#request.returnRecognizedAt,
 				signal: this.#abortController.signal,
 			});
 			if (placed.kind !== 'placed') {
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -1,5 +1,5 @@
 import type {Clock, Metrics, Random} from '@yuccawood/common';
-import type {RetryBudget, RouteTable} from '@yuccawood/dispatch';
+import type {CallerTimes, RetryBudget, RouteTable} from '@yuccawood/dispatch';
 import type {FleetView, Route} from '@yuccawood/fleet';
 import type {CrashWatch} from './crash-watch.js';
 import type {DecisionLog} from './decision-log.js';
@@ -41,8 +41,6 @@
 	readonly account: string | undefined;
 	readonly priority: number;
 
-	/** Monotonic times in milliseconds. */
+	/** Monotonic milliseconds. */
 	readonly arrivedAt: number;
-	readonly goalAt: number;
-	readonly deadlineAt: number;
-};
+} & CallerTimes;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,12 +4,12 @@
 import {
 	describeError, type Clock, type Log, type Metrics, type Random,
 } from '@yuccawood/common';
-import {pickBackend, RetryBudget, RouteTable} from '@yuccawood/dispatch';
-import type {
-	FleetView, Route, Upstream, UpstreamReport,
-} from '@yuccawood/fleet';
 import {
-	CONNECTION_CHECK_MS, DEFAULT_DEADLINE_MS, DEFAULT_HEADER_BYTES, CALLER_RETRY_SHARE, UNAVAILABLE_RETRY_MS,
+	callerTimes, pickBackend, RetryBudget, RouteTable,
+} from '@yuccawood/dispatch';
+import type {FleetView, Upstream, UpstreamReport} from '@yuccawood/fleet';
+import {
+	CONNECTION_CHECK_MS, DEFAULT_DEADLINE_MS, DEFAULT_HEADER_BYTES, UNAVAILABLE_RETRY_MS,
 } from './constants.js';
 import {CrashWatch} from './crash-watch.js';
 import {DecisionLog} from './decision-log.js';
@@ -18,7 +18,7 @@
 import {sendGatewayAnswer} from './own-answer.js';
 import {Placer, scheduleTimer} from './placer.js';
 import {readRequestBody} from './read-request-body.js';
-import type {CallerHeaders, HeaderCodec, GatewayAnswer} from './types.js';
+import type {HeaderCodec, GatewayAnswer} from './types.js';
 import {assumedEntryCount, UpstreamStates} from './upstream-states.js';
 import {VersionExpiryLog} from './version-expiry-log.js';
 
@@ -298,16 +298,9 @@
 			account: account?.name,
 			priority: account?.priority ?? route.priority ?? LOWEST_PRIORITY,
 			arrivedAt,
-			...requestTimes(caller, route, arrivedAt),
+			...callerTimes({
+				arrivedAt, remainingMs: caller.remainingMs ?? DEFAULT_DEADLINE_MS, timeoutMs: route.timeoutMs, goalMs: route.goalMs,
+			}),
 		};
 	}
 }
-
-/**
-Monotonic latency goal and deadline of a request. A caller that states little remaining time is retrying: the goal has
-passed already during its earlier attempt.
-*/
-const requestTimes = ({remainingMs = DEFAULT_DEADLINE_MS}: CallerHeaders, {goalMs, timeoutMs}: Route, arrivedAt: number): {readonly goalAt: number; readonly deadlineAt: number} => {
-	const usedMs = remainingMs < timeoutMs * CALLER_RETRY_SHARE ? goalMs : 0;
-	return {goalAt: arrivedAt + goalMs - usedMs, deadlineAt: arrivedAt + Math.min(remainingMs, timeoutMs)};
-};
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -15,6 +15,7 @@
 	/** Monotonic times in milliseconds. */
 	readonly goalAt: number;
 	readonly deadlineAt: number;
+	readonly returnRecognizedAt: number;
 	readonly signal: AbortSignal;
 };
 
@@ -105,7 +106,7 @@
 
 	/** Whether a request with this need would get a slot without waiting. */
 	hasFreeSlot(service: string, need: Omit<PlacementRequirements, 'usualStartMs'>): boolean {
-		return this.#queueOf(service).queue.length === 0 && this.#choose({service, need: () => need}, this.#options.clock.monotonic()).kind === 'send';
+		return this.#queueOf(service).queue.length === 0 && this.#choose({service, need: () => need, goalAt: Number.POSITIVE_INFINITY}, this.#options.clock.monotonic()).kind === 'send';
 	}
 
 	/** Records that a slot became free, and gives it to a queued request. */
@@ -163,9 +164,9 @@
 		return serviceQueue;
 	}
 
-	#choose(request: Pick<PlacementRequest, 'service' | 'need'>, now: number): Placement {
+	#choose(request: Pick<PlacementRequest, 'service' | 'need' | 'goalAt'>, now: number): Placement {
 		const {states, random} = this.#options;
-		const need = {...request.need(), usualStartMs: this.#queueOf(request.service).timeToFirstDataMs};
+		const need = {...request.need(), usualStartMs: this.#queueOf(request.service).timeToFirstDataMs, isLate: request.goalAt <= now};
 		return chooseUpstream(states.viewsOf(request.service, now), need, random.next());
 	}
 
@@ -188,6 +189,7 @@
 			isServable: isServed,
 			slackMs,
 			remainingMs: request.deadlineAt - now - serviceQueue.timeToFirstDataMs,
+			msUntilReturnIsRecognized: Math.max(0, request.returnRecognizedAt - now),
 			ahead: serviceQueue.queue.countAhead(request.priority, {isLate: slackMs <= 0, now}),
 			freedSlotsPerSecond: serviceQueue.slotsFreedAt.length * 1000 / FREED_SLOTS_WINDOW_MS,
 		};
