--- a/packages/bench/src/overload/entry-model.ts
+++ b/packages/bench/src/overload/entry-model.ts
@@ -1,7 +1,7 @@
 /** Model of an entry: the decisions of the gateway on queueing, placement, silence and retries, without connections. */
 import {MemoryMetrics, type Random} from '@yuccawood/common';
 import {
-	decideRetry, entriesSharingUpstream, MAX_READING_GOAL_SHARE, readingTokensPerMs, RetryBudget, silenceLimitMs, type UpstreamView,
+	callerTimes, decideRetry, entriesSharingUpstream, MAX_READING_GOAL_SHARE, readingTokensPerMs, RetryBudget, silenceLimitMs, type UpstreamView,
 } from '@yuccawood/dispatch';
 import type {Upstream, UpstreamReport} from '@yuccawood/fleet';
 import {Placer, UpstreamState} from '@yuccawood/gateway';
@@ -24,9 +24,11 @@
 export type Call = {
 	readonly promptTokens: number;
 	readonly answerTokens: number;
-	readonly goalAt: number;
 	readonly deadlineAt: number;
 
+	/** Time that the caller states to wait, which is a little less than it does. */
+	readonly statedMs: number;
+
 	/** Aborts when the deadline has passed. */
 	readonly signal: AbortSignal;
 };
@@ -63,7 +65,7 @@
 		this.#options = options;
 		this.#states = engines.map((_, index) => new UpstreamState(upstreamOf(index, profile.slots)));
 		this.#byKey = new Map(this.#states.map(({upstream}, index) => [upstream.key, index]));
-		this.#sharingEntries = policy.expectsOthers ? (policy.hasSubset ? entriesSharingUpstream(entries, engines.length) : entries) : 1; // eslint-disable-line unicorn/no-nested-ternary
+		this.#sharingEntries = policy.expectsOthers ? (policy.hasSubset ? entriesSharingUpstream(entries, engines.length) : entries) : 1;
 		this.#budget = new RetryBudget({...BUDGET, entries: () => entries});
 		this.#placer = new Placer({
 			states: {
@@ -90,12 +92,15 @@
 
 	/** Resolves when the caller has a final answer. */
 	async handle(call: Call): Promise<CallOutcome> {
-		const {time, options: {profile, goalMs, policy}, onResend} = this.#options;
+		const {time, options: {profile, goalMs, deadlineMs, policy}, onResend} = this.#options;
 		this.#budget.countRequest(time.now);
+		const times = callerTimes({
+			arrivedAt: time.now, remainingMs: call.statedMs, timeoutMs: deadlineMs, goalMs,
+		});
 		const excludedKeys = new Set<string>();
 		for (let sends = 0; ; sends++) {
 			const placed = await this.#placer.place({
-				service: SERVICE, account: '', priority: 1, goalAt: sends === 0 ? call.goalAt : time.now + goalMs, deadlineAt: call.deadlineAt, signal: call.signal,
+				service: SERVICE, account: '', priority: 1, ...times, goalAt: sends === 0 ? times.goalAt : time.now + goalMs, signal: call.signal,
 				need: () => ({
 					failureDomain: FAILURE_DOMAIN, excludedKeys, isRetry: sends > 0, needsWeights: true, oldestVersion: 1, oldestVersionSoon: 1,
 					reading: policy.limitsReading
--- a/packages/bench/src/overload/run-overload.ts
+++ b/packages/bench/src/overload/run-overload.ts
@@ -18,6 +18,12 @@
 /** A caller that comes back within this share of its remaining time follows the retry delay that it was given. */
 const MAX_RETRY_DELAY_SHARE = 1 / 3;
 
+/** Smallest part of its deadline that a caller states in its first attempt. */
+const MIN_STATED_SHARE = 0.85;
+
+/** Upper limit of the seed of the entries. */
+const MAX_SEED = 2_147_483_648;
+
 class OverloadRun {
 	readonly #options: OverloadOptions;
 	readonly #time = new VirtualTime();
@@ -31,7 +37,7 @@
 	constructor(options: OverloadOptions) {
 		this.#options = options;
 		this.#random = seedrandom(options.seed);
-		this.#entryRandom = seededRandom(Math.floor(this.#random() * 2 ** 31));
+		this.#entryRandom = seededRandom(Math.floor(this.#random() * MAX_SEED));
 		this.#engines = Array.from({length: options.engines}, () => new EngineModel({time: this.#time, profile: options.profile, queueLimit: options.engineQueue}));
 		this.#entries = this.#createEntries();
 	}
@@ -104,7 +110,7 @@
 
 	/** Makes one call, and comes back after refusals as the callers do. */
 	async #callUntilAnswered(): Promise<void> {
-		const {goalMs, deadlineMs, callerRetries, profile} = this.#options;
+		const {deadlineMs, callerRetries, profile} = this.#options;
 		const arrivedAt = this.#time.now;
 		const deadlineAt = arrivedAt + deadlineMs;
 		const size = (usual: number): number => Math.max(1, Math.round(usual * Math.min(MAX_SIZE, -Math.log(1 - this.#random()))));
@@ -112,11 +118,12 @@
 		this.#time.schedule(deadlineMs, () => {
 			deadline.abort();
 		});
-		const call: Omit<Call, 'goalAt'> = {
+		const call: Omit<Call, 'statedMs'> = {
 			promptTokens: size(profile.usualPromptTokens), answerTokens: size(profile.usualAnswerTokens), deadlineAt, signal: deadline.signal,
 		};
+		const statedShare = MIN_STATED_SHARE + ((1 - MIN_STATED_SHARE) * this.#random());
 		for (let retries = 0; ; retries++) {
-			const outcome = await this.#entries[Math.floor(this.#random() * this.#entries.length)].handle({...call, goalAt: arrivedAt + goalMs});
+			const outcome = await this.#entries[Math.floor(this.#random() * this.#entries.length)].handle({...call, statedMs: (deadlineMs * statedShare) - (this.#time.now - arrivedAt)});
 			if (outcome.kind !== 'refused' || retries >= callerRetries) {
 				this.#record(arrivedAt, outcome);
 				return;
