Answer requests on connections that were just accepted during a stop

Report of operators: during a planned stop under load, requests that had just been accepted were cut off without an answer.

Cause: a stopping entry ended as soon as no request was in progress, and closed all connections then. A request whose bytes had not been read yet, or that crossed the end of the last answer on its connection, was not in progress. http.Server.close() also closes connections that look idle.

Change: only the listening socket is closed. A connection is closed once it has been idle, with no bytes of a next request, for 500 ms, and the entry ends when no connection is left, or 0.4 s before SIGKILL as before.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -42,6 +42,12 @@
 /** Interval at which the HTTP server checks for connections that exceed its timeouts. */
 export const CONNECTION_CHECK_MS = 500;
 
+/**
+Time for which a connection of a caller must be idle before a stopping entry closes it. Longer than a request needs from a
+caller that has just opened the connection or read an answer on it.
+*/
+export const STOPPING_IDLE_MS = 500;
+
 /** Limit on request heads if the configuration is not known when the server starts. */
 export const DEFAULT_HEADER_BYTES = 16 * 1024;
 
@@ -74,6 +80,9 @@
 /** Bytes of a stream within which a new event must be completed. Large enough for the events that a retried stream repeats from its start. */
 export const MAX_BYTES_WITHOUT_EVENT = 256 * 1024;
 
+/** Bytes of a stream that count as progress although no event is complete. Fewer bytes within the time limit without data count as silence. */
+export const MIN_PROGRESS_BYTES = 1024;
+
 /** Largest answer without content-length. */
 export const MAX_UNSIZED_ANSWER_BYTES = 64 * 1024 * 1024;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 /** HTTP server for callers: reads and checks their requests, and runs one {@link Exchange} for each accepted one. */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
+import {Server as NetServer} from 'node:net';
 import {
 	describeError, type Clock, type Log, type Metrics, type Random,
 } from '@yuccawood/common';
@@ -11,6 +11,7 @@
 import {
 	CONNECTION_CHECK_MS, DEFAULT_DEADLINE_MS, DEFAULT_HEADER_BYTES, UNAVAILABLE_RETRY_MS,
 } from './constants.js';
+import {CallerConnections} from './caller-connections.js';
 import {CrashWatch} from './crash-watch.js';
 import {DecisionLog} from './decision-log.js';
 import {Exchange} from './exchange.js';
@@ -52,7 +53,7 @@
 	readonly #context: GatewayContext;
 	readonly #log: Log;
 	readonly #versionExpiryLog: VersionExpiryLog;
-	readonly #sockets = new Set<Socket>();
+	readonly #connections: CallerConnections;
 	readonly #retryBudgets = new Map<string, RetryBudget>();
 	#server: http.Server | undefined;
 	#routeTable: RouteTable | undefined;
@@ -62,6 +63,7 @@
 	constructor(options: GatewayOptions) {
 		const {view, clock, random, metrics, log} = options;
 		this.#options = options;
+		this.#connections = new CallerConnections(clock.monotonic);
 		this.#log = log.part('gateway');
 		const decisions = new DecisionLog({log, clock});
 		const states = new UpstreamStates({
@@ -152,10 +154,7 @@
 		});
 		server.requestTimeout = 0;
 		server.on('connection', socket => {
-			this.#sockets.add(socket);
-			socket.on('close', () => {
-				this.#sockets.delete(socket);
-			});
+			this.#connections.add(socket);
 		});
 		this.#server = server;
 		this.#applyLimits();
@@ -175,24 +174,22 @@
 		this.#isDraining = true;
 	}
 
-	/** Stops accepting connections, and closes idle ones. */
+	/** Stops accepting connections. Open ones stay open: the HTTP server's own method would close those whose request has not been read. */
 	stopListening(): void {
-		this.#server?.close();
-		this.#server?.closeIdleConnections();
+		if (this.#server) {
+			NetServer.prototype.close.call(this.#server);
+		}
 	}
 
-	/** Closes idle connections. To be called repeatedly while the last requests end. */
-	closeIdleConnections(): void {
-		this.#server?.closeIdleConnections();
+	/** Closes idle connections. To be called repeatedly while the last requests end. @returns the number of connections that remain */
+	closeIdleConnections(): number {
+		return this.#connections.closeIdle();
 	}
 
 	/** Closes all remaining connections, including those with requests in progress. */
 	close(): void {
 		this.#server?.close();
-		for (const socket of this.#sockets) {
-			socket.destroy();
-		}
-
+		this.#connections.closeAll();
 		this.#versionExpiryLog.close();
 		this.#context.states.close();
 	}
@@ -218,6 +215,10 @@
 
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		this.#inProgress++;
+		this.#connections.beginRequest(request.socket);
+		response.once('close', () => {
+			this.#connections.endRequest(request.socket);
+		});
 		try {
 			const accepted = await this.#accept(request, response);
 			if (accepted) {
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -26,7 +26,7 @@
 /** Time before SIGKILL at which a stopping entry closes the connections of the remaining requests. */
 export const STOP_MARGIN_MS = 400;
 
-/** Interval at which a stopping entry checks whether all requests have ended. */
+/** Interval at which a stopping entry checks whether all connections have been closed. */
 export const IDLE_CHECK_MS = 50;
 
 /** Interval at which the settings file is read again, because it may change without a SIGHUP. */
--- a/packages/node/src/entry-node.ts
+++ b/packages/node/src/entry-node.ts
@@ -97,9 +97,8 @@
 			gateway.beginDraining();
 			await delay(Math.min(ACCEPT_AFTER_SIGTERM_MS, stopGraceMs / 3));
 			gateway.stopListening();
-			while (gateway.inProgress > 0 && clock.monotonic() < giveUpAt) {
+			while (gateway.closeIdleConnections() > 0 && clock.monotonic() < giveUpAt) {
 				await delay(IDLE_CHECK_MS);
-				gateway.closeIdleConnections();
 			}
 
 			log.audit('Entry ends.', {cut: gateway.inProgress});
