Take trickling bytes without an event for silence

Report of operators: slow but sound streams were cut, and stalled ones that sent a byte now and then never ended. The first can't happen here (tests 'a sound stream with pauses longer than any timeout'). The second could: any byte restarted the time without data, so a resumable stream whose upstream sent one byte of a comment each 100 ms stayed there until its time limit.

Change: the time restarts with a complete event, or after 1024 bytes, so that a large event may arrive slowly.

--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -4,7 +4,7 @@
 import {BufferedAnswer, type EventRelay} from './answer-sinks.js';
 import {isMalformed, MalformedAnswerError} from './connection-watch.js';
 import {
-	MAX_BYTES_WITHOUT_EVENT, MAX_CANCEL_CHECK_MS, MAX_REFUSAL_BYTES, MAX_REFUSAL_MS, MAX_UNSIZED_ANSWER_BYTES,
+	MAX_BYTES_WITHOUT_EVENT, MAX_CANCEL_CHECK_MS, MAX_REFUSAL_BYTES, MAX_REFUSAL_MS, MAX_UNSIZED_ANSWER_BYTES, MIN_PROGRESS_BYTES,
 } from './constants.js';
 import type {StreamFault} from './event-stream.js';
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
@@ -100,6 +100,7 @@
 	#isForOtherRequest = false;
 	#hasReceivedData = false;
 	#receivedBytes = 0;
+	#bytesSinceProgress = 0;
 	#hasContentLength = false;
 	#isFinished = false;
 	#noDataTimer: NodeJS.Timeout | undefined;
@@ -288,8 +289,15 @@
 			return this.#bufferedAnswer?.add(chunk) ?? true;
 		}
 
-		this.#restartNoDataTimer();
+		const eventsBefore = relay!.eventCount;
 		const wantsMore = relay!.add(chunk);
+		this.#bytesSinceProgress += chunk.byteLength;
+		// An upstream that sends a byte now and then, but no event, has stalled.
+		if (relay!.eventCount > eventsBefore || this.#bytesSinceProgress >= MIN_PROGRESS_BYTES) {
+			this.#bytesSinceProgress = 0;
+			this.#restartNoDataTimer();
+		}
+
 		if (typeof wantsMore === 'string') {
 			this.#send?.abort(new MalformedAnswerError(STREAM_FAULT_MESSAGES[wantsMore]));
 			return true;
