Suspend an upstream whose callers leave without any data

Cause: such an upstream counted as unresponsive only while a request waited there. When its callers left, nothing did any more, and it got the next requests; only a retry counted as a failure, and under full load there is no other upstream to retry at.

Change: a request that ends with its caller or its time, without any data for longer than the load explains, counts as a failure.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -290,21 +290,34 @@
 	}
 
 	#updateHealth(state: ConnectedUpstream, result: SendResult): void {
-		const {clock, decisions} = this.#context;
 		if (result.kind === 'delivered') {
 			state.recordSuccess();
 			return;
 		}
 
-		if (result.kind === 'ended' || result.isCancelled === true || (result.failure === 'not-run' && !result.isMisdirected)) {
+		if (result.kind === 'ended') {
+			// Requests on a congested path reach the upstream long after their callers have left, so it gets no more for a while.
+			if (result.isSilence) {
+				this.#recordFailure(state, {detail: `no data until the request ended (${result.by})`, isFatal: false});
+			}
+
+			return;
+		}
+
+		if (result.isCancelled === true || (result.failure === 'not-run' && !result.isMisdirected)) {
 			return;
 		}
 
 		// No process listens at the address, or a different one does. The list of upstreams may take some time to show that.
 		const isFatal = (result.failure === 'not-sent' && result.isSilence !== true) || result.isMisdirected === true;
+		this.#recordFailure(state, {detail: result.detail, isFatal});
+	}
+
+	#recordFailure(state: ConnectedUpstream, {detail, isFatal}: {readonly detail: string; readonly isFatal: boolean}): void {
+		const {clock, decisions} = this.#context;
 		if (state.recordFailure(clock.monotonic(), isFatal)) {
 			decisions.unusual(this.#request.requestId, 'Upstream is suspended.', () => ({
-				upstream: state.upstream.id, address: state.upstream.address, failures: state.health.failures, detail: result.detail,
+				upstream: state.upstream.id, address: state.upstream.address, failures: state.health.failures, detail,
 			}));
 		}
 	}
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -19,7 +19,12 @@
 export type SendResult = {readonly mayHaveRun: boolean} & (
 	{readonly kind: 'delivered'}
 	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly detail: string; readonly bufferedAnswer?: BufferedAnswer; readonly isMisdirected?: boolean; readonly isCancelled?: boolean; readonly isSilence?: boolean}
-	| {readonly kind: 'ended'; readonly by: EarlyEnd}
+	| {
+		readonly kind: 'ended'; readonly by: EarlyEnd;
+
+		/** Whether the upstream had sent no data for longer than its load explains. */
+		readonly isSilence: boolean;
+	}
 );
 
 /** Times at which data of one answer arrived, over all attempts that contribute to it. Monotonic milliseconds. */
@@ -122,7 +127,9 @@
 	start(): void {
 		const {endSignal, endedBy, response, state, upstreamRequest} = this.#options;
 		if (endSignal.aborted) {
-			this.#finish({kind: 'ended', by: endedBy()!, mayHaveRun: false});
+			this.#finish({
+				kind: 'ended', by: endedBy()!, mayHaveRun: false, isSilence: false,
+			});
 			return;
 		}
 
@@ -306,6 +313,11 @@
 		return wantsMore;
 	}
 
+	get #isSilent(): boolean {
+		const {noDataTimeoutMs, context: {clock}} = this.#options;
+		return !this.#hasReceivedData && clock.monotonic() - this.#sentAt >= (noDataTimeoutMs() ?? Number.POSITIVE_INFINITY);
+	}
+
 	/** The head of a refusal is enough to decide. Its body is read for a limited time only to keep the connection reusable. */
 	#limitRefusalTime(): void {
 		this.#refusalTimer = setTimeout(() => {
@@ -356,7 +368,9 @@
 		const {endedBy, context, state, fingerprint} = this.#options;
 		const by = endedBy();
 		if (by) {
-			return {kind: 'ended', by, mayHaveRun: wasSent};
+			return {
+				kind: 'ended', by, mayHaveRun: wasSent, isSilence: this.#isSilent,
+			};
 		}
 
 		if (!wasSent) {
