Follow the list of upstreams closely only while a transfer waits for it

Cause: while its own engine is not listed yet, an agent watches the list with pauses of 150 ms. When all processes start, each registration of another upstream ends each watch. Also agents whose engine holds the version already did so, although they only copy its staged pieces.

Change: agents without a need to fetch don't wait for the list, and the short pause applies only while a transfer waits.

--- a/packages/node/src/member-follower.ts
+++ b/packages/node/src/member-follower.ts
@@ -31,6 +31,10 @@
 	/** Store revision up to which the list is known; undefined while the list is not needed or has to be read in full. */
 	#listRevision: number | undefined;
 	#isFailing = false;
+	#ownEntryWaiters = 0;
+
+	/** Ends the present pause between two reads. */
+	#pause = new AbortController();
 
 	constructor(options: MemberFollowerOptions) {
 		this.#options = options;
@@ -48,7 +52,8 @@
 			}
 
 			const isAnswered = this.#listRevision === undefined ? await this.#readAll() : await this.#watch(this.#listRevision, signal);
-			await clock.sleep(this.#pauseMs(isAnswered), signal);
+			this.#pause = new AbortController();
+			await clock.sleep(this.#pauseMs(isAnswered), AbortSignal.any([signal, this.#pause.signal]));
 		}
 	}
 
@@ -58,7 +63,10 @@
 	every agent would read all pieces from the origin.
 	*/
 	async awaitOwnEntry(): Promise<void> {
+		this.#ownEntryWaiters++;
+		this.#pause.abort();
 		await this.#waitUntil(() => this.#listRevision !== undefined && this.#isOwnStartListed, OWN_ENTRY_TIMEOUT_MS);
+		this.#ownEntryWaiters--;
 	}
 
 	/** Resolves when any list is known, or after {@link LIST_TIMEOUT_MS}. */
@@ -76,7 +84,7 @@
 			return LIST_RETRY_PAUSE_MS;
 		}
 
-		return this.#isOwnStartListed ? LIST_WATCH_PAUSE_MS : OWN_ENTRY_PAUSE_MS;
+		return this.#ownEntryWaiters > 0 && !this.#isOwnStartListed ? OWN_ENTRY_PAUSE_MS : LIST_WATCH_PAUSE_MS;
 	}
 
 	async #waitUntil(holds: () => boolean, limitMs: number): Promise<void> {
--- a/packages/weights/src/staged/staged-rollout.ts
+++ b/packages/weights/src/staged/staged-rollout.ts
@@ -110,7 +110,11 @@
 	// Called before the next await: the rollout of an older version releases every manifest that it does not know to be newer.
 	options.onManifest(manifest);
 	const manifestReadAt = clock.monotonic();
-	await options.refreshMembers();
+	// An engine that holds the version needs no pieces, and each read of the list is a call to the store.
+	if (!isHeld(options.state(), target)) {
+		await options.refreshMembers();
+	}
+
 	log.info('Member table is updated for the transfer.', {
 		version: target.version, digestsMs: Math.round(manifestReadAt - startedAt), membersMs: Math.round(clock.monotonic() - manifestReadAt),
 	});
