Give up an older version that can't serve any more

Nothing is served from 26.4 to 32.6 s.

Cause, from the logs of the agents: when the origin came back, all 43 agents read what was missing of version 2 (32 to 45 of 48 pieces) beside version 3. Version 2 could not be loaded before the bound of version 3 any more. The relays of version 3 held their pieces at 28.4 to 33.2 s (median 30.8 s); one copy takes 2.1 s at the origin's line rate. An older transfer was given up only once the relayed pieces of the newer version were held.

Change: an older transfer is given up as soon as it could not serve before the bound of the newer version, even if its pieces arrived at the line rate.

--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -280,6 +280,7 @@
 					onManifest: staged => {
 						rollout.manifest = staged.hash;
 						this.#keepDigests(staged);
+						void this.#supersededTransfers.cancelUseless(target, combined);
 						this.#log.info('Transfer begins.', {manifest: staged.hash, version: staged.version, origin: this.#options.origin() !== undefined});
 					},
 					isNewer: manifest => this.#activeRollouts.some(other => other.manifest === manifest && other.target.version > target.version),
--- a/packages/weights/src/staged/superseded-transfers.ts
+++ b/packages/weights/src/staged/superseded-transfers.ts
@@ -1,7 +1,9 @@
 /** Cancels transfers of older versions that would only delay a newer version. */
 import type {Clock, Log} from '@yuccawood/common';
 import {EXPECTED_SWITCH_MS, EXPECTED_TRANSFER_SHARE, TRANSFER_ORDER_MS} from './constants.js';
-import {expectedIdleMs, transferOrder, type TransferForecast} from './transfer-order.js';
+import {
+	canServeInTime, expectedIdleMs, transferOrder, type TransferForecast,
+} from './transfer-order.js';
 
 /** Transfer of a version to the engine. */
 export type Transfer = {
@@ -41,6 +43,23 @@
 	version no longer depends on the origin: until then the origin may go down, and the older version is better than none.
 	*/
 	async cancelOlder(newer: Transfer, signal: AbortSignal): Promise<void> {
+		const bytesPerSecond = this.#options.linkBytesPerSecond * EXPECTED_TRANSFER_SHARE;
+		await this.#cancelWhere(newer, {bytesPerSecond, isSuperseded: forecast => transferOrder(forecast) === 'newer only', signal});
+	}
+
+	/**
+	Cancels older transfers that can't end in time even at the line rate, as after a long failure of the origin. Their reads
+	would only delay those of the newer version. To be called as soon as the size of the newer version is known.
+	*/
+	async cancelUseless(newer: Transfer, signal: AbortSignal): Promise<void> {
+		await this.#cancelWhere(newer, {bytesPerSecond: this.#options.linkBytesPerSecond, isSuperseded: forecast => !canServeInTime(forecast), signal});
+	}
+
+	async #cancelWhere(newer: Transfer, {bytesPerSecond, isSuperseded, signal}: {
+		readonly bytesPerSecond: number;
+		readonly isSuperseded: (forecast: TransferForecast) => boolean;
+		readonly signal: AbortSignal;
+	}): Promise<void> {
 		const {pendingTransfers, clock, log} = this.#options;
 		while (!signal.aborted) {
 			const older = pendingTransfers().filter(({transfer: {version}}) => version < newer.version);
@@ -49,8 +68,8 @@
 			}
 
 			for (const {transfer, cancel} of older) {
-				const forecast = this.#forecast(transfer, newer);
-				if (transferOrder(forecast) === 'newer only') {
+				const forecast = this.#forecast(transfer, newer, bytesPerSecond);
+				if (isSuperseded(forecast)) {
 					log.info('Cancelled the transfer of an older version in favor of a newer one.', {
 						from: transfer.version, to: newer.version, olderBytes: forecast.older.remainingBytes, newerBytes: forecast.newer.remainingBytes, idleMs: expectedIdleMs(forecast),
 					});
@@ -62,12 +81,12 @@
 		}
 	}
 
-	#forecast(older: Transfer, newer: Transfer): TransferForecast {
-		const {linkBytesPerSecond, usableMs, missingBytesOf, sizeBytesOf, clock} = this.#options;
+	#forecast(older: Transfer, newer: Transfer, bytesPerSecond: number): TransferForecast {
+		const {usableMs, missingBytesOf, sizeBytesOf, clock} = this.#options;
 		// An older version whose digests are not known yet lacks all pieces; it is taken to be as large as the newer one.
 		const remaining = ({version, learnedAt}: Transfer) => ({learnedAt, remainingBytes: missingBytesOf(version) ?? sizeBytesOf(newer.version)});
 		return {
-			older: remaining(older), newer: remaining(newer), now: clock.monotonic(), bytesPerSecond: linkBytesPerSecond * EXPECTED_TRANSFER_SHARE,
+			older: remaining(older), newer: remaining(newer), now: clock.monotonic(), bytesPerSecond,
 			switchMs: EXPECTED_SWITCH_MS, usableMs,
 		};
 	}
--- a/packages/weights/src/staged/transfer-order.ts
+++ b/packages/weights/src/staged/transfer-order.ts
@@ -50,6 +50,13 @@
 	};
 };
 
+/**
+Whether the older version can still serve before only the newer one may, if its pieces arrived from now on at this rate.
+With the full line rate, a version that can't is of no use in any case.
+*/
+export const canServeInTime = ({older, newer, now, bytesPerSecond, switchMs, usableMs}: TransferForecast): boolean =>
+	now + (older.remainingBytes * 1000 / bytesPerSecond) + switchMs < newer.learnedAt + usableMs;
+
 /**
 Puts the older version first only when that leaves the engine with less time without a usable version. When both orders
 leave it the same time, a nearly complete older version is finished first, since the newer one may still be delayed.
