--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,20 +1,19 @@
 /** Handles one accepted request: chooses an upstream, sends the request, forwards the answer, and retries where the route allows it. */
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
-import {
-	decideRetry, EXPIRING_VERSION_MS, isRetryable, cancelAt, MAX_READING_GOAL_SHARE, readingTokensPerMs, requiredVersion, silenceLimitMs, type PlacementRequirements,
-} from '@yuccawood/dispatch';
-import type {EngineProfile} from '@yuccawood/fleet';
+import {decideRetry, type PlacementRequirements} from '@yuccawood/dispatch';
 import {EventRelay} from './answer-sinks.js';
-import {
-	MIN_NO_DATA_TIMEOUT_MS, MIN_ANSWER_TIMEOUT_MS, NO_DATA_TIMEOUT_GOALS, ANSWER_TIMEOUT_GOALS, UNAVAILABLE_RETRY_MS,
-} from './constants.js';
+import {UNAVAILABLE_RETRY_MS} from './constants.js';
 import {fingerprintOf} from './crash-watch.js';
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
 import {sendGatewayAnswer} from './own-answer.js';
 import type {PlacementResult} from './placer.js';
 import type {GatewayAnswer} from './types.js';
-import {AnswerTiming, transmit, type SendResult} from './transmit.js';
+import {AnswerTiming} from './answer-timing.js';
+import {recordOutcome} from './record-outcome.js';
+import {RequestNeeds} from './request-needs.js';
+import type {SendResult} from './send-result.js';
+import {transmit} from './transmit.js';
 import type {ConnectedUpstream} from './upstream-states.js';
 
 export class Exchange {
@@ -33,13 +32,14 @@
 	#mayHaveRun = false;
 
 	readonly #timing = new AnswerTiming();
-	#expectedVersion: number | undefined;
+	readonly #needs: RequestNeeds;
 
 	constructor(context: GatewayContext, request: AcceptedRequest, response: ServerResponse) {
 		this.#context = context;
 		this.#request = request;
 		this.#response = response;
 		this.#fingerprint = fingerprintOf(request);
+		this.#needs = new RequestNeeds(context, request);
 		this.#relay = request.route.kind === 'stream'
 			? new EventRelay({
 				response, eventNumber: context.codec.parseEventNumber, lastId: request.lastEventId, mustClose: context.isDraining,
@@ -85,10 +85,10 @@
 		for (;;) {
 			const placed = await placer.place({
 				service,
-				need: () => this.#placementNeed(),
+				need: () => this.#placementNeed,
 				account: account ?? '',
 				priority,
-				goalAt: this.#firstDataGoalAt(),
+				goalAt: this.#needs.firstDataGoalAt(this.#mayHaveRun),
 				deadlineAt,
 				returnRecognizedAt: this.#request.returnRecognizedAt,
 				signal: this.#abortController.signal,
@@ -120,39 +120,8 @@
 		}
 	}
 
-	/**
-	Monotonic time by which the first data of the next attempt should arrive. A retry may have missed the goal for the
-	first data already, so it gets the route's goal for the longest gap between data instead.
-	*/
-	#firstDataGoalAt(): number {
-		const {route, goalAt} = this.#request;
-		return this.#mayHaveRun ? this.#context.clock.monotonic() + (route.gapGoalMs ?? route.goalMs) : goalAt;
-	}
-
-	#placementNeed(): Omit<PlacementRequirements, 'usualStartMs'> {
-		const {view, clock, versionBoundMs, failureDomain, states} = this.#context;
-		const {service, route, promptTokens} = this.#request;
-		const engine = this.#engine;
-		const model = engine ? this.#modelOf(service) : undefined;
-		const requiredVersionAt = (now: number): number | undefined => model === undefined
-			? undefined
-			: requiredVersion(view.targetsOf(model), {now, boundMs: versionBoundMs, canCancel: isRetryable(route)});
-		const now = clock.monotonic();
-		const oldestVersion = requiredVersionAt(now);
-		this.#expectedVersion = oldestVersion;
-		return {
-			failureDomain, excludedKeys: this.#excluded, isRetry: this.#sendCount > 0, needsWeights: engine !== undefined, oldestVersion, oldestVersionSoon: requiredVersionAt(now + EXPIRING_VERSION_MS),
-			reading: engine && {promptTokens: promptTokens ?? engine.usualPromptTokens, tokensPerMs: readingTokensPerMs(engine), limitMs: route.goalMs * MAX_READING_GOAL_SHARE},
-		};
-	}
-
-	/** Published costs of the engines of the service; undefined for plain services. */
-	get #engine(): EngineProfile | undefined {
-		return this.#context.view.inForce?.configuration.services.find(({name}) => name === this.#request.service)?.engine;
-	}
-
-	#modelOf(service: string): string | undefined {
-		return this.#context.states.of(service).map(({upstream}) => upstream.model?.name).find(name => name !== undefined);
+	get #placementNeed(): Omit<PlacementRequirements, 'usualStartMs'> {
+		return this.#needs.placement({excludedKeys: this.#excluded, isRetry: this.#sendCount > 0});
 	}
 
 	/** Decides whether to retry after a failed attempt. A granted retry excludes the failed upstream and may use up the retry budget. */
@@ -193,7 +162,7 @@
 			account,
 			remainingMs: Math.max(1, Math.floor(deadlineAt - clock.monotonic())),
 			lastEventId: this.#relay?.lastId ?? this.#request.lastEventId,
-			expectedVersion: this.#expectedVersion,
+			expectedVersion: this.#placementNeed.oldestVersion,
 		});
 		const result = await transmit({
 			context: this.#context,
@@ -208,9 +177,9 @@
 			fingerprint: this.#fingerprint,
 			endSignal: this.#abortController.signal,
 			endedBy: () => this.#endedBy,
-			noDataTimeoutMs: () => this.#noDataTimeoutMs(state),
+			noDataTimeoutMs: () => this.#needs.noDataTimeoutMs(state, {hasAnswerBegun: this.#timing.firstDataAt !== undefined}),
 			canRetryElsewhere: () => this.#canRetryElsewhere(state),
-			msUntilCancel: () => this.#msUntilCancel(state),
+			msUntilCancel: () => this.#needs.msUntilCancel(state),
 		});
 		if (result.mayHaveRun) {
 			this.#possibleRunCount++;
@@ -218,7 +187,7 @@
 		}
 
 		state.endRequest();
-		this.#updateHealth(state, result);
+		recordOutcome(this.#context, {requestId, state, result});
 		if (states.has(state.upstream.key)) {
 			placer.recordFreedSlot(service);
 		}
@@ -239,42 +208,6 @@
 		}));
 	}
 
-	/** Time without data, in milliseconds, after which the request is retried at another upstream; undefined if the route forbids retries. */
-	#noDataTimeoutMs(state: ConnectedUpstream): number | undefined {
-		const {clock, placer, states} = this.#context;
-		const {route, service} = this.#request;
-		if (!isRetryable(route)) {
-			return undefined;
-		}
-
-		if (route.kind !== 'stream') {
-			return Math.max(MIN_ANSWER_TIMEOUT_MS, route.goalMs * ANSWER_TIMEOUT_GOALS);
-		}
-
-		const baseMs = Math.max(MIN_NO_DATA_TIMEOUT_MS, route.goalMs * NO_DATA_TIMEOUT_GOALS);
-		// Once an answer has begun, the load of its engine explains no longer gaps.
-		return this.#timing.firstDataAt === undefined
-			? silenceLimitMs(baseMs, states.viewOf(state, clock.monotonic()), {usualStartMs: placer.usualStartMs(service), engine: this.#engine})
-			: baseMs;
-	}
-
-	/**
-	Time in milliseconds until a request that waits at the upstream has to be cancelled because the upstream's version
-	expires; undefined if the version does not expire or the request cannot be retried.
-	*/
-	#msUntilCancel(state: ConnectedUpstream): number | undefined {
-		const {view, clock, versionBoundMs} = this.#context;
-		const now = clock.monotonic();
-		const heldVersion = state.heldVersion(now);
-		const model = state.upstream.model?.name;
-		if (heldVersion === undefined || model === undefined || !isRetryable(this.#request.route)) {
-			return undefined;
-		}
-
-		const at = cancelAt(view.targetsOf(model), {heldVersion, boundMs: versionBoundMs});
-		return at === undefined ? undefined : Math.max(0, at - now);
-	}
-
 	/** Whether a retry is allowed and another upstream has a free slot now. If none has, the current upstream may still answer. */
 	#canRetryElsewhere(state: ConnectedUpstream): boolean {
 		const {clock, retryBudgetOf, placer} = this.#context;
@@ -285,43 +218,10 @@
 			attempts: route.attempts, remainingMs: deadlineAt - now, hasBudget: retryBudgetOf(service).allowsRetry(now),
 		});
 		return decision.kind === 'resend' && placer.hasFreeSlot(service, {
-			...this.#placementNeed(), excludedKeys: new Set([...this.#excluded, state.upstream.key]), isRetry: true,
+			...this.#placementNeed, excludedKeys: new Set([...this.#excluded, state.upstream.key]), isRetry: true,
 		});
 	}
 
-	#updateHealth(state: ConnectedUpstream, result: SendResult): void {
-		if (result.kind === 'delivered') {
-			state.recordSuccess();
-			return;
-		}
-
-		if (result.kind === 'ended') {
-			// Requests on a congested path reach the upstream long after their callers have left, so it gets no more for a while.
-			if (result.isSilence) {
-				this.#recordFailure(state, {detail: `no data until the request ended (${result.by})`, isFatal: false});
-			}
-
-			return;
-		}
-
-		if (result.isCancelled === true || (result.failure === 'not-run' && !result.isMisdirected)) {
-			return;
-		}
-
-		// No process listens at the address, or a different one does. The list of upstreams may take some time to show that.
-		const isFatal = (result.failure === 'not-sent' && result.isSilence !== true) || result.isMisdirected === true;
-		this.#recordFailure(state, {detail: result.detail, isFatal});
-	}
-
-	#recordFailure(state: ConnectedUpstream, {detail, isFatal}: {readonly detail: string; readonly isFatal: boolean}): void {
-		const {clock, decisions} = this.#context;
-		if (state.recordFailure(clock.monotonic(), isFatal)) {
-			decisions.unusual(this.#request.requestId, 'Upstream is suspended.', () => ({
-				upstream: state.upstream.id, address: state.upstream.address, failures: state.health.failures, detail,
-			}));
-		}
-	}
-
 	#answerNotPlaced(placed: Exclude<PlacementResult, {readonly kind: 'placed'}>): void {
 		const {decisions, metrics} = this.#context;
 		const {requestId, route, service} = this.#request;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,9 +4,7 @@
 import {
 	describeError, type Clock, type Log, type Metrics, type Random,
 } from '@yuccawood/common';
-import {
-	callerTimes, pickBackend, RetryBudget, RouteTable,
-} from '@yuccawood/dispatch';
+import {callerTimes, pickBackend, RouteTable} from '@yuccawood/dispatch';
 import type {FleetView, Upstream, UpstreamReport} from '@yuccawood/fleet';
 import {
 	CONNECTION_CHECK_MS, DEFAULT_DEADLINE_MS, DEFAULT_HEADER_BYTES, UNAVAILABLE_RETRY_MS,
@@ -19,6 +17,7 @@
 import {sendGatewayAnswer} from './own-answer.js';
 import {Placer, scheduleTimer} from './placer.js';
 import {readRequestBody} from './read-request-body.js';
+import {RetryBudgets} from './retry-budgets.js';
 import type {HeaderCodec, GatewayAnswer} from './types.js';
 import {assumedEntryCount, UpstreamStates} from './upstream-states.js';
 import {VersionExpiryLog} from './version-expiry-log.js';
@@ -54,7 +53,7 @@
 	readonly #log: Log;
 	readonly #versionExpiryLog: VersionExpiryLog;
 	readonly #connections: CallerConnections;
-	readonly #retryBudgets = new Map<string, RetryBudget>();
+	readonly #retryBudgets: RetryBudgets;
 	#server: http.Server | undefined;
 	#routeTable: RouteTable | undefined;
 	#isDraining = false;
@@ -64,6 +63,7 @@
 		const {view, clock, random, metrics, log} = options;
 		this.#options = options;
 		this.#connections = new CallerConnections(clock.monotonic);
+		this.#retryBudgets = new RetryBudgets({...options.retryBudget, entries: () => assumedEntryCount(view)});
 		this.#log = log.part('gateway');
 		const decisions = new DecisionLog({log, clock});
 		const states = new UpstreamStates({
@@ -83,7 +83,7 @@
 			crashWatch: new CrashWatch({
 				clock, log, sharedCounts: () => view.crashesByFingerprint, shareCount: options.shareCrashCount,
 			}),
-			retryBudgetOf: service => this.#retryBudgetOf(service),
+			retryBudgetOf: service => this.#retryBudgets.of(service),
 			isDraining: () => this.#isDraining,
 			decisions,
 		};
@@ -202,17 +202,6 @@
 		}
 	}
 
-	#retryBudgetOf(service: string): RetryBudget {
-		let budget = this.#retryBudgets.get(service);
-		if (!budget) {
-			const {retryBudget: resends, view} = this.#options;
-			budget = new RetryBudget({...resends, entries: () => assumedEntryCount(view)});
-			this.#retryBudgets.set(service, budget);
-		}
-
-		return budget;
-	}
-
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		this.#inProgress++;
 		this.#connections.beginRequest(request.socket);
@@ -284,7 +273,7 @@
 		}
 
 		metrics.count('gateway.requests', {service});
-		this.#retryBudgetOf(service).countRequest(arrivedAt);
+		this.#retryBudgets.of(service).countRequest(arrivedAt);
 		return {
 			requestId: caller.requestId,
 			method: request.method ?? 'GET',
--- /dev/null
+++ b/packages/gateway/src/record-outcome.ts
@@ -0,0 +1,43 @@
+/** Derives the health of an upstream from the outcome of one attempt. */
+import type {GatewayContext} from './gateway-context.js';
+import type {SendResult} from './send-result.js';
+import type {ConnectedUpstream} from './upstream-states.js';
+
+type Outcome = {readonly requestId: string; readonly state: ConnectedUpstream; readonly result: SendResult};
+
+export const recordOutcome = (context: Pick<GatewayContext, 'clock' | 'decisions'>, outcome: Outcome): void => {
+	const {state, result} = outcome;
+	if (result.kind === 'delivered') {
+		state.recordSuccess();
+		return;
+	}
+
+	if (result.kind === 'ended') {
+		// Requests on a congested path reach the upstream long after their callers have left, so it gets no more for a while.
+		if (result.isSilence) {
+			recordFailure(context, outcome, {detail: `no data until the request ended (${result.by})`, isFatal: false});
+		}
+
+		return;
+	}
+
+	if (result.isCancelled === true || (result.failure === 'not-run' && !result.isMisdirected)) {
+		return;
+	}
+
+	// No process listens at the address, or a different one does. The list of upstreams may take some time to show that.
+	const isFatal = (result.failure === 'not-sent' && result.isSilence !== true) || result.isMisdirected === true;
+	recordFailure(context, outcome, {detail: result.detail, isFatal});
+};
+
+const recordFailure = (
+	{clock, decisions}: Pick<GatewayContext, 'clock' | 'decisions'>,
+	{requestId, state}: Outcome,
+	{detail, isFatal}: {readonly detail: string; readonly isFatal: boolean},
+): void => {
+	if (state.recordFailure(clock.monotonic(), isFatal)) {
+		decisions.unusual(requestId, 'Upstream is suspended.', () => ({
+			upstream: state.upstream.id, address: state.upstream.address, failures: state.health.failures, detail,
+		}));
+	}
+};
--- /dev/null
+++ b/packages/gateway/src/request-needs.ts
@@ -0,0 +1,89 @@
+/** What one request needs of an upstream at a moment: version, time for its prompt, and the times after which to give up on it. */
+import {
+	cancelAt, EXPIRING_VERSION_MS, isRetryable, MAX_READING_GOAL_SHARE, readingTokensPerMs, requiredVersion, silenceLimitMs, type PlacementRequirements,
+} from '@yuccawood/dispatch';
+import type {EngineProfile} from '@yuccawood/fleet';
+import {
+	ANSWER_TIMEOUT_GOALS, MIN_ANSWER_TIMEOUT_MS, MIN_NO_DATA_TIMEOUT_MS, NO_DATA_TIMEOUT_GOALS,
+} from './constants.js';
+import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
+import type {ConnectedUpstream} from './upstream-states.js';
+
+export class RequestNeeds {
+	readonly #context: GatewayContext;
+	readonly #request: AcceptedRequest;
+
+	constructor(context: GatewayContext, request: AcceptedRequest) {
+		this.#context = context;
+		this.#request = request;
+	}
+
+	/**
+	Monotonic time in milliseconds by which the first data of the next attempt should arrive. A retry may have missed the goal
+	for the first data already, so it gets the route's goal for the longest gap between data instead.
+	*/
+	firstDataGoalAt(mayHaveRun: boolean): number {
+		const {route, goalAt} = this.#request;
+		return mayHaveRun ? this.#context.clock.monotonic() + (route.gapGoalMs ?? route.goalMs) : goalAt;
+	}
+
+	placement(attempt: Pick<PlacementRequirements, 'excludedKeys' | 'isRetry'>): Omit<PlacementRequirements, 'usualStartMs'> {
+		const {view, clock, versionBoundMs, failureDomain} = this.#context;
+		const {route, promptTokens} = this.#request;
+		const engine = this.#engine;
+		const model = engine ? this.#model : undefined;
+		const requiredVersionAt = (now: number): number | undefined => model === undefined
+			? undefined
+			: requiredVersion(view.targetsOf(model), {now, boundMs: versionBoundMs, canCancel: isRetryable(route)});
+		const now = clock.monotonic();
+		return {
+			...attempt, failureDomain, needsWeights: engine !== undefined, oldestVersion: requiredVersionAt(now), oldestVersionSoon: requiredVersionAt(now + EXPIRING_VERSION_MS),
+			reading: engine && {promptTokens: promptTokens ?? engine.usualPromptTokens, tokensPerMs: readingTokensPerMs(engine), limitMs: route.goalMs * MAX_READING_GOAL_SHARE},
+		};
+	}
+
+	/** Time without data, in milliseconds, after which the request is retried at another upstream; undefined if the route forbids retries. */
+	noDataTimeoutMs(state: ConnectedUpstream, {hasAnswerBegun}: {readonly hasAnswerBegun: boolean}): number | undefined {
+		const {clock, placer, states} = this.#context;
+		const {route, service} = this.#request;
+		if (!isRetryable(route)) {
+			return undefined;
+		}
+
+		if (route.kind !== 'stream') {
+			return Math.max(MIN_ANSWER_TIMEOUT_MS, route.goalMs * ANSWER_TIMEOUT_GOALS);
+		}
+
+		const baseMs = Math.max(MIN_NO_DATA_TIMEOUT_MS, route.goalMs * NO_DATA_TIMEOUT_GOALS);
+		// Once an answer has begun, the load of its engine does not explain longer gaps.
+		return hasAnswerBegun
+			? baseMs
+			: silenceLimitMs(baseMs, states.viewOf(state, clock.monotonic()), {usualStartMs: placer.usualStartMs(service), engine: this.#engine});
+	}
+
+	/**
+	Time in milliseconds until a request that waits at the upstream has to be cancelled because the upstream's version
+	expires; undefined if the version does not expire or the request cannot be retried.
+	*/
+	msUntilCancel(state: ConnectedUpstream): number | undefined {
+		const {view, clock, versionBoundMs} = this.#context;
+		const now = clock.monotonic();
+		const heldVersion = state.heldVersion(now);
+		const model = state.upstream.model?.name;
+		if (heldVersion === undefined || model === undefined || !isRetryable(this.#request.route)) {
+			return undefined;
+		}
+
+		const at = cancelAt(view.targetsOf(model), {heldVersion, boundMs: versionBoundMs});
+		return at === undefined ? undefined : Math.max(0, at - now);
+	}
+
+	/** Published costs of the engines of the service; undefined for plain services. */
+	get #engine(): EngineProfile | undefined {
+		return this.#context.view.inForce?.configuration.services.find(({name}) => name === this.#request.service)?.engine;
+	}
+
+	get #model(): string | undefined {
+		return this.#context.states.of(this.#request.service).map(({upstream}) => upstream.model?.name).find(name => name !== undefined);
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/send-result.ts
@@ -0,0 +1,31 @@
+/** Result of sending a request to one upstream once, and the reasons for which an entry ends such an attempt itself. */
+import type {SendFailure} from '@yuccawood/dispatch';
+import type {BufferedAnswer} from './answer-sinks.js';
+import {MAX_BYTES_WITHOUT_EVENT} from './constants.js';
+import type {StreamFault} from './event-stream.js';
+
+/** Why a request ended before its answer was complete: the caller disconnected, or the deadline passed. */
+export type EarlyEnd = 'caller' | 'deadline';
+
+/** Result of one attempt. `mayHaveRun` is false only if the upstream certainly did not run the request. */
+export type SendResult = {readonly mayHaveRun: boolean} & (
+	{readonly kind: 'delivered'}
+	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly detail: string; readonly bufferedAnswer?: BufferedAnswer; readonly isMisdirected?: boolean; readonly isCancelled?: boolean; readonly isSilence?: boolean}
+	| {
+		readonly kind: 'ended'; readonly by: EarlyEnd;
+
+		/** Whether the upstream had sent no data for longer than its load explains. */
+		readonly isSilence: boolean;
+	}
+);
+
+/** The upstream sent no data for longer than its load explains. */
+export class SilenceError extends Error {}
+
+/** The version that the upstream holds is about to expire. */
+export class RecallError extends Error {}
+
+export const STREAM_FAULT_MESSAGES: Readonly<Record<StreamFault, string>> = {
+	gap: 'event numbers are missing in the stream',
+	'no-event': `no new event in ${MAX_BYTES_WITHOUT_EVENT} bytes`,
+};
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -1,92 +1,16 @@
 /** Sends a request to one upstream once, and forwards the answer to the caller. */
-import type {ServerResponse} from 'node:http';
-import type {SendFailure} from '@yuccawood/dispatch';
-import {BufferedAnswer, type EventRelay} from './answer-sinks.js';
+import {BufferedAnswer} from './answer-sinks.js';
 import {isMalformed, MalformedAnswerError} from './connection-watch.js';
 import {
-	MAX_BYTES_WITHOUT_EVENT, MAX_CANCEL_CHECK_MS, MAX_REFUSAL_BYTES, MAX_REFUSAL_MS, MAX_UNSIZED_ANSWER_BYTES, MIN_PROGRESS_BYTES,
+	MAX_CANCEL_CHECK_MS, MAX_REFUSAL_BYTES, MAX_REFUSAL_MS, MAX_UNSIZED_ANSWER_BYTES,
 } from './constants.js';
-import type {StreamFault} from './event-stream.js';
-import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
+import {
+	RecallError, SilenceError, STREAM_FAULT_MESSAGES, type SendResult,
+} from './send-result.js';
+import {SilenceWatch} from './silence-watch.js';
+import type {TransmitOptions} from './transmit-options.js';
 import type {AnswerHeaders} from './types.js';
-import type {Send, SendRequest} from './upstream-link.js';
-import type {ConnectedUpstream} from './upstream-states.js';
-
-/** Why a request ended before its answer was complete: the caller disconnected, or the deadline passed. */
-export type EarlyEnd = 'caller' | 'deadline';
-
-/** Result of one attempt. `mayHaveRun` is false only if the upstream certainly did not run the request. */
-export type SendResult = {readonly mayHaveRun: boolean} & (
-	{readonly kind: 'delivered'}
-	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly detail: string; readonly bufferedAnswer?: BufferedAnswer; readonly isMisdirected?: boolean; readonly isCancelled?: boolean; readonly isSilence?: boolean}
-	| {
-		readonly kind: 'ended'; readonly by: EarlyEnd;
-
-		/** Whether the upstream had sent no data for longer than its load explains. */
-		readonly isSilence: boolean;
-	}
-);
-
-/** Times at which data of one answer arrived, over all attempts that contribute to it. Monotonic milliseconds. */
-export class AnswerTiming {
-	#firstDataAt: number | undefined;
-	#lastDataAt = 0;
-	#longestGapMs = 0;
-
-	get firstDataAt(): number | undefined {
-		return this.#firstDataAt;
-	}
-
-	get longestGapMs(): number {
-		return this.#longestGapMs;
-	}
-
-	recordData(now: number): void {
-		if (this.#firstDataAt === undefined) {
-			this.#firstDataAt = now;
-		} else {
-			this.#longestGapMs = Math.max(this.#longestGapMs, now - this.#lastDataAt);
-		}
-
-		this.#lastDataAt = now;
-	}
-}
-
-export type TransmitOptions = {
-	readonly context: GatewayContext;
-	readonly request: AcceptedRequest;
-	readonly response: ServerResponse;
-
-	/** Forwards the events of a stream to the caller; undefined for requests without a stream. */
-	readonly relay: EventRelay | undefined;
-	readonly timing: AnswerTiming;
-	readonly state: ConnectedUpstream;
-	readonly upstreamRequest: SendRequest;
-	readonly fingerprint: string;
-
-	/** Aborts when the caller disconnects or the deadline passes. */
-	readonly endSignal: AbortSignal;
-	readonly endedBy: () => EarlyEnd | undefined;
-
-	/**
-	Time without data, in milliseconds, after which the request may be retried at another upstream; undefined if the route
-	forbids it. It depends on the load of the upstream at the moment.
-	*/
-	readonly noDataTimeoutMs: () => number | undefined;
-	readonly canRetryElsewhere: () => boolean;
-
-	/** Time in milliseconds until a request without an answer has to be cancelled because the upstream's version expires; undefined if it does not expire. */
-	readonly msUntilCancel: () => number | undefined;
-};
-
-class SilenceError extends Error {}
-
-class RecallError extends Error {}
-
-const STREAM_FAULT_MESSAGES: Readonly<Record<StreamFault, string>> = {
-	gap: 'event numbers are missing in the stream',
-	'no-event': `no new event in ${MAX_BYTES_WITHOUT_EVENT} bytes`,
-};
+import type {Send} from './upstream-link.js';
 
 /** Resolves when the attempt succeeded, failed or was ended early. */
 export const transmit = async (options: TransmitOptions): Promise<SendResult> => new Promise(resolve => {
@@ -105,13 +29,9 @@
 	#isForOtherRequest = false;
 	#hasReceivedData = false;
 	#receivedBytes = 0;
-	#bytesSinceProgress = 0;
 	#hasContentLength = false;
 	#isFinished = false;
-	#noDataTimer: NodeJS.Timeout | undefined;
-
-	/** Monotonic time of the latest data, or of the send, in milliseconds. */
-	#silentSince = 0;
+	readonly #silence: SilenceWatch;
 	#cancelTimer: NodeJS.Timeout | undefined;
 
 	/** Limits the time for reading the body of a refusal. */
@@ -122,6 +42,14 @@
 		this.#resolve = resolve;
 		this.#sentAt = options.context.clock.monotonic();
 		this.#pendingSendKey = options.state.addPendingSend(this.#sentAt, options.request.promptTokens);
+		this.#silence = new SilenceWatch({
+			clock: options.context.clock, limitMs: options.noDataTimeoutMs,
+			// An answer that is being forwarded can no longer be replaced.
+			canGiveUp: () => !this.#bufferedAnswer?.hasBegunForwarding && options.canRetryElsewhere(),
+			onSilence: silentMs => {
+				this.#send?.abort(new SilenceError(`no data for ${Math.round(silentMs)} ms`));
+			},
+		});
 	}
 
 	start(): void {
@@ -135,7 +63,7 @@
 
 		endSignal.addEventListener('abort', this.#onEnded, {once: true});
 		response.on('drain', this.#onDrain);
-		this.#restartNoDataTimer();
+		this.#silence.recordProgress();
 		this.#send = state.link.send(upstreamRequest, {
 			head: (status, headers, rawHeaders) => {
 				this.#handleHead(status, headers, rawHeaders);
@@ -170,7 +98,7 @@
 	#finish(result: SendResult): void {
 		this.#isFinished = true;
 		const {state, endSignal, response} = this.#options;
-		clearTimeout(this.#noDataTimer);
+		this.#silence.stop();
 		clearTimeout(this.#cancelTimer);
 		state.removePendingSend(this.#pendingSendKey);
 		endSignal.removeEventListener('abort', this.#onEnded);
@@ -178,35 +106,6 @@
 		this.#resolve(result);
 	}
 
-	/**
-	Aborts the attempt if no data arrives for too long and another upstream has a free slot. Does nothing once a
-	buffered answer is being forwarded, because it can no longer be replaced.
-	*/
-	#restartNoDataTimer(): void {
-		this.#silentSince = this.#options.context.clock.monotonic();
-		this.#scheduleSilenceCheck();
-	}
-
-	#scheduleSilenceCheck(): void {
-		const {noDataTimeoutMs, canRetryElsewhere, context: {clock}} = this.#options;
-		clearTimeout(this.#noDataTimer);
-		const limitMs = noDataTimeoutMs();
-		if (limitMs === undefined) {
-			return;
-		}
-
-		const silentMs = clock.monotonic() - this.#silentSince;
-		this.#noDataTimer = setTimeout(() => {
-			if (clock.monotonic() - this.#silentSince < (noDataTimeoutMs() ?? 0)) {
-				this.#scheduleSilenceCheck();
-			} else if (!this.#bufferedAnswer?.hasBegunForwarding && canRetryElsewhere()) {
-				this.#send?.abort(new SilenceError(`no data for ${Math.round(clock.monotonic() - this.#silentSince)} ms`));
-			} else {
-				this.#restartNoDataTimer();
-			}
-		}, Math.max(1, Math.ceil(limitMs - silentMs)));
-	}
-
 	/**
 	Cancels the request shortly before the version of the upstream expires, unless its answer has begun. Upstreams drop
 	a queued request when its connection closes.
@@ -298,13 +197,7 @@
 
 		const eventsBefore = relay!.eventCount;
 		const wantsMore = relay!.add(chunk);
-		this.#bytesSinceProgress += chunk.byteLength;
-		// An upstream that sends a byte now and then, but no event, has stalled.
-		if (relay!.eventCount > eventsBefore || this.#bytesSinceProgress >= MIN_PROGRESS_BYTES) {
-			this.#bytesSinceProgress = 0;
-			this.#restartNoDataTimer();
-		}
-
+		this.#silence.recordData(chunk.byteLength, {isEventComplete: relay!.eventCount > eventsBefore});
 		if (typeof wantsMore === 'string') {
 			this.#send?.abort(new MalformedAnswerError(STREAM_FAULT_MESSAGES[wantsMore]));
 			return true;
