--- a/packages/bench/src/overload/default-options.ts
+++ b/packages/bench/src/overload/default-options.ts
@@ -1,4 +1,6 @@
-/** Sizes and costs of the model by default: a fleet of hundreds of VMs whose callers ask for half again more than it can serve. */
+/**
+Sizes and costs of the model by default: a fleet of hundreds of VMs whose callers ask for half again more than it can serve.
+*/
 import type {EngineProfile} from '@yuccawood/fleet';
 import {CURRENT_POLICY, type OverloadOptions} from './types.js';
 
--- a/packages/bench/src/overload/run-overload.ts
+++ b/packages/bench/src/overload/run-overload.ts
@@ -1,4 +1,7 @@
-/** Runs the overload model: callers, entries and engines on a virtual clock. The result depends on the options and the seed only. */
+/**
+Runs the overload model: callers, entries and engines on a virtual clock. The result depends on the options and the seed
+only.
+*/
 import {seededRandom, type Random} from '@yuccawood/common';
 import {upstreamSubset} from '@yuccawood/dispatch';
 import {VirtualTime} from '@yuccawood/membership/testing';
--- a/packages/bench/src/overload/types.ts
+++ b/packages/bench/src/overload/types.ts
@@ -77,7 +77,9 @@
 	readonly goodputPerSecond: number;
 	readonly goodputShare: number;
 
-	/** Worth earned by all calls as a share of the worth that the engines' bound or the offered load allows, whichever is less. */
+	/**
+	Worth earned by all calls as a share of the worth that the engines' bound or the offered load allows, whichever is less.
+	*/
 	readonly worthShare: number;
 	readonly inGoal: number;
 	readonly late: number;
--- a/packages/dispatch/src/admit-waiting.ts
+++ b/packages/dispatch/src/admit-waiting.ts
@@ -12,8 +12,8 @@
 } from './constants.js';
 import type {Admission, UnplacedRequest} from './types.js';
 
-const estimateWaitMs = ({ahead, freedSlotsPerSecond: drainPerSecond}: UnplacedRequest): number | undefined =>
-	drainPerSecond > 0 ? (ahead + 1) * 1000 / drainPerSecond : undefined;
+const estimateWaitMs = ({ahead, freedSlotsPerSecond}: UnplacedRequest): number | undefined =>
+	freedSlotsPerSecond > 0 ? (ahead + 1) * 1000 / freedSlotsPerSecond : undefined;
 
 /**
 Returns the delay after which a rejected caller should retry, in milliseconds: the estimated wait for a slot times a
--- a/packages/dispatch/src/choose-upstream.ts
+++ b/packages/dispatch/src/choose-upstream.ts
@@ -2,8 +2,8 @@
 Chooses the upstream for a request.
 
 It covers even load over upstreams of equal speed; several entries that decide at the same time on reports of the same age;
-long prompts in quick succession; engines that become available while requests wait at all entries; upstreams that are slow, behind a congested link, switching their weights, leaving or
-failing; and the case in which no slot is free.
+long prompts in quick succession; engines that become available while requests wait at all entries; upstreams that are slow,
+behind a congested link, switching their weights, leaving or failing; and the case in which no slot is free.
 */
 import {
 	EXPIRING_VERSION_SLOT_FRACTION, FAILURE_DOMAIN_PENALTY, LATE_SLOT_FRACTION, MAX_REPORT_AGE_MS, MIN_UNRESPONSIVE_MS, NORMAL_START_FACTOR, OUTSIDE_SUBSET_PENALTY,
@@ -43,7 +43,10 @@
 const hasRequiredVersion = ({heldVersion}: UpstreamView, {needsWeights, oldestVersion}: PlacementRequirements): boolean =>
 	!needsWeights || (heldVersion !== undefined && heldVersion >= (oldestVersion ?? 0));
 
-/** Fraction of the slots that may be used. The last free slots are kept for requests that can meet their goal, since these earn more. Requests queued at an upstream must start before its version expires. */
+/**
+Fraction of the slots that may be used. The last free slots are kept for requests that can meet their goal, since these earn
+more. Requests queued at an upstream must start before its version expires.
+*/
 const usableSlotFraction = ({heldVersion}: UpstreamView, {needsWeights, oldestVersionSoon, isLate = false}: PlacementRequirements): number =>
 	Math.min(
 		isLate ? LATE_SLOT_FRACTION : 1,
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -102,7 +102,10 @@
 /** Unread prompt tokens that delay a new request as much as a full batch does. An engine reads about this many in one pass. */
 export const UNREAD_TOKENS_PER_FULL_LOAD = 2048;
 
-/** Longest time that an engine may read prompts before it starts a request, as a share of the latency goal. The rest covers the network and the first token. */
+/**
+Longest time that an engine may read prompts before it starts a request, as a share of the latency goal. The rest covers the
+network and the first token.
+*/
 export const MAX_READING_GOAL_SHARE = 0.6;
 
 /** Number of entries that have the same upstream in their subset. One entry could fail; with more, each knows less of the load. */
--- a/packages/dispatch/src/decide-retry.ts
+++ b/packages/dispatch/src/decide-retry.ts
@@ -2,7 +2,8 @@
 Decides whether a request without a complete response is retried.
 
 Retries must not multiply the load while upstreams fail, so each one uses the retry budget unless the request was never
-sent because the upstream could not be reached. Silence is no such proof: under overload, retries after it would feed themselves. A request that may have run is retried only if the kind of its route allows that.
+sent because the upstream could not be reached. Silence is no such proof: under overload, retries after it would feed
+themselves. A request that may have run is retried only if the kind of its route allows that.
 */
 import {MAX_SENDS_PER_REQUEST, MIN_TIME_FOR_RETRY_MS} from './constants.js';
 import type {RetryDecision, FailedRequest} from './types.js';
--- a/packages/dispatch/src/prompt-reading.ts
+++ b/packages/dispatch/src/prompt-reading.ts
@@ -7,13 +7,19 @@
 import type {EngineProfile} from '@yuccawood/fleet';
 import type {PromptReading, UpstreamView} from './types.js';
 
-/** Prompt tokens that an engine with full slots reads per millisecond. It alternates between a part of the prompts and the token steps of one pass. */
+/**
+Prompt tokens that an engine with full slots reads per millisecond. It alternates between a part of the prompts and the
+token steps of one pass.
+*/
 export const readingTokensPerMs = ({prefillTokensPerSecond, prefillTokensPerPass, stepsPerPass, stepMs, stepMsPerRequest, slots}: EngineProfile): number => {
 	const tokensPerMs = prefillTokensPerSecond / 1000;
 	const passMs = stepsPerPass * (stepMs + (stepMsPerRequest * slots));
 	return 1 / ((1 / tokensPerMs) + (passMs / prefillTokensPerPass));
 };
 
-/** Whether the engine reads the unread prompts of all entries, and then that of the request, within the limit. An engine without unread prompts always does. */
+/**
+Whether the engine reads the unread prompts of all entries, and then that of the request, within the limit. An engine
+without unread prompts always does.
+*/
 export const canReadInTime = ({unreadTokens, sharingEntries, pace}: UpstreamView, {promptTokens, tokensPerMs, limitMs}: PromptReading): boolean =>
 	unreadTokens === 0 || ((unreadTokens * sharingEntries) + promptTokens) * Math.max(1, pace) / tokensPerMs <= limitMs;
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -11,7 +11,10 @@
 	/** Requests that were read and have no complete answer yet. */
 	requests: number;
 
-	/** Monotonic time in milliseconds at which the connection was accepted or its last answer ended, and the bytes read until then. */
+	/**
+	Monotonic time in milliseconds at which the connection was accepted or its last answer ended, and the bytes read until
+	then.
+	*/
 	idleSince: number;
 	bytesBeforeIdle: number;
 };
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -80,7 +80,10 @@
 /** Bytes of a stream within which a new event must be completed. Large enough for the events that a retried stream repeats from its start. */
 export const MAX_BYTES_WITHOUT_EVENT = 256 * 1024;
 
-/** Bytes of a stream that count as progress although no event is complete. Fewer bytes within the time limit without data count as silence. */
+/**
+Bytes of a stream that count as progress although no event is complete. Fewer bytes within the time limit without data count
+as silence.
+*/
 export const MIN_PROGRESS_BYTES = 1024;
 
 /** Largest answer without content-length. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -174,14 +174,20 @@
 		this.#isDraining = true;
 	}
 
-	/** Stops accepting connections. Open ones stay open: the HTTP server's own method would close those whose request has not been read. */
+	/**
+	Stops accepting connections. Open ones stay open: the HTTP server's own method would close those whose request has not
+	been read.
+	*/
 	stopListening(): void {
 		if (this.#server) {
 			NetServer.prototype.close.call(this.#server);
 		}
 	}
 
-	/** Closes idle connections. To be called repeatedly while the last requests end. @returns the number of connections that remain */
+	/**
+	Closes idle connections. To be called repeatedly while the last requests end. @returns the number of connections that
+	remain
+	*/
 	closeIdleConnections(): number {
 		return this.#connections.closeIdle();
 	}
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -1,4 +1,7 @@
-/** Assigns requests to free slots of upstreams: immediately, after waiting in the queue of their service, or not at all. Performs no I/O. */
+/**
+Assigns requests to free slots of upstreams: immediately, after waiting in the queue of their service, or not at all.
+Performs no I/O.
+*/
 import type {Metrics, Random} from '@yuccawood/common';
 import {
 	admitWaiting, chooseUpstream, retryAfterMs, RequestQueue, type Placement, type PlacementRequirements, type QueuedRequest, type UnplacedRequest, type UpstreamView,
@@ -116,7 +119,10 @@
 		this.placeQueued(service);
 	}
 
-	/** Adds the time from a send to the first byte of its answer to the average of the service. The engine has read the prompt, so a queued request may fit. */
+	/**
+	Adds the time from a send to the first byte of its answer to the average of the service. The engine has read the prompt,
+	so a queued request may fit.
+	*/
 	recordTimeToFirstData(service: string, milliseconds: number): void {
 		const serviceQueue = this.#queueOf(service);
 		serviceQueue.timeToFirstDataMs += (milliseconds - serviceQueue.timeToFirstDataMs) * SERVICE_AVERAGE_WEIGHT;
--- a/packages/gateway/src/record-outcome.ts
+++ b/packages/gateway/src/record-outcome.ts
@@ -13,7 +13,8 @@
 	}
 
 	if (result.kind === 'ended') {
-		// Requests on a congested path reach the upstream long after their callers have left, so it gets no more for a while.
+		// Requests on a congested path reach the upstream long after their callers have left, so it gets no more for a
+		// while.
 		if (result.isSilence) {
 			recordFailure(context, outcome, {detail: `no data until the request ended (${result.by})`, isFatal: false});
 		}
--- a/packages/gateway/src/request-needs.ts
+++ b/packages/gateway/src/request-needs.ts
@@ -1,4 +1,6 @@
-/** What one request needs of an upstream at a moment: version, time for its prompt, and the times after which to give up on it. */
+/**
+What one request needs of an upstream at a moment: version, time for its prompt, and the times after which to give up on it.
+*/
 import {
 	cancelAt, EXPIRING_VERSION_MS, isRetryable, MAX_READING_GOAL_SHARE, readingTokensPerMs, requiredVersion, silenceLimitMs, type PlacementRequirements,
 } from '@yuccawood/dispatch';
@@ -42,7 +44,10 @@
 		};
 	}
 
-	/** Time without data, in milliseconds, after which the request is retried at another upstream; undefined if the route forbids retries. */
+	/**
+	Time without data, in milliseconds, after which the request is retried at another upstream; undefined if the route
+	forbids retries.
+	*/
 	noDataTimeoutMs(state: ConnectedUpstream, {hasAnswerBegun}: {readonly hasAnswerBegun: boolean}): number | undefined {
 		const {clock, placer, states} = this.#context;
 		const {route, service} = this.#request;
--- a/packages/gateway/src/transmit-options.ts
+++ b/packages/gateway/src/transmit-options.ts
@@ -30,6 +30,9 @@
 	readonly noDataTimeoutMs: () => number | undefined;
 	readonly canRetryElsewhere: () => boolean;
 
-	/** Time in milliseconds until a request without an answer has to be cancelled because the upstream's version expires; undefined if it does not expire. */
+	/**
+	Time in milliseconds until a request without an answer has to be cancelled because the upstream's version expires;
+	undefined if it does not expire.
+	*/
 	readonly msUntilCancel: () => number | undefined;
 };
--- a/packages/gateway/src/upstream-link.ts
+++ b/packages/gateway/src/upstream-link.ts
@@ -1,4 +1,7 @@
-/** Connections to one upstream, which send one request at a time and pass the parts of its answer on. Placement limits their number. */
+/**
+Connections to one upstream, which send one request at a time and pass the parts of its answer on. Placement limits their
+number.
+*/
 import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {
@@ -210,7 +213,10 @@
 		});
 	}
 
-	/** Undici uses a connection again one turn of the event loop after the end of an answer. A request that is sent before would open another connection. */
+	/**
+	Undici uses a connection again one turn of the event loop after the end of an answer. A request that is sent before
+	would open another connection.
+	*/
 	#recordFreedConnection(): void {
 		this.#justFreedConnections++;
 		setImmediate(() => {
--- a/packages/gateway/src/upstream-states.ts
+++ b/packages/gateway/src/upstream-states.ts
@@ -122,13 +122,19 @@
 		return {maxConnections: this.#maxConnections(service), sharingEntries: this.#sharingEntries(service)};
 	}
 
-	/** Connections of this entry to each upstream of a service. Follows the configuration and the number of entries, which may become known late. */
+	/**
+	Connections of this entry to each upstream of a service. Follows the configuration and the number of entries, which may
+	become known late.
+	*/
 	#maxConnections(service: string): number {
 		const limit = this.#configured(service)?.maxConnections ?? MIN_CONNECTIONS;
 		return Math.max(MIN_CONNECTIONS, Math.floor(limit * CONNECTION_SHARE / assumedEntryCount(this.#options.view)));
 	}
 
-	/** Plain services report their load with each answer only, and answer so soon that few requests of other entries are unknown. */
+	/**
+	Plain services report their load with each answer only, and answer so soon that few requests of other entries are
+	unknown.
+	*/
 	#sharingEntries(service: string): number {
 		return this.#configured(service)?.engine ? entriesSharingUpstream(assumedEntryCount(this.#options.view), this.of(service).length) : 1;
 	}
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -103,7 +103,8 @@
 	const view = new FleetView({
 		clock, log,
 		// When a version was set that the store already holds is unknown. Its staleness bound is assumed to end `stableMs`
-		// after the start of this process, or immediately if that time has passed. Loading the modules may take a good part of it.
+		// after the start of this process, or immediately if that time has passed. Loading the modules may take a good part
+		// of it.
 		initialTargetAgeMs: () => settings.versionBoundMs - Math.max(0, PROCESS_START_MS + settings.stableMs - clock.monotonic()),
 	});
 	const peers = new PeerClient({connectTimeoutMs: PEER_CALL_TIMEOUT_MS});
--- a/packages/node/src/target-age-exchange.ts
+++ b/packages/node/src/target-age-exchange.ts
@@ -9,7 +9,7 @@
 	delay, describeError, type Log, type PeerClient, type PeerServer, type Random,
 } from '@yuccawood/common';
 import {
-	PEER_CALL_TIMEOUT_MS, type FleetView, type ModelTarget, type TargetAges as ReportedAges,
+	PEER_CALL_TIMEOUT_MS, type FleetView, type ModelTarget, type TargetAges,
 } from '@yuccawood/fleet';
 import {
 	MAX_PEERS_ASKED_FOR_AGES, AGE_ROUND_PAUSE_MS, MAX_AGE_ROUNDS, MIN_AGE_OBSERVERS,
@@ -21,7 +21,10 @@
 	readonly view: FleetView;
 	readonly peers: PeerClient;
 	readonly peerServer: PeerServer;
-	/** Groups of peers. Each group is asked, since one alone may have too few processes that were running when a version was set. */
+	/**
+	Groups of peers. Each group is asked, since one alone may have too few processes that were running when a version was
+	set.
+	*/
 	readonly addresses: () => ReadonlyArray<readonly string[]>;
 	readonly region: string;
 
@@ -42,7 +45,7 @@
 	/** Starts to answer peers, and to ask them whenever a new target version becomes known. */
 	start(): void {
 		const {peerServer, view, region} = this.#options;
-		peerServer.method(TARGET_AGES_METHOD, (): ReportedAges => ({region, ages: view.targetAges}));
+		peerServer.method(TARGET_AGES_METHOD, (): TargetAges => ({region, ages: view.targetAges}));
 		view.onChange(change => {
 			if (change === 'targets') {
 				void this.#determineAgesOfNewTargets();
@@ -74,16 +77,16 @@
 	}
 
 	/** @returns the answers of the peers that answered */
-	async #askPeers(): Promise<readonly ReportedAges[]> {
+	async #askPeers(): Promise<readonly TargetAges[]> {
 		const {random, addresses} = this.#options;
 		const reported = await Promise.all(addresses().flatMap(group => random.sample(group, MAX_PEERS_ASKED_FOR_AGES)).map(async address => this.#ask(address)));
 		return reported.filter(answer => answer !== undefined);
 	}
 
-	async #ask(address: string): Promise<ReportedAges | undefined> {
+	async #ask(address: string): Promise<TargetAges | undefined> {
 		const {view, peers, log} = this.#options;
 		try {
-			const reported = await peers.call<ReportedAges>(address, TARGET_AGES_METHOD, {}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
+			const reported = await peers.call<TargetAges>(address, TARGET_AGES_METHOD, {}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
 			for (const age of reported.ages) {
 				view.applyPeerTargetAge(age);
 			}
@@ -98,10 +101,10 @@
 
 const nameOf = ({model, version}: Pick<ModelTarget, 'model' | 'version'>): string => `${model}@${version}`;
 
-const reportsTarget = ({ages}: ReportedAges, target: ModelTarget): boolean => ages.some(age => nameOf(age) === nameOf(target));
+const reportsTarget = ({ages}: TargetAges, target: ModelTarget): boolean => ages.some(age => nameOf(age) === nameOf(target));
 
 /** Peers in this region may have learned of the version as late as this process, so each other region must have an observer. */
-const hasEnoughObservers = (answers: readonly ReportedAges[], target: ModelTarget, otherRegions: readonly string[]): boolean => {
+const hasEnoughObservers = (answers: readonly TargetAges[], target: ModelTarget, otherRegions: readonly string[]): boolean => {
 	const observers = answers.filter(({ages}) => ages.some(age => age.isWitnessed && nameOf(age) === nameOf(target)));
 	return observers.length >= MIN_AGE_OBSERVERS && otherRegions.every(region => observers.some(observer => observer.region === region));
 };
--- a/packages/stand-ins/src/key-value-stand-in.test.ts
+++ b/packages/stand-ins/src/key-value-stand-in.test.ts
@@ -59,7 +59,8 @@
 	});
 
 	it('refuses calls above the rate limit', async () => {
-		// On a busy machine 120 calls at once take longer than the time limit of the other tests, and a write without an answer is not a refused one.
+		// On a busy machine 120 calls at once take longer than the time limit of the other tests, and a write without an
+		// answer is not a refused one.
 		const patient = new HttpKeyValueService({address, timeoutMs: 5000});
 		const results = await Promise.all(Array.from({length: 120}, async (_, index) => patient.write(`k${index}`, 'v')));
 		await patient.close();
