--- a/packages/stand-ins/src/key-value-stand-in.test.ts
+++ b/packages/stand-ins/src/key-value-stand-in.test.ts
@@ -61,9 +61,9 @@
 	it('refuses calls above the rate limit', async () => {
 		// On a busy machine 120 calls at once take longer than the time limit of the other tests, and a write without an
 		// answer is not a refused one.
-		const patient = new HttpKeyValueService({address, timeoutMs: 5000});
-		const results = await Promise.all(Array.from({length: 120}, async (_, index) => patient.write(`k${index}`, 'v')));
-		await patient.close();
+		const slowTolerantService = new HttpKeyValueService({address, timeoutMs: 5000});
+		const results = await Promise.all(Array.from({length: 120}, async (_, index) => slowTolerantService.write(`k${index}`, 'v')));
+		await slowTolerantService.close();
 		const refused = results.filter(({ok}) => !ok);
 		expect(refused).to.not.have.length(0);
 		expect(refused.every(({val}) => (val as {kind: string}).kind === 'rate-limited')).to.equal(true);
