Report answers from versions that have expired

When a request runs on a version after its bound, the logs of the entry could not tell which of three causes it was: an expiry that was not known at the send, one that was counted too late, or a late cancellation.

No decision changes.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -13,7 +13,7 @@
 } from './upstream-health.js';
 export {entriesSharingUpstream, upstreamSubset} from './upstream-subset.js';
 export {pickBackend, RouteTable} from './match-route.js';
-export {cancelAt, requiredVersion} from './required-version.js';
+export {cancelAt, expiryOf, requiredVersion} from './required-version.js';
 export {
 	CRASHES_BEFORE_REJECTION, EXPIRING_VERSION_MS, MAX_READING_GOAL_SHARE, VERSION_MARGIN_MS,
 } from './constants.js';
--- a/packages/dispatch/src/required-version.ts
+++ b/packages/dispatch/src/required-version.ts
@@ -22,11 +22,17 @@
 	return targets.findLast(({learnedAt}) => now - learnedAt >= boundMs - marginMs)?.version;
 };
 
+/** Returns the monotonic time in milliseconds at which a version expires; undefined while no newer version is the target. */
+export const expiryOf = (targets: readonly ModelTarget[], {version, boundMs}: {readonly version: number; readonly boundMs: number}): number | undefined => {
+	const newer = targets.filter(target => target.version > version);
+	return newer.length === 0 ? undefined : Math.min(...newer.map(({learnedAt}) => learnedAt)) + boundMs;
+};
+
 /**
 Returns the monotonic time in milliseconds at which a request that is still queued at an upstream must be cancelled, so that
 it does not start there after the staleness bound; undefined while no newer version is the target.
 */
 export const cancelAt = (targets: readonly ModelTarget[], {heldVersion, boundMs}: {readonly heldVersion: number; readonly boundMs: number}): number | undefined => {
-	const newer = targets.filter(({version}) => version > heldVersion);
-	return newer.length === 0 ? undefined : Math.min(...newer.map(({learnedAt}) => learnedAt)) + boundMs - CANCEL_MARGIN_MS;
+	const expiresAt = expiryOf(targets, {version: heldVersion, boundMs});
+	return expiresAt === undefined ? undefined : expiresAt - CANCEL_MARGIN_MS;
 };
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -180,6 +180,7 @@
 			noDataTimeoutMs: () => this.#needs.noDataTimeoutMs(state, {hasAnswerBegun: this.#timing.firstDataAt !== undefined}),
 			canRetryElsewhere: () => this.#canRetryElsewhere(state),
 			msUntilCancel: () => this.#needs.msUntilCancel(state),
+			msSinceExpiry: version => this.#needs.msSinceExpiry(version),
 		});
 		if (result.mayHaveRun) {
 			this.#possibleRunCount++;
--- a/packages/gateway/src/request-needs.ts
+++ b/packages/gateway/src/request-needs.ts
@@ -2,7 +2,7 @@
 What one request needs of an upstream at a moment: version, time for its prompt, and the times after which to give up on it.
 */
 import {
-	cancelAt, EXPIRING_VERSION_MS, isRetryable, MAX_READING_GOAL_SHARE, readingTokensPerMs, requiredVersion, silenceLimitMs, type PlacementRequirements,
+	cancelAt, EXPIRING_VERSION_MS, expiryOf, isRetryable, MAX_READING_GOAL_SHARE, readingTokensPerMs, requiredVersion, silenceLimitMs, type PlacementRequirements,
 } from '@yuccawood/dispatch';
 import type {EngineProfile} from '@yuccawood/fleet';
 import {
@@ -83,6 +83,15 @@
 		return at === undefined ? undefined : Math.max(0, at - now);
 	}
 
+	/** Time in milliseconds since a version of the model expired; undefined while it may answer. */
+	msSinceExpiry(version: number): number | undefined {
+		const {view, clock, versionBoundMs} = this.#context;
+		const model = this.#model;
+		const expiresAt = model === undefined ? undefined : expiryOf(view.targetsOf(model), {version, boundMs: versionBoundMs});
+		const expiredMs = expiresAt === undefined ? 0 : clock.monotonic() - expiresAt;
+		return expiredMs > 0 ? expiredMs : undefined;
+	}
+
 	/** Published costs of the engines of the service; undefined for plain services. */
 	get #engine(): EngineProfile | undefined {
 		return this.#context.view.inForce?.configuration.services.find(({name}) => name === this.#request.service)?.engine;
--- a/packages/gateway/src/transmit-options.ts
+++ b/packages/gateway/src/transmit-options.ts
@@ -35,4 +35,7 @@
 	undefined if it does not expire.
 	*/
 	readonly msUntilCancel: () => number | undefined;
+
+	/** Time in milliseconds since the version expired; undefined while it may answer. */
+	readonly msSinceExpiry: (version: number) => number | undefined;
 };
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -4,6 +4,7 @@
 import {
 	MAX_CANCEL_CHECK_MS, MAX_REFUSAL_BYTES, MAX_REFUSAL_MS, MAX_UNSIZED_ANSWER_BYTES,
 } from './constants.js';
+import {reportExpiredAnswer} from './expired-answer.js';
 import {
 	RecallError, SilenceError, STREAM_FAULT_MESSAGES, type SendResult,
 } from './send-result.js';
@@ -34,6 +35,9 @@
 	readonly #silence: SilenceWatch;
 	#cancelTimer: NodeJS.Timeout | undefined;
 
+	/** Time in milliseconds that was left at the send; undefined if no expiry was known then. */
+	#msUntilCancelAtSend: number | undefined;
+
 	/** Limits the time for reading the body of a refusal. */
 	#refusalTimer: NodeJS.Timeout | undefined;
 
@@ -84,6 +88,7 @@
 				}
 			},
 		});
+		this.#msUntilCancelAtSend = this.#options.msUntilCancel();
 		this.#scheduleCancel();
 	}
 
@@ -154,6 +159,7 @@
 			return;
 		}
 
+		this.#reportExpiry(head.version);
 		this.#hasContentLength = headers['content-length'] !== undefined;
 		this.#isStream = relay !== undefined && status === 200;
 		if (this.#isStream) {
@@ -165,6 +171,16 @@
 		}
 	}
 
+	#reportExpiry(version: number | undefined): void {
+		const {context, request, state, msSinceExpiry} = this.#options;
+		const expiredMs = version === undefined ? undefined : msSinceExpiry(version);
+		if (version !== undefined && expiredMs !== undefined) {
+			reportExpiredAnswer(context, {
+				request, state, version, expiredMs, sentAt: this.#sentAt, msUntilCancelAtSend: this.#msUntilCancelAtSend,
+			});
+		}
+	}
+
 	/** @returns whether to continue reading; false while the caller's connection applies backpressure */
 	#handleData(chunk: Uint8Array): boolean {
 		this.#receivedBytes += chunk.byteLength;
