--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,11 +1,9 @@
 /** HTTP server for callers: reads and checks their requests, and runs one {@link Exchange} for each accepted one. */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {Server as NetServer} from 'node:net';
-import {
-	describeError, type Clock, type Log, type Metrics, type Random,
-} from '@yuccawood/common';
+import {describeError, type Log} from '@yuccawood/common';
 import {callerTimes, pickBackend, RouteTable} from '@yuccawood/dispatch';
-import type {FleetView, Upstream, UpstreamReport} from '@yuccawood/fleet';
+import type {Upstream, UpstreamReport} from '@yuccawood/fleet';
 import {
 	CONNECTION_CHECK_MS, DEFAULT_DEADLINE_MS, DEFAULT_HEADER_BYTES, UNAVAILABLE_RETRY_MS,
 } from './constants.js';
@@ -14,36 +12,15 @@
 import {DecisionLog} from './decision-log.js';
 import {Exchange} from './exchange.js';
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
+import type {GatewayOptions} from './gateway-options.js';
 import {sendGatewayAnswer} from './own-answer.js';
 import {Placer, scheduleTimer} from './placer.js';
 import {readRequestBody} from './read-request-body.js';
 import {RetryBudgets} from './retry-budgets.js';
-import type {HeaderCodec, GatewayAnswer} from './types.js';
+import type {GatewayAnswer} from './types.js';
 import {assumedEntryCount, UpstreamStates} from './upstream-states.js';
 import {VersionExpiryLog} from './version-expiry-log.js';
 
-export type GatewayOptions = {
-	readonly view: FleetView;
-	readonly codec: HeaderCodec;
-
-	/** Id of this entry in the list of entries. */
-	readonly selfId: string;
-	readonly failureDomain: string;
-
-	/** Staleness bound: see {@link GatewayContext.versionBoundMs}. */
-	readonly versionBoundMs: number;
-
-	/** Retry budget of each service. */
-	readonly retryBudget: {readonly windowMs: number; readonly ratio: number; readonly slack: number};
-
-	/** Shares the crash count of a request with the other entries. */
-	readonly shareCrashCount: (fingerprint: string, crashes: number) => void;
-	readonly clock: Clock;
-	readonly random: Random;
-	readonly log: Log;
-	readonly metrics: Metrics;
-};
-
 /** Priority of requests whose route and account set none. */
 const LOWEST_PRIORITY = 9;
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 /** Reverse proxy that receives requests from callers and forwards them to upstreams. */
 export type * from './types.js';
-export {Gateway, type GatewayOptions} from './gateway.js';
+export {Gateway} from './gateway.js';
+export type {GatewayOptions} from './gateway-options.js';
 export {Placer, type PlacementClock, type PlacementStates} from './placer.js';
 export {UpstreamState} from './upstream-state.js';
 export {EventSplitter} from './event-stream.js';
