Check again and again whether a waiting request must be cancelled

Cause: an entry decided at the send whether the request would have to be cancelled. With no newer version known, or with the version of the engine unknown at that moment or at one of the later checks, it stopped asking. What became known afterwards cancelled nothing. The class: a decision taken once from facts that may still be unknown.

One watch now holds all requests without an answer. It checks them every 250 ms and whenever the target versions or their ages change, so no fact has to be known at the send. One timer serves all of them.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -89,7 +89,7 @@
 /** Largest answer without content-length. */
 export const MAX_UNSIZED_ANSWER_BYTES = 64 * 1024 * 1024;
 
-/** Longest interval at which a request without an answer checks whether its upstream's version is about to expire. */
+/** Longest interval between two checks of whether requests without an answer wait at an upstream whose version is about to expire. */
 export const MAX_CANCEL_CHECK_MS = 250;
 
 /** Limits on reading the body of a refusal, which keeps the connection reusable. */
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -3,6 +3,7 @@
 import type {FleetView, Route} from '@yuccawood/fleet';
 import type {CrashWatch} from './crash-watch.js';
 import type {DecisionLog} from './decision-log.js';
+import type {ExpiryWatch} from './expiry-watch.js';
 import type {Placer} from './placer.js';
 import type {HeaderCodec} from './types.js';
 import type {ConnectedUpstream, UpstreamStates} from './upstream-states.js';
@@ -13,6 +14,7 @@
 	readonly states: UpstreamStates;
 	readonly placer: Placer<ConnectedUpstream>;
 	readonly crashWatch: CrashWatch;
+	readonly expiryWatch: ExpiryWatch;
 	readonly codec: HeaderCodec;
 	readonly retryBudgetOf: (service: string) => RetryBudget;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import {CrashWatch} from './crash-watch.js';
 import {DecisionLog} from './decision-log.js';
 import {Exchange} from './exchange.js';
+import {ExpiryWatch} from './expiry-watch.js';
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
 import type {GatewayOptions} from './gateway-options.js';
 import {sendGatewayAnswer} from './own-answer.js';
@@ -60,6 +61,7 @@
 			crashWatch: new CrashWatch({
 				clock, log, sharedCounts: () => view.crashesByFingerprint, shareCount: options.shareCrashCount,
 			}),
+			expiryWatch: new ExpiryWatch(),
 			retryBudgetOf: service => this.#retryBudgets.of(service),
 			isDraining: () => this.#isDraining,
 			decisions,
@@ -82,6 +84,7 @@
 
 				case 'targets': {
 					this.#versionExpiryLog.refresh();
+					this.#context.expiryWatch.check();
 					break;
 				}
 
@@ -174,6 +177,7 @@
 		this.#server?.close();
 		this.#connections.closeAll();
 		this.#versionExpiryLog.close();
+		this.#context.expiryWatch.close();
 		this.#context.states.close();
 	}
 
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -1,10 +1,9 @@
 /** Sends a request to one upstream once, and forwards the answer to the caller. */
 import {BufferedAnswer} from './answer-sinks.js';
 import {isMalformed, MalformedAnswerError} from './connection-watch.js';
-import {
-	MAX_CANCEL_CHECK_MS, MAX_REFUSAL_BYTES, MAX_REFUSAL_MS, MAX_UNSIZED_ANSWER_BYTES,
-} from './constants.js';
+import {MAX_REFUSAL_BYTES, MAX_REFUSAL_MS, MAX_UNSIZED_ANSWER_BYTES} from './constants.js';
 import {reportExpiredAnswer} from './expired-answer.js';
+import type {WaitingRequest} from './expiry-watch.js';
 import {
 	RecallError, SilenceError, STREAM_FAULT_MESSAGES, type SendResult,
 } from './send-result.js';
@@ -33,7 +32,7 @@
 	#hasContentLength = false;
 	#isFinished = false;
 	readonly #silence: SilenceWatch;
-	#cancelTimer: NodeJS.Timeout | undefined;
+	readonly #waiting: WaitingRequest;
 
 	/** Time in milliseconds that was left at the send; undefined if no expiry was known then. */
 	#msUntilCancelAtSend: number | undefined;
@@ -46,6 +45,13 @@
 		this.#resolve = resolve;
 		this.#sentAt = options.context.clock.monotonic();
 		this.#pendingSendKey = options.state.addPendingSend(this.#sentAt, options.request.promptTokens);
+		this.#waiting = {
+			msUntilCancel: options.msUntilCancel,
+			cancel: () => {
+				options.context.metrics.count('gateway.recalled', {service: options.request.service});
+				this.#send?.abort(new RecallError('the version that the upstream holds is about to expire'));
+			},
+		};
 		this.#silence = new SilenceWatch({
 			clock: options.context.clock, limitMs: options.noDataTimeoutMs,
 			// An answer that is being forwarded can no longer be replaced.
@@ -57,7 +63,7 @@
 	}
 
 	start(): void {
-		const {endSignal, endedBy, response, state, upstreamRequest} = this.#options;
+		const {context, endSignal, endedBy, response, state, upstreamRequest} = this.#options;
 		if (endSignal.aborted) {
 			this.#finish({
 				kind: 'ended', by: endedBy()!, mayHaveRun: false, isSilence: false,
@@ -88,8 +94,10 @@
 				}
 			},
 		});
-		this.#msUntilCancelAtSend = this.#options.msUntilCancel();
-		this.#scheduleCancel();
+		this.#msUntilCancelAtSend = this.#waiting.msUntilCancel();
+		if (!this.#isFinished) {
+			context.expiryWatch.add(this.#waiting);
+		}
 	}
 
 	readonly #onEnded = (): void => {
@@ -102,42 +110,20 @@
 
 	#finish(result: SendResult): void {
 		this.#isFinished = true;
-		const {state, endSignal, response} = this.#options;
+		const {context, state, endSignal, response} = this.#options;
 		this.#silence.stop();
-		clearTimeout(this.#cancelTimer);
+		context.expiryWatch.remove(this.#waiting);
 		state.removePendingSend(this.#pendingSendKey);
 		endSignal.removeEventListener('abort', this.#onEnded);
 		response.off('drain', this.#onDrain);
 		this.#resolve(result);
 	}
 
-	/**
-	Cancels the request shortly before the version of the upstream expires, unless its answer has begun. Upstreams drop
-	a queued request when its connection closes.
-	*/
-	#scheduleCancel(): void {
-		const inMs = this.#options.msUntilCancel();
-		if (inMs === undefined || this.#isFinished) {
-			return;
-		}
-
-		if (inMs === 0) {
-			this.#options.context.metrics.count('gateway.recalled', {service: this.#options.request.service});
-			this.#send?.abort(new RecallError('the version that the upstream holds is about to expire'));
-			return;
-		}
-
-		// The upstream may load the newer version in the meantime, or the staleness bound may turn out to be earlier.
-		this.#cancelTimer = setTimeout(() => {
-			this.#scheduleCancel();
-		}, Math.min(inMs, MAX_CANCEL_CHECK_MS));
-	}
-
 	#handleHead(status: number, headers: Readonly<Record<string, string | readonly string[] | undefined>>, rawHeaders: readonly string[]): void {
 		const {context, request, response, relay, state} = this.#options;
 		const head = context.codec.readAnswerHeaders(headers, status);
 		this.#head = head;
-		clearTimeout(this.#cancelTimer);
+		context.expiryWatch.remove(this.#waiting);
 		if (head.load) {
 			state.updateLoad(head.load.running + head.load.waiting, context.clock.monotonic());
 		}
