Take the model of a request from the configuration

Cause: the entry took the model's name, by which it finds the target versions, from the list of upstreams. An engine is listed without a model while it loads a version, and its agent reports the new version as soon as it is loaded, often before the list states it. A request that was sent in between had no model, so no expiry was ever found for it. While no engine of the service was listed with a model, no version was required at all.

The engines' profile in the configuration names the model, which agents use already, and it is known whenever a request is accepted.

--- a/packages/gateway/src/request-needs.ts
+++ b/packages/gateway/src/request-needs.ts
@@ -33,7 +33,7 @@
 		const {view, clock, versionBoundMs, failureDomain} = this.#context;
 		const {route, promptTokens} = this.#request;
 		const engine = this.#engine;
-		const model = engine ? this.#model : undefined;
+		const model = this.#model;
 		const requiredVersionAt = (now: number): number | undefined => model === undefined
 			? undefined
 			: requiredVersion(view.targetsOf(model), {now, boundMs: versionBoundMs, canCancel: isRetryable(route)});
@@ -74,7 +74,7 @@
 		const {view, clock, versionBoundMs} = this.#context;
 		const now = clock.monotonic();
 		const heldVersion = state.heldVersion(now);
-		const model = state.upstream.model?.name;
+		const model = this.#model;
 		if (heldVersion === undefined || model === undefined || !isRetryable(this.#request.route)) {
 			return undefined;
 		}
@@ -97,7 +97,8 @@
 		return this.#context.view.inForce?.configuration.services.find(({name}) => name === this.#request.service)?.engine;
 	}
 
+	/** Comes from the configuration, because an engine is listed with a model only some time after it has loaded a version. */
 	get #model(): string | undefined {
-		return this.#context.states.of(this.#request.service).map(({upstream}) => upstream.model?.name).find(name => name !== undefined);
+		return this.#engine?.models[0];
 	}
 }
