Cancel waiting requests also while their engine's version is unknown

Cause: while an engine loads a version, or its agent has just started, its version is unknown to an entry. A request that waited there was then taken to have no expiry, although the engine may begin it on the version that it held, or on one between that and the newest one.

The version that the engine held at the send now counts while the present one is unknown.

Test: expiring-version.test.ts "are cancelled before the bound if it stays unknown": 504 after 4 s before, now passed; 34 of 34 in this file and gateway.test.ts.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -157,6 +157,7 @@
 		const {clock, codec, placer, states} = this.#context;
 		const {method, path, rawHeaders, body, account, deadlineAt, service, requestId} = this.#request;
 		this.#sendCount++;
+		const versionAtSend = state.heldVersion(clock.monotonic());
 		const headers = codec.forwardedRequestHeaders(rawHeaders, {
 			upstreamId: state.upstream.id,
 			account,
@@ -179,7 +180,7 @@
 			endedBy: () => this.#endedBy,
 			noDataTimeoutMs: () => this.#needs.noDataTimeoutMs(state, {hasAnswerBegun: this.#timing.firstDataAt !== undefined}),
 			canRetryElsewhere: () => this.#canRetryElsewhere(state),
-			msUntilCancel: () => this.#needs.msUntilCancel(state),
+			msUntilCancel: () => this.#needs.msUntilCancel(state, versionAtSend),
 			msSinceExpiry: version => this.#needs.msSinceExpiry(version),
 		});
 		if (result.mayHaveRun) {
--- a/packages/gateway/src/request-needs.ts
+++ b/packages/gateway/src/request-needs.ts
@@ -69,11 +69,13 @@
 	/**
 	Time in milliseconds until a request that waits at the upstream has to be cancelled because the upstream's version
 	expires; undefined if the version does not expire or the request cannot be retried.
+
+	@param versionAtSend version that the upstream held at the send, which counts while the present one is unknown
 	*/
-	msUntilCancel(state: ConnectedUpstream): number | undefined {
+	msUntilCancel(state: ConnectedUpstream, versionAtSend: number | undefined): number | undefined {
 		const {view, clock, versionBoundMs} = this.#context;
 		const now = clock.monotonic();
-		const heldVersion = state.heldVersion(now);
+		const heldVersion = state.heldVersion(now) ?? versionAtSend;
 		const model = this.#model;
 		if (heldVersion === undefined || model === undefined || !isRetryable(this.#request.route)) {
 			return undefined;
