Expect the version that an engine holds, not the oldest allowed one

What callers could see: 503 while a capable engine was idle. With two target versions in short order, engines may hold the newest while the bound of the first one requires only the older.

Cause: an entry stated the oldest version that may answer as the expected one, but an engine answers 421 to each request that expects another version than its own, also an older one. The entry then suspended it.

The entry now states the version that it believes the engine to hold, which placement has found new enough.

Test: expected-version.test.ts "name the version that the engine holds ...": '2' before, '3' now.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -158,12 +158,14 @@
 		const {method, path, rawHeaders, body, account, deadlineAt, service, requestId} = this.#request;
 		this.#sendCount++;
 		const versionAtSend = state.heldVersion(clock.monotonic());
+		const {oldestVersion} = this.#placementNeed;
 		const headers = codec.forwardedRequestHeaders(rawHeaders, {
 			upstreamId: state.upstream.id,
 			account,
 			remainingMs: Math.max(1, Math.floor(deadlineAt - clock.monotonic())),
 			lastEventId: this.#relay?.lastId ?? this.#request.lastEventId,
-			expectedVersion: this.#placementNeed.oldestVersion,
+			// Upstreams refuse requests that expect another version than their own, also an older one.
+			expectedVersion: oldestVersion === undefined ? undefined : Math.max(oldestVersion, versionAtSend ?? 0),
 		});
 		const result = await transmit({
 			context: this.#context,
