Don't suspend an engine that has just loaded another version

What callers could see: an engine that has loaded the newest version gets no requests for 0.7 s or more, at the moment at which it is needed most.

Cause: status 421 counted as proof that another process has the address, and suspended the upstream at once. A request that expects a version gets it from the right engine too, when the engine has loaded another version since the entry heard of it.

For such requests it now counts as an ordinary failure: two in a row suspend. Others are judged as before.

Test: expected-version.test.ts "do not suspend an engine that refuses one because it has just loaded a newer version": suspended after one before, not now; a second in a row suspends before and after.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -191,7 +191,9 @@
 		}
 
 		state.endRequest();
-		recordOutcome(this.#context, {requestId, state, result});
+		recordOutcome(this.#context, {
+			requestId, state, result, hasExpectedVersion: oldestVersion !== undefined,
+		});
 		if (states.has(state.upstream.key)) {
 			placer.recordFreedSlot(service);
 		}
--- a/packages/gateway/src/record-outcome.ts
+++ b/packages/gateway/src/record-outcome.ts
@@ -3,10 +3,17 @@
 import type {SendResult} from './send-result.js';
 import type {ConnectedUpstream} from './upstream-states.js';
 
-type Outcome = {readonly requestId: string; readonly state: ConnectedUpstream; readonly result: SendResult};
+type Outcome = {
+	readonly requestId: string;
+	readonly state: ConnectedUpstream;
+	readonly result: SendResult;
+
+	/** Whether the request was to be refused by an upstream with another version. */
+	readonly hasExpectedVersion: boolean;
+};
 
 export const recordOutcome = (context: Pick<GatewayContext, 'clock' | 'decisions'>, outcome: Outcome): void => {
-	const {state, result} = outcome;
+	const {state, result, hasExpectedVersion} = outcome;
 	if (result.kind === 'delivered') {
 		state.recordSuccess();
 		return;
@@ -26,8 +33,9 @@
 		return;
 	}
 
-	// No process listens at the address, or a different one does. The list of upstreams may take some time to show that.
-	const isFatal = (result.failure === 'not-sent' && result.isSilence !== true) || result.isMisdirected === true;
+	// No process listens at the address, or a different one does. The list of upstreams may take some time to show that. A
+	// request that expects a version may also be refused by the right process, if it has just loaded another version.
+	const isFatal = (result.failure === 'not-sent' && result.isSilence !== true) || (result.isMisdirected === true && !hasExpectedVersion);
 	recordFailure(context, outcome, {detail: result.detail, isFatal});
 };
 
