Count the bounds of versions that were superseded before a restart

Cause: the store keeps only the newest version of a model. An entry that started after version 3 knew only that one. At first it assumed that its bound ends soon, which covers version 2, too. Then its peers confirmed when version 3 had become known, and the assumption was dropped, also for version 2, of which the entry knew nothing. Peers knew it, but their ages of unknown versions were ignored. The same holds for a process whose watch delivers two versions at once.

Peers' ages of unknown, older versions are now added, before a time is confirmed. A process that saw a version being set when it followed the versions counts before one that assumes; assumptions are passed on apart from knowledge.

--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -99,13 +99,13 @@
 	/** Time for which the target versions have been known, for peers that learned of them later. */
 	get targetAges(): readonly TargetAge[] {
 		const now = this.#clock.monotonic();
-		return this.targets.map(({model, version, knownAt, isWitnessed}) => ({
-			model, version, ageMs: now - knownAt, isWitnessed,
+		return this.targets.map(({model, version, knownAt, learnedAt, isWitnessed}) => ({
+			model, version, ageMs: now - knownAt, countedMs: now - learnedAt, isWitnessed,
 		}));
 	}
 
-	/** Applies the age of a target version at a peer. Versions unknown here are ignored, since the store reports them. */
-	applyPeerTargetAge({model, version, ageMs}: Omit<TargetAge, 'isWitnessed'>): void {
+	/** Applies the age of a target version at a peer, if the version is known here. */
+	applyPeerTargetAge({model, version, ageMs}: Pick<TargetAge, 'model' | 'version' | 'ageMs'>): void {
 		const known = this.targetsOf(model).find(target => target.version === version);
 		const knownAt = this.#clock.monotonic() - ageMs;
 		if (!known || knownAt > known.knownAt - AGE_TOLERANCE_MS) {
@@ -138,6 +138,24 @@
 		this.#changes.publish('targets');
 	}
 
+	/**
+	Adds a version that was the target before the current one, of which the store reports nothing any more. Its staleness
+	bound ends first.
+	*/
+	addSupersededTarget(target: ModelTarget): void {
+		const {model, version, learnedAt} = target;
+		const known = this.targetsOf(model);
+		if (known.some(other => other.version === version) || !known.some(other => other.version > version)) {
+			return;
+		}
+
+		this.#targets.set(model, [...known, target].toSorted((a, b) => a.version - b.version).slice(-MAX_TARGETS_PER_MODEL));
+		this.#log.info('A peer knows a target version that was superseded; its staleness bound counts, too.', {
+			model, version, countedMs: roundMs(this.#clock.monotonic() - learnedAt),
+		});
+		this.#changes.publish('targets');
+	}
+
 	/** Target versions of the model that this process has learned of, oldest first. Each has its own staleness bound. */
 	targetsOf(model: string): readonly ModelTarget[] {
 		return this.#targets.get(model) ?? [];
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -190,6 +190,9 @@
 	readonly version: number;
 	readonly ageMs: number;
 
+	/** Time that the process counts towards the staleness bound: `ageMs`, or more if it may have learned of the version late. */
+	readonly countedMs: number;
+
 	/** Whether that process already followed the target versions when it learned of this one. */
 	readonly isWitnessed: boolean;
 };
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -116,7 +116,7 @@
 		}),
 	});
 	new TargetAgeExchange({
-		view, peers, peerServer, random, log: log.part('fleet'), addresses: () => peerAddresses(view, settings),
+		view, peers, peerServer, clock, random, log: log.part('fleet'), addresses: () => peerAddresses(view, settings),
 		region: settings.region, regions: [...new Set(settings.regions.values())],
 	}).start();
 	peerServer.method(CHANGES_METHOD, ({parts}: {readonly parts: readonly PartState[]}) => parts.flatMap(part => follower.items.changesSince(part)));
--- a/packages/node/src/target-age-exchange.test.ts
+++ b/packages/node/src/target-age-exchange.test.ts
@@ -21,12 +21,14 @@
 		}
 	});
 
-	const start = async (host: string, addresses: readonly string[], {region = 'north', others = []}: {readonly region?: string; readonly others?: readonly string[]} = {}): Promise<FleetView> => {
-		const view = new FleetView({clock, log: SILENT_LOG});
+	const start = async (host: string, addresses: readonly string[], {region = 'north', others = [], initialTargetAgeMs = 0}: {
+		readonly region?: string; readonly others?: readonly string[]; readonly initialTargetAgeMs?: number;
+	} = {}): Promise<FleetView> => {
+		const view = new FleetView({clock, log: SILENT_LOG, initialTargetAgeMs: () => initialTargetAgeMs});
 		const peers = new PeerClient({connectTimeoutMs: 300});
 		const peerServer = new PeerServer();
 		new TargetAgeExchange({
-			view, peers, peerServer, addresses: () => [addresses, others], region, regions: ['north', 'south'], random: seededRandom(1), log: SILENT_LOG,
+			view, peers, peerServer, clock, addresses: () => [addresses, others], region, regions: ['north', 'south'], random: seededRandom(1), log: SILENT_LOG,
 		}).start();
 		await peerServer.listen(host, PORT);
 		closers.push(async () => {
@@ -126,4 +128,50 @@
 		await clock.sleep(150);
 		expect(late.targetOf('m')!.learnedAt).to.be.below(learnedAt - 8000);
 	});
+
+	describe('when a version was superseded before this process started', () => {
+		/** Starts a process whose store holds only the newest version, as after a restart. */
+		const restart = async (peers: readonly number[]): Promise<FleetView> => {
+			const restarted = await start('127.0.73.8', peers.map(index => `127.0.73.${index}:${PORT}`));
+			restarted.apply({kind: 'target', model: 'm', version: 3}, {revision: 3, mayBeLeaseExpiry: false});
+			await clock.sleep(150);
+			return restarted;
+		};
+
+		it('counts the bound of that version as its peers do', async () => {
+			const peers = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [], {region: index === 3 ? 'south' : 'north'})));
+			const setAt = clock.monotonic();
+			for (const view of peers) {
+				setTarget(view, 2);
+			}
+
+			await clock.sleep(300);
+			for (const view of peers) {
+				setTarget(view, 3);
+			}
+
+			const restarted = await restart([1, 2, 3]);
+			expect(restarted.targetsOf('m').map(({version}) => version)).to.deep.equal([2, 3]);
+			expect(restarted.targetsOf('m')[0].learnedAt).to.be.within(setAt, setAt + 150);
+			expect(restarted.targetOf('m')!.learnedAt).to.be.within(setAt + 300, setAt + 450);
+		});
+
+		it('does not take over what a peer assumes of it if another saw it being set', async () => {
+			const peers = await Promise.all([1, 2].map(async index => start(`127.0.73.${index}`, [], {initialTargetAgeMs: index === 2 ? 5000 : 0})));
+			const setAt = clock.monotonic();
+			setTarget(peers[0], 2);
+			peers[1].apply({kind: 'target', model: 'm', version: 2}, {revision: 2, mayBeLeaseExpiry: false});
+			const restarted = await restart([1, 2]);
+			expect(restarted.targetsOf('m').map(({version}) => version)).to.deep.equal([2, 3]);
+			expect(restarted.targetsOf('m')[0].learnedAt).to.be.at.least(setAt);
+		});
+
+		it('takes over what a peer assumes of it if none saw it being set', async () => {
+			const peer = await start('127.0.73.1', [], {initialTargetAgeMs: 5000});
+			const startedAt = clock.monotonic();
+			peer.apply({kind: 'target', model: 'm', version: 2}, {revision: 2, mayBeLeaseExpiry: false});
+			const restarted = await restart([1]);
+			expect(restarted.targetsOf('m')[0].learnedAt).to.be.within(startedAt - 5100, startedAt - 4850);
+		});
+	});
 });
--- a/packages/node/src/target-age-exchange.ts
+++ b/packages/node/src/target-age-exchange.ts
@@ -4,9 +4,11 @@
 This process may learn of a version late without noticing, because its path to the store was slow for a moment. Peers nearer
 to the store learn of it earlier. Ages are durations, so clocks need not be synchronised. If no peer has known the version
 for longer, the store was unreachable for all of them.
+
+Peers also know versions that were superseded before this process could learn of them.
 */
 import {
-	delay, describeError, type Log, type PeerClient, type PeerServer, type Random,
+	delay, describeError, type Clock, type Log, type PeerClient, type PeerServer, type Random,
 } from '@yuccawood/common';
 import {
 	PEER_CALL_TIMEOUT_MS, type FleetView, type ModelTarget, type TargetAges,
@@ -14,6 +16,7 @@
 import {
 	MAX_PEERS_ASKED_FOR_AGES, AGE_ROUND_PAUSE_MS, MAX_AGE_ROUNDS, MIN_AGE_OBSERVERS,
 } from './constants.js';
+import {supersededTargets} from './superseded-targets.js';
 
 const TARGET_AGES_METHOD = 'fleet.targetAges';
 
@@ -30,10 +33,14 @@
 
 	/** All regions. The path to the store may be slow for a whole region. */
 	readonly regions: readonly string[];
+	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Log;
 };
 
+/** Answer of a peer. `receivedAt` is a monotonic time in milliseconds. */
+type PeerAnswer = TargetAges & {readonly receivedAt: number};
+
 export class TargetAgeExchange {
 	readonly #options: TargetAgeExchangeOptions;
 	readonly #handledTargets = new Set<string>();
@@ -62,6 +69,8 @@
 		const otherRegions = this.#options.regions.filter(region => region !== this.#options.region);
 		for (let round = 0; round < MAX_AGE_ROUNDS && newTargets.length > 0; round++) {
 			const answers = await this.#askPeers();
+			// Superseded versions come first: a later time for the current version must not delay the expiry of still older ones.
+			this.#addSupersededTargets(answers);
 			for (const target of newTargets.filter(other => hasEnoughObservers(answers, other, otherRegions))) {
 				this.#options.view.confirmTargetTime(target);
 				newTargets.splice(newTargets.indexOf(target), 1);
@@ -76,22 +85,31 @@
 		}
 	}
 
+	#addSupersededTargets(answers: readonly PeerAnswer[]): void {
+		const {view} = this.#options;
+		const reports = answers.flatMap(({ages, receivedAt}) => ages.map(age => ({age, receivedAt})));
+		for (const target of supersededTargets(reports, model => view.targetsOf(model))) {
+			this.#handledTargets.add(nameOf(target));
+			view.addSupersededTarget(target);
+		}
+	}
+
 	/** @returns the answers of the peers that answered */
-	async #askPeers(): Promise<readonly TargetAges[]> {
+	async #askPeers(): Promise<readonly PeerAnswer[]> {
 		const {random, addresses} = this.#options;
 		const reported = await Promise.all(addresses().flatMap(group => random.sample(group, MAX_PEERS_ASKED_FOR_AGES)).map(async address => this.#ask(address)));
 		return reported.filter(answer => answer !== undefined);
 	}
 
-	async #ask(address: string): Promise<TargetAges | undefined> {
-		const {view, peers, log} = this.#options;
+	async #ask(address: string): Promise<PeerAnswer | undefined> {
+		const {view, peers, clock, log} = this.#options;
 		try {
 			const reported = await peers.call<TargetAges>(address, TARGET_AGES_METHOD, {}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
 			for (const age of reported.ages) {
 				view.applyPeerTargetAge(age);
 			}
 
-			return reported;
+			return {...reported, receivedAt: clock.monotonic()};
 		} catch (error) {
 			log.info('A peer did not answer how long it has known the target versions.', {address, error: describeError(error)});
 			return undefined;
