Count the time that a peer's answer took towards a version's age

Cause: a peer tells for how long it has known a version, and the entry added this age to the moment at which the answer arrived.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -7,6 +7,6 @@
 export {ItemLog} from './item-log.js';
 export {RevisionTimes} from './revision-times.js';
 export {SeenRevisions} from './seen-revisions.js';
-export {BULKY_TIMEOUT_MS, PEER_CALL_TIMEOUT_MS} from './constants.js';
+export {AGE_TOLERANCE_MS, BULKY_TIMEOUT_MS, PEER_CALL_TIMEOUT_MS} from './constants.js';
 export {engineDirectoryOf, isSameDirectory} from './engine-directory.js';
 export {newestUpstreams} from './newest-upstreams.js';
--- a/packages/node/src/target-age-exchange.test.ts
+++ b/packages/node/src/target-age-exchange.test.ts
@@ -21,8 +21,13 @@
 		}
 	});
 
-	const start = async (host: string, addresses: readonly string[], {region = 'north', others = [], initialTargetAgeMs = 0}: {
-		readonly region?: string; readonly others?: readonly string[]; readonly initialTargetAgeMs?: number;
+	const start = async (host: string, addresses: readonly string[], {region = 'north', others = [], initialTargetAgeMs = 0, answerDelayMs = 0}: {
+		readonly region?: string;
+		readonly others?: readonly string[];
+		readonly initialTargetAgeMs?: number;
+
+		/** Time that answers to peers need on their way. */
+		readonly answerDelayMs?: number;
 	} = {}): Promise<FleetView> => {
 		const view = new FleetView({clock, log: SILENT_LOG, initialTargetAgeMs: () => initialTargetAgeMs});
 		const peers = new PeerClient({connectTimeoutMs: 300});
@@ -30,6 +35,14 @@
 		new TargetAgeExchange({
 			view, peers, peerServer, clock, addresses: () => [addresses, others], region, regions: ['north', 'south'], random: seededRandom(1), log: SILENT_LOG,
 		}).start();
+		if (answerDelayMs > 0) {
+			peerServer.method('fleet.targetAges', async () => {
+				const answer = {region, ages: view.targetAges};
+				await clock.sleep(answerDelayMs);
+				return answer;
+			});
+		}
+
 		await peerServer.listen(host, PORT);
 		closers.push(async () => {
 			view.close();
@@ -54,6 +67,18 @@
 		expect(early.targetOf('m')!.learnedAt).to.be.within(setAt, setAt + 50);
 	});
 
+	it('adopts that time although the answer of the peer was slow to arrive', async () => {
+		const answerDelayMs = 600;
+		const early = await start('127.0.73.1', [], {answerDelayMs});
+		const late = await start('127.0.73.2', [`127.0.73.1:${PORT}`]);
+		const setAt = clock.monotonic();
+		setTarget(early, 2);
+		await clock.sleep(1000);
+		setTarget(late, 2);
+		await clock.sleep(answerDelayMs + 150);
+		expect(late.targetOf('m')!.learnedAt - setAt).to.be.below(150);
+	});
+
 	it('reports no change for differences within the duration of a call between peers', async () => {
 		const early = await start('127.0.73.1', []);
 		const next = await start('127.0.73.2', [`127.0.73.1:${PORT}`]);
--- a/packages/node/src/target-age-exchange.ts
+++ b/packages/node/src/target-age-exchange.ts
@@ -11,7 +11,7 @@
 	delay, describeError, type Clock, type Log, type PeerClient, type PeerServer, type Random,
 } from '@yuccawood/common';
 import {
-	PEER_CALL_TIMEOUT_MS, type FleetView, type ModelTarget, type TargetAges,
+	AGE_TOLERANCE_MS, PEER_CALL_TIMEOUT_MS, type FleetView, type ModelTarget, type TargetAges,
 } from '@yuccawood/fleet';
 import {
 	MAX_PEERS_ASKED_FOR_AGES, AGE_ROUND_PAUSE_MS, MAX_AGE_ROUNDS, MIN_AGE_OBSERVERS,
@@ -103,13 +103,18 @@
 
 	async #ask(address: string): Promise<PeerAnswer | undefined> {
 		const {view, peers, clock, log} = this.#options;
+		const askedAt = clock.monotonic();
 		try {
-			const reported = await peers.call<TargetAges>(address, TARGET_AGES_METHOD, {}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
-			for (const age of reported.ages) {
+			const {region, ages} = await peers.call<TargetAges>(address, TARGET_AGES_METHOD, {}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
+			const receivedAt = clock.monotonic();
+			// The answer may have been on its way for most of the call.
+			const delayMs = Math.max(0, receivedAt - askedAt - AGE_TOLERANCE_MS);
+			const presentAges = ages.map(age => ({...age, ageMs: age.ageMs + delayMs, countedMs: age.countedMs + delayMs}));
+			for (const age of presentAges) {
 				view.applyPeerTargetAge(age);
 			}
 
-			return {...reported, receivedAt: clock.monotonic()};
+			return {region, ages: presentAges, receivedAt};
 		} catch (error) {
 			log.info('A peer did not answer how long it has known the target versions.', {address, error: describeError(error)});
 			return undefined;
