Give peer calls for large answers a connection of their own again

What callers could see: late news of versions and upstreams while the store is away and a configuration is read from a peer.

Cause: the rename changed the option fresh of a call to useNewConnection, but not the place where a process asks a peer for a bulky part. TypeScript did not object, because the options were not a fresh literal of the type. Since then a bulky call that timed out ended the small calls on the same connections.

The options are typed now, so that the compiler finds an unknown one (tried: the old name is an error).

--- a/packages/common/src/constants.ts
+++ b/packages/common/src/constants.ts
@@ -10,7 +10,7 @@
 /** Default timeout of a JSON-RPC call. */
 export const DEFAULT_RPC_TIMEOUT_MS = 2000;
 
-/** Maximum number of pooled connections to one peer. Calls with the option `fresh` open a connection outside the pool. */
+/** Maximum number of pooled connections to one peer. Calls with the option `useNewConnection` open a connection outside the pool. */
 export const MAX_CONNECTIONS_PER_PEER = 2;
 
 /** Time that a closing peer server waits for open requests to finish. Connections that are still open after it, such as long polls of peers, are destroyed. */
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -20,7 +20,7 @@
 	StatsdMetrics, MemoryMetrics, type Metrics, type MetricTags,
 } from './metrics.js';
 export {PeerServer, type PeerHandler} from './peer-server.js';
-export {PeerClient, type PeerClientOptions} from './peer-client.js';
+export {PeerClient, type CallOptions, type PeerClientOptions} from './peer-client.js';
 export {InvariantChecker, INVARIANT_VIOLATIONS_METRIC, type Invariant} from './invariants.js';
 export {RpcError} from './rpc-errors.js';
 export {runPeriodically, delay, withTimeout} from './tasks.js';
--- a/packages/common/src/peer-client.ts
+++ b/packages/common/src/peer-client.ts
@@ -11,7 +11,7 @@
 	readonly onControlBytes?: (bytes: number) => void;
 };
 
-type CallOptions = {
+export type CallOptions = {
 	readonly timeoutMs?: number;
 
 	/** Opens a new connection for this call, because a pooled one may be dead without having been closed and would delay the call until its timeout. */
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -2,7 +2,7 @@
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {
-	DroppingOutput, createLog, describeError, PeerClient, PeerServer, PROCESS_START_MS, PrometheusMetrics, SystemClock, systemRandom, type Clock, type Log, type Random,
+	DroppingOutput, createLog, describeError, PeerClient, PeerServer, PROCESS_START_MS, PrometheusMetrics, SystemClock, systemRandom, type CallOptions, type Clock, type Log, type Random,
 } from '@yuccawood/common';
 import {
 	BULKY_TIMEOUT_MS, FleetView, PEER_CALL_TIMEOUT_MS, StoreFollower, type AskPeer, type PartState, type StoreItem, type StorePart,
@@ -62,7 +62,7 @@
 	readonly addresses: () => ReadonlyArray<readonly string[]>;
 }): AskPeer => async (parts, isBulky) => {
 	// A call that times out also ends the other calls on its connection, so large answers use a connection of their own.
-	const options = isBulky ? {timeoutMs: BULKY_TIMEOUT_MS, fresh: true} : {timeoutMs: PEER_CALL_TIMEOUT_MS};
+	const options: CallOptions = isBulky ? {timeoutMs: BULKY_TIMEOUT_MS, useNewConnection: true} : {timeoutMs: PEER_CALL_TIMEOUT_MS};
 	for (const group of addresses()) {
 		for (const address of random.sample(group, 1)) {
 			try {
