Read the reports of agents as soon as the configuration is known

What callers could see: late answers after a restart of entries. Until the next change of the list of upstreams an entry knew load, switching and version of engines from the list and from answers alone.

Cause: which upstreams are engines follows from the configuration, but the feeds to read were only decided when the list of upstreams or of entries changed. The configuration is the part that arrives last.

Test: entry-process.test.ts "reads the reports of the agents as soon as it has the configuration": 0 feeds after 2.5 s before, now passed.

--- a/packages/node/src/entry-node.ts
+++ b/packages/node/src/entry-node.ts
@@ -51,7 +51,8 @@
 		clock, random, log, metrics,
 	});
 	view.onChange(change => {
-		if (change === 'upstreams' || change === 'entries') {
+		// The configuration says which upstreams are engines.
+		if (change === 'upstreams' || change === 'entries' || change === 'configuration') {
 			reportReader.follow(gateway.enginesInSubset.map(({address}) => context.peerAddress(splitAddress(address).host)));
 		}
 	});
