Ask peers again that have not told how long they know a version

Cause: the questions ended when all peers that had answered knew the version, or when enough of them confirmed the time, although others had not answered. Late witnesses could so shorten the counted age for good.

What a late answer tells still moves the bound to the earlier time.

--- a/packages/node/src/target-age-exchange.test.ts
+++ b/packages/node/src/target-age-exchange.test.ts
@@ -21,14 +21,17 @@
 		}
 	});
 
-	const start = async (host: string, addresses: readonly string[], {region = 'north', others = [], initialTargetAgeMs = 0, answerDelayMs = 0}: {
+	const start = async (host: string, addresses: readonly string[], {region = 'north', others = [], initialTargetAgeMs = 0, answerDelayMs = 0, listensLater = false}: {
 		readonly region?: string;
 		readonly others?: readonly string[];
 		readonly initialTargetAgeMs?: number;
 
 		/** Time that answers to peers need on their way. */
 		readonly answerDelayMs?: number;
-	} = {}): Promise<FleetView> => {
+
+		/** Whether peers can't connect until `listen` is called. */
+		readonly listensLater?: boolean;
+	} = {}): Promise<FleetView & {readonly listen: () => Promise<void>}> => {
 		const view = new FleetView({clock, log: SILENT_LOG, initialTargetAgeMs: () => initialTargetAgeMs});
 		const peers = new PeerClient({connectTimeoutMs: 300});
 		const peerServer = new PeerServer();
@@ -43,12 +46,20 @@
 			});
 		}
 
-		await peerServer.listen(host, PORT);
+		const listen = async (): Promise<void> => {
+			await peerServer.listen(host, PORT);
+			closers.push(async () => peerServer.close());
+		};
+
+		if (!listensLater) {
+			await listen();
+		}
+
 		closers.push(async () => {
 			view.close();
-			await Promise.all([peers.close(), peerServer.close()]);
+			await peers.close();
 		});
-		return view;
+		return Object.assign(view, {listen});
 	};
 
 	const setTarget = (view: FleetView, version: number, ageMs = 0): void => {
@@ -79,6 +90,38 @@
 		expect(late.targetOf('m')!.learnedAt - setAt).to.be.below(150);
 	});
 
+	it('asks again when peers that learned of the version earlier did not answer, although the one that answered knows it', async () => {
+		const early = await start('127.0.73.1', [], {listensLater: true});
+		const neighbour = await start('127.0.73.3', []);
+		const late = await start('127.0.73.2', [1, 3].map(index => `127.0.73.${index}:${PORT}`));
+		const setAt = clock.monotonic();
+		setTarget(early, 2);
+		await clock.sleep(1000);
+		setTarget(neighbour, 2);
+		setTarget(late, 2);
+		await clock.sleep(200);
+		await early.listen();
+		await clock.sleep(1000);
+		expect(late.targetOf('m')!.learnedAt - setAt).to.be.below(150);
+	});
+
+	it('asks again when peers that learned of the version earlier did not answer, although others confirmed a later time', async () => {
+		const early = await start('127.0.73.4', [], {region: 'south', listensLater: true});
+		const neighbours = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [], {region: index === 3 ? 'south' : 'north'})));
+		const late = await start('127.0.73.8', [1, 2, 3, 4].map(index => `127.0.73.${index}:${PORT}`));
+		const setAt = clock.monotonic();
+		setTarget(early, 2);
+		await clock.sleep(1000);
+		for (const view of [late, ...neighbours]) {
+			setTarget(view, 2, 1000);
+		}
+
+		await clock.sleep(200);
+		await early.listen();
+		await clock.sleep(1000);
+		expect(late.targetOf('m')!.learnedAt - setAt).to.be.below(150);
+	});
+
 	it('reports no change for differences within the duration of a call between peers', async () => {
 		const early = await start('127.0.73.1', []);
 		const next = await start('127.0.73.2', [`127.0.73.1:${PORT}`]);
--- a/packages/node/src/target-age-exchange.ts
+++ b/packages/node/src/target-age-exchange.ts
@@ -67,17 +67,29 @@
 		}
 
 		const otherRegions = this.#options.regions.filter(region => region !== this.#options.region);
+		const unconfirmed = new Set(newTargets);
+		const answers = new Map<string, PeerAnswer>();
+		const hasAnswered = (address: string): boolean => newTargets.every(target => reportsTarget(answers.get(address), target));
+		let asked: readonly string[] = [];
 		for (let round = 0; round < MAX_AGE_ROUNDS && newTargets.length > 0; round++) {
-			const answers = await this.#askPeers();
+			asked = asked.length > 0 ? asked : this.#sampleAddresses();
+			await Promise.all(asked.filter(address => !hasAnswered(address)).map(async address => {
+				const answer = await this.#ask(address);
+				if (answer) {
+					answers.set(address, answer);
+				}
+			}));
 			// Superseded versions come first: a later time for the current version must not delay the expiry of still older ones.
-			this.#addSupersededTargets(answers);
-			for (const target of newTargets.filter(other => hasEnoughObservers(answers, other, otherRegions))) {
-				this.#options.view.confirmTargetTime(target);
-				newTargets.splice(newTargets.indexOf(target), 1);
+			this.#addSupersededTargets([...answers.values()]);
+			for (const target of unconfirmed) {
+				if (hasEnoughObservers([...answers.values()], target, otherRegions)) {
+					this.#options.view.confirmTargetTime(target);
+					unconfirmed.delete(target);
+				}
 			}
 
-			// If all peers know the version and still too few observed it being set, as after a restart of all processes, asking again is useless.
-			if (answers.length > 0 && answers.every(answer => newTargets.every(target => reportsTarget(answer, target)))) {
+			// A peer that has not answered may have learned of the version earlier than all others, so it is asked again.
+			if (asked.length > 0 && asked.every(address => hasAnswered(address))) {
 				return;
 			}
 
@@ -85,6 +97,11 @@
 		}
 	}
 
+	#sampleAddresses(): readonly string[] {
+		const {random, addresses} = this.#options;
+		return addresses().flatMap(group => random.sample(group, MAX_PEERS_ASKED_FOR_AGES));
+	}
+
 	#addSupersededTargets(answers: readonly PeerAnswer[]): void {
 		const {view} = this.#options;
 		const reports = answers.flatMap(({ages, receivedAt}) => ages.map(age => ({age, receivedAt})));
@@ -94,13 +111,6 @@
 		}
 	}
 
-	/** @returns the answers of the peers that answered */
-	async #askPeers(): Promise<readonly PeerAnswer[]> {
-		const {random, addresses} = this.#options;
-		const reported = await Promise.all(addresses().flatMap(group => random.sample(group, MAX_PEERS_ASKED_FOR_AGES)).map(async address => this.#ask(address)));
-		return reported.filter(answer => answer !== undefined);
-	}
-
 	async #ask(address: string): Promise<PeerAnswer | undefined> {
 		const {view, peers, clock, log} = this.#options;
 		const askedAt = clock.monotonic();
@@ -124,7 +134,7 @@
 
 const nameOf = ({model, version}: Pick<ModelTarget, 'model' | 'version'>): string => `${model}@${version}`;
 
-const reportsTarget = ({ages}: TargetAges, target: ModelTarget): boolean => ages.some(age => nameOf(age) === nameOf(target));
+const reportsTarget = (answer: TargetAges | undefined, target: ModelTarget): boolean => answer?.ages.some(age => nameOf(age) === nameOf(target)) ?? false;
 
 /** Peers in this region may have learned of the version as late as this process, so each other region must have an observer. */
 const hasEnoughObservers = (answers: readonly TargetAges[], target: ModelTarget, otherRegions: readonly string[]): boolean => {
