Count a delay of news that begins just after a prompt revision check

Cause: a change that a watch delivered counted as new whenever the last check had been prompt. A delay that began after it was noticed by the next one only, and the age of what had arrived before was not revised.

The time since the start of the last prompt check now always counts as possible delay. Peers in all regions usually confirm the shorter age some milliseconds later; where they can't, older versions expire up to 1.9 s early there.

--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -44,8 +44,6 @@
 
 	/** Start of the last revision check with a prompt response. Until then the path to the store did not delay updates. */
 	#lastPromptCheckAt: number | undefined;
-	#wasLastCheckPrompt = true;
-	#runningCheckStartedAt: number | undefined;
 
 	constructor(options: StoreFollowerOptions) {
 		const {clock, source, random, metrics} = options;
@@ -114,7 +112,8 @@
 
 	/**
 	Estimates how long the item has been in the store, in milliseconds. For a change delivered by a watch, this is at most the
-	time since the last prompt revision check, because until then the path to the store did not delay updates.
+	time since the last prompt revision check, because until then the path to the store did not delay updates. Since then it
+	may have, without having been noticed.
 	*/
 	#estimateAges({revision}: StoreItem, {part, learnedBy}: {readonly part: PartFollower | undefined; readonly learnedBy: LearnedBy}): {readonly ageBoundMs?: number; readonly ageMs?: number} {
 		const now = this.#options.clock.monotonic();
@@ -128,8 +127,7 @@
 			return {ageBoundMs, ageMs: ageBoundMs ?? 0};
 		}
 
-		const isPrompt = this.#runningCheckStartedAt === undefined ? this.#wasLastCheckPrompt : now - this.#runningCheckStartedAt < MAX_PROMPT_ANSWER_MS;
-		const maxDelayMs = isPrompt ? 0 : now - (this.#lastPromptCheckAt ?? Number.NEGATIVE_INFINITY);
+		const maxDelayMs = now - (this.#lastPromptCheckAt ?? Number.NEGATIVE_INFINITY);
 		return {ageBoundMs, ageMs: Math.min(maxDelayMs, ageBoundMs ?? maxDelayMs)};
 	}
 
@@ -157,11 +155,8 @@
 	async #readRecentRevision(): Promise<number | undefined> {
 		const {clock, source} = this.#options;
 		const startedAt = clock.monotonic();
-		this.#runningCheckStartedAt = startedAt;
 		const result = await source.recentRevision(this.#checkedPart?.part.prefix);
-		this.#runningCheckStartedAt = undefined;
-		this.#wasLastCheckPrompt = result.ok && clock.monotonic() - startedAt < MAX_PROMPT_ANSWER_MS;
-		if (this.#wasLastCheckPrompt) {
+		if (result.ok && clock.monotonic() - startedAt < MAX_PROMPT_ANSWER_MS) {
 			this.#lastPromptCheckAt = startedAt;
 		}
 
