Keep to the engine profile that a request was accepted under

What callers could see: VERSION, if a configuration without the service arrives while a request waits at one of its engines.

Cause: the model of a request came from the configuration in force. Without the service it became unknown, and the request was never cancelled.

The configuration under which the request was accepted counts. It can't change.

--- a/packages/gateway/src/request-needs.ts
+++ b/packages/gateway/src/request-needs.ts
@@ -94,9 +94,13 @@
 		return expiredMs > 0 ? expiredMs : undefined;
 	}
 
-	/** Published costs of the engines of the service; undefined for plain services. */
+	/**
+	Published costs of the engines of the service; undefined for plain services. A later configuration may lack the service
+	while the request still waits, so the one that it was accepted under counts.
+	*/
 	get #engine(): EngineProfile | undefined {
-		return this.#context.view.inForce?.configuration.services.find(({name}) => name === this.#request.service)?.engine;
+		const {table, service} = this.#request;
+		return table.configuration.services.find(({name}) => name === service)?.engine;
 	}
 
 	/** Comes from the configuration, because an engine is listed with a model only some time after it has loaded a version. */
