Don't suspend an engine for a request cancelled before it is connected

What callers could see: an engine that has loaded the newest version gets no requests for 0.7 s.

Cause: a request that the entry itself cancelled counted as one that could not be sent, which suspends the engine at once, if it had no connection yet. Only the other failures said that they were cancellations.

--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -270,7 +270,7 @@
 
 		if (!wasSent) {
 			return {
-				kind: 'failed', failure: 'not-sent', detail: error.message, mayHaveRun: false, isSilence: error instanceof SilenceError,
+				kind: 'failed', failure: 'not-sent', detail: error.message, mayHaveRun: false, isCancelled: error instanceof RecallError, isSilence: error instanceof SilenceError,
 			};
 		}
 
