Keep checking waiting requests when one fails to be cancelled

Cause: an error in one cancellation ended the checks of all other requests until the next one was sent, and a request added after the close started the timer again, for good.

Test: expiry-watch.test.ts "keeps checking the others ..." and "checks no request again after it was closed": both failed before, pass now.

--- a/packages/gateway/src/expiry-watch.ts
+++ b/packages/gateway/src/expiry-watch.ts
@@ -13,15 +13,20 @@
 	/** Time in milliseconds until the request has to be cancelled; undefined while no expiry is known. */
 	readonly msUntilCancel: () => number | undefined;
 
-	/** Ends the send, which removes the request from the watch. */
+	/** Ends the send. The request is no longer in the watch then. */
 	readonly cancel: () => void;
 };
 
 export class ExpiryWatch {
 	readonly #waiting = new Set<WaitingRequest>();
 	#timer: NodeJS.Timeout | undefined;
+	#isClosed = false;
 
 	add(request: WaitingRequest): void {
+		if (this.#isClosed) {
+			return;
+		}
+
 		this.#waiting.add(request);
 		const inMs = request.msUntilCancel() ?? MAX_CANCEL_CHECK_MS;
 		if (this.#timer === undefined || inMs < MAX_CANCEL_CHECK_MS) {
@@ -39,23 +44,28 @@
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
 		let nextInMs = MAX_CANCEL_CHECK_MS;
-		for (const request of this.#waiting) {
-			const inMs = request.msUntilCancel();
-			if (inMs === 0) {
-				request.cancel();
-			} else if (inMs !== undefined) {
-				nextInMs = Math.min(nextInMs, inMs);
+		try {
+			for (const request of this.#waiting) {
+				const inMs = request.msUntilCancel();
+				if (inMs === 0) {
+					this.#waiting.delete(request);
+					request.cancel();
+				} else if (inMs !== undefined) {
+					nextInMs = Math.min(nextInMs, inMs);
+				}
+			}
+		} finally {
+			// Also after an error, which must not end the checks of the other requests.
+			if (this.#waiting.size > 0) {
+				this.#timer = setTimeout(() => {
+					this.check();
+				}, nextInMs);
 			}
-		}
-
-		if (this.#waiting.size > 0) {
-			this.#timer = setTimeout(() => {
-				this.check();
-			}, nextInMs);
 		}
 	}
 
 	close(): void {
+		this.#isClosed = true;
 		this.#waiting.clear();
 		clearTimeout(this.#timer);
 	}
