Apply each target version when one answer of the store has several

What callers could see: VERSION, if two versions are named within one answer of a watch, as after a delay of the path to the store.

Cause: of several values of a key in one answer only the newest was applied. That saves work for upstreams and configurations, but each version of a model has a bound of its own on all older ones.

Test: store-follower.test.ts "learns of each target version when one answer of the store reports two ...": [3] before, [2, 3] now.

--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -81,8 +81,10 @@
 			this.#seenRevisions.add(revision);
 		}
 
-		for (const item of newest.values()) {
-			if (!this.items.record(item)) {
+		for (const item of items) {
+			const part = this.#partOf(item.key);
+			const isSkipped = newest.get(item.key) !== item && !part?.part.needsEachValue;
+			if (isSkipped || !this.items.record(item)) {
 				continue;
 			}
 
@@ -93,7 +95,6 @@
 				continue;
 			}
 
-			const part = this.#partOf(item.key);
 			view.apply(decoded.val, {revision: item.revision, mayBeLeaseExpiry: this.#mayBeLeaseExpiry, ...this.#estimateAges(item, {part, learnedBy})});
 		}
 	}
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -297,6 +297,9 @@
 
 	/** Whether values are large and only the newest one matters, so that intermediate ones may be skipped. */
 	readonly isBulky: boolean;
+
+	/** Whether each value of a key is applied, also when one response contains several. Otherwise only the newest one is. */
+	readonly needsEachValue?: boolean;
 };
 
 /** What a process already knows of a part. Sent to a peer to ask for the missing items. */
