Use one word for requests that an entry cancels itself

The code and OPERATIONS.md said both recall and cancel for ending a send whose upstream must not run it; the glossary has cancel. Requests that wait in the entry's own queue are another thing than sends without an answer. The metric gateway.recalled is gateway.cancelled now. No change of behavior.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -90,7 +90,7 @@
 export const MAX_UNSIZED_ANSWER_BYTES = 64 * 1024 * 1024;
 
 /** Longest interval between two checks of whether requests without an answer wait at an upstream whose version is about to expire. */
-export const MAX_CANCEL_CHECK_MS = 250;
+export const EXPIRY_CHECK_INTERVAL_MS = 250;
 
 /** Limits on reading the body of a refusal, which keeps the connection reusable. */
 export const MAX_REFUSAL_BYTES = 16 * 1024;
--- a/packages/gateway/src/expiry-watch.ts
+++ b/packages/gateway/src/expiry-watch.ts
@@ -6,57 +6,57 @@
 which a staleness bound counts, and the version that the upstream holds. So the waiting requests are checked at intervals and
 whenever the target versions change.
 */
-import {MAX_CANCEL_CHECK_MS} from './constants.js';
+import {EXPIRY_CHECK_INTERVAL_MS} from './constants.js';
 
-/** A request that was sent and has no answer yet. */
-export type WaitingRequest = {
+/** A request that was sent to an upstream and has no answer yet. */
+export type UnansweredSend = {
 	/** Time in milliseconds until the request has to be cancelled; undefined while no expiry is known. */
 	readonly msUntilCancel: () => number | undefined;
 
-	/** Ends the send. The request is no longer in the watch then. */
+	/** Called after the send was removed from the watch. */
 	readonly cancel: () => void;
 };
 
 export class ExpiryWatch {
-	readonly #waiting = new Set<WaitingRequest>();
+	readonly #sends = new Set<UnansweredSend>();
 	#timer: NodeJS.Timeout | undefined;
 	#isClosed = false;
 
-	add(request: WaitingRequest): void {
+	add(send: UnansweredSend): void {
 		if (this.#isClosed) {
 			return;
 		}
 
-		this.#waiting.add(request);
-		const inMs = request.msUntilCancel() ?? MAX_CANCEL_CHECK_MS;
-		if (this.#timer === undefined || inMs < MAX_CANCEL_CHECK_MS) {
+		this.#sends.add(send);
+		const inMs = send.msUntilCancel() ?? EXPIRY_CHECK_INTERVAL_MS;
+		if (this.#timer === undefined || inMs < EXPIRY_CHECK_INTERVAL_MS) {
 			this.check();
 		}
 	}
 
 	/** To be called when the answer begins or the send ends. */
-	remove(request: WaitingRequest): void {
-		this.#waiting.delete(request);
+	remove(send: UnansweredSend): void {
+		this.#sends.delete(send);
 	}
 
-	/** Cancels the requests that are due, and schedules the next check. */
+	/** Cancels the sends that are due, and schedules the next check. */
 	check(): void {
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
-		let nextInMs = MAX_CANCEL_CHECK_MS;
+		let nextInMs = EXPIRY_CHECK_INTERVAL_MS;
 		try {
-			for (const request of this.#waiting) {
-				const inMs = request.msUntilCancel();
+			for (const send of this.#sends) {
+				const inMs = send.msUntilCancel();
 				if (inMs === 0) {
-					this.#waiting.delete(request);
-					request.cancel();
+					this.#sends.delete(send);
+					send.cancel();
 				} else if (inMs !== undefined) {
 					nextInMs = Math.min(nextInMs, inMs);
 				}
 			}
 		} finally {
-			// Also after an error, which must not end the checks of the other requests.
-			if (this.#waiting.size > 0) {
+			// Also after an error, which must not end the checks of the others.
+			if (this.#sends.size > 0) {
 				this.#timer = setTimeout(() => {
 					this.check();
 				}, nextInMs);
@@ -66,7 +66,7 @@
 
 	close(): void {
 		this.#isClosed = true;
-		this.#waiting.clear();
+		this.#sends.clear();
 		clearTimeout(this.#timer);
 	}
 }
--- a/packages/gateway/src/send-result.ts
+++ b/packages/gateway/src/send-result.ts
@@ -23,7 +23,7 @@
 export class SilenceError extends Error {}
 
 /** The version that the upstream holds is about to expire. */
-export class RecallError extends Error {}
+export class CancellationError extends Error {}
 
 export const STREAM_FAULT_MESSAGES: Readonly<Record<StreamFault, string>> = {
 	gap: 'event numbers are missing in the stream',
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -3,9 +3,9 @@
 import {isMalformed, MalformedAnswerError} from './connection-watch.js';
 import {MAX_REFUSAL_BYTES, MAX_REFUSAL_MS, MAX_UNSIZED_ANSWER_BYTES} from './constants.js';
 import {reportExpiredAnswer} from './expired-answer.js';
-import type {WaitingRequest} from './expiry-watch.js';
+import type {UnansweredSend} from './expiry-watch.js';
 import {
-	RecallError, SilenceError, STREAM_FAULT_MESSAGES, type SendResult,
+	CancellationError, SilenceError, STREAM_FAULT_MESSAGES, type SendResult,
 } from './send-result.js';
 import {SilenceWatch} from './silence-watch.js';
 import type {TransmitOptions} from './transmit-options.js';
@@ -32,7 +32,7 @@
 	#hasContentLength = false;
 	#isFinished = false;
 	readonly #silence: SilenceWatch;
-	readonly #waiting: WaitingRequest;
+	readonly #unanswered: UnansweredSend;
 
 	/** Time in milliseconds that was left at the send; undefined if no expiry was known then. */
 	#msUntilCancelAtSend: number | undefined;
@@ -45,11 +45,11 @@
 		this.#resolve = resolve;
 		this.#sentAt = options.context.clock.monotonic();
 		this.#pendingSendKey = options.state.addPendingSend(this.#sentAt, options.request.promptTokens);
-		this.#waiting = {
+		this.#unanswered = {
 			msUntilCancel: options.msUntilCancel,
 			cancel: () => {
-				options.context.metrics.count('gateway.recalled', {service: options.request.service});
-				this.#send?.abort(new RecallError('the version that the upstream holds is about to expire'));
+				options.context.metrics.count('gateway.cancelled', {service: options.request.service});
+				this.#send?.abort(new CancellationError('the version that the upstream holds is about to expire'));
 			},
 		};
 		this.#silence = new SilenceWatch({
@@ -94,9 +94,9 @@
 				}
 			},
 		});
-		this.#msUntilCancelAtSend = this.#waiting.msUntilCancel();
+		this.#msUntilCancelAtSend = this.#unanswered.msUntilCancel();
 		if (!this.#isFinished) {
-			context.expiryWatch.add(this.#waiting);
+			context.expiryWatch.add(this.#unanswered);
 		}
 	}
 
@@ -112,7 +112,7 @@
 		this.#isFinished = true;
 		const {context, state, endSignal, response} = this.#options;
 		this.#silence.stop();
-		context.expiryWatch.remove(this.#waiting);
+		context.expiryWatch.remove(this.#unanswered);
 		state.removePendingSend(this.#pendingSendKey);
 		endSignal.removeEventListener('abort', this.#onEnded);
 		response.off('drain', this.#onDrain);
@@ -123,7 +123,7 @@
 		const {context, request, response, relay, state} = this.#options;
 		const head = context.codec.readAnswerHeaders(headers, status);
 		this.#head = head;
-		context.expiryWatch.remove(this.#waiting);
+		context.expiryWatch.remove(this.#unanswered);
 		if (head.load) {
 			state.updateLoad(head.load.running + head.load.waiting, context.clock.monotonic());
 		}
@@ -270,16 +270,16 @@
 
 		if (!wasSent) {
 			return {
-				kind: 'failed', failure: 'not-sent', detail: error.message, mayHaveRun: false, isCancelled: error instanceof RecallError, isSilence: error instanceof SilenceError,
+				kind: 'failed', failure: 'not-sent', detail: error.message, mayHaveRun: false, isCancelled: error instanceof CancellationError, isSilence: error instanceof SilenceError,
 			};
 		}
 
-		if (!this.#isForOtherRequest && !(error instanceof SilenceError) && !(error instanceof RecallError) && !isMalformed(error)) {
+		if (!this.#isForOtherRequest && !(error instanceof SilenceError) && !(error instanceof CancellationError) && !isMalformed(error)) {
 			context.crashWatch.recordBrokenConnection(state.upstream.key, fingerprint, state.ownRequests - 1);
 		}
 
 		return {
-			kind: 'failed', failure: 'unknown', detail: error.message, bufferedAnswer: this.#bufferedAnswer, mayHaveRun: true, isCancelled: error instanceof RecallError, isSilence: error instanceof SilenceError,
+			kind: 'failed', failure: 'unknown', detail: error.message, bufferedAnswer: this.#bufferedAnswer, mayHaveRun: true, isCancelled: error instanceof CancellationError, isSilence: error instanceof SilenceError,
 		};
 	}
 }
