Log and measure how far an entry is behind

Cause: the log could not tell when a request was read, sent or left in comparison with the work that the process had. "Placed." was logged for one request in 32 and "The caller left." for others, up to 100 a second, so that hardly any request had both. Change: all decisions on the sampled requests are logged, whatever the rate; "Read." and "Sent." are new. The lines have the delay of the event loop, the time for which each turn of the loop has accepted a connection, and the time since the request was read; both delays are histograms at the metrics endpoint. No decision changes.

--- a/packages/gateway/src/decision-log.ts
+++ b/packages/gateway/src/decision-log.ts
@@ -1,16 +1,15 @@
 /**
 Logs decisions on requests, at a limited rate under load.
 
-Unusual decisions are logged up to a maximum rate. Ordinary ones are logged only for a sample of the request ids, so that
-either all or none of a request's ordinary decisions are logged. The number of omitted unusual decisions is logged at most
-once a second.
+For a sample of the request ids, all decisions are logged. For the others, only unusual ones are, up to a maximum rate. The
+number of omitted unusual decisions is logged at most once a second.
 */
 import type {Clock, Log, LogFields} from '@yuccawood/common';
 
-/** Ordinary decisions are logged for one of this many request ids. */
+/** All decisions are logged for one of this many request ids. */
 const SAMPLE_INTERVAL = 32;
 
-/** Limit on logged unusual decisions per second. */
+/** Limit on logged unusual decisions per second, apart from those of the sample. */
 const MAX_UNUSUAL_PER_SECOND = 100;
 
 const WINDOW_MS = 1000;
@@ -34,6 +33,11 @@
 	}
 
 	unusual(requestId: string | undefined, message: string, fields: () => LogFields): void {
+		if (requestId !== undefined && isSampled(requestId)) {
+			this.#log.warn(message, {requestId, ...fields()});
+			return;
+		}
+
 		const now = this.#clock.monotonic();
 		if (now - this.#windowStart >= WINDOW_MS) {
 			if (this.#omitted > 0) {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -6,6 +6,7 @@
 import {EventRelay} from './answer-sinks.js';
 import {suspectsOf} from './crash-watch.js';
 import {FinalAnswers} from './final-answers.js';
+import {timeFields} from './time-fields.js';
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
 import {AnswerTiming} from './answer-timing.js';
 import {handlePendingEvents} from './pending-events.js';
@@ -55,8 +56,9 @@
 
 	/** Resolves once the caller has a final answer or has disconnected. */
 	async run(): Promise<void> {
-		const {clock} = this.#context;
-		const {deadlineAt} = this.#request;
+		const {clock, decisions} = this.#context;
+		const {deadlineAt, requestId} = this.#request;
+		decisions.ordinary(requestId, 'Read.', () => timeFields(this.#context, this.#request));
 		const timer = setTimeout(() => {
 			this.#end('deadline');
 		}, Math.max(0, deadlineAt - clock.monotonic()));
@@ -119,7 +121,7 @@
 
 			decisions.ordinary(requestId, 'Placed.', () => ({
 				route: route.name, upstream: placed.state.upstream.id, load: placed.load, waitedMs: Math.round(placed.waitedMs),
-				sends: this.#sendCount + 1, remainingMs: Math.round(deadlineAt - this.#context.clock.monotonic()),
+				sends: this.#sendCount + 1, ...timeFields(this.#context, this.#request),
 			}));
 			const result = await this.#send(placed.state);
 			if (result.kind === 'delivered') {
@@ -183,11 +185,12 @@
 	}
 
 	async #send(state: ConnectedUpstream): Promise<SendResult> {
-		const {clock, codec, placer, states} = this.#context;
+		const {clock, codec, placer, states, decisions} = this.#context;
 		const {method, path, rawHeaders, body, account, deadlineAt, service, requestId} = this.#request;
 		// The caller of a request that waited in a busy process may have left in the meantime.
 		await handlePendingEvents(clock);
 		this.#sendCount++;
+		const handedOverAt = clock.monotonic();
 		const versionAtSend = state.heldVersion(clock.monotonic());
 		const {oldestVersion} = this.#placementNeed;
 		const headers = codec.forwardedRequestHeaders(rawHeaders, {
@@ -207,6 +210,11 @@
 			state,
 			upstreamRequest: {
 				method, path, headers, body: body && Buffer.from(body.buffer, body.byteOffset, body.byteLength), requestId,
+				onSent: () => {
+					decisions.ordinary(requestId, 'Sent.', () => ({
+						upstream: state.upstream.id, connectionMs: Math.round(clock.monotonic() - handedOverAt), ...timeFields(this.#context, this.#request),
+					}));
+				},
 			},
 			suspects: this.#suspects,
 			endSignal: this.#abortController.signal,
--- a/packages/gateway/src/final-answers.ts
+++ b/packages/gateway/src/final-answers.ts
@@ -5,6 +5,7 @@
 import {sendGatewayAnswer} from './own-answer.js';
 import type {PlacementResult} from './placer.js';
 import type {EarlyEnd, SendResult} from './send-result.js';
+import {timeFields} from './time-fields.js';
 import type {GatewayAnswer} from './types.js';
 import type {ConnectedUpstream} from './upstream-states.js';
 
@@ -56,11 +57,13 @@
 	}
 
 	endedEarly(by: Exclude<EarlyEnd, 'block'>, state: ConnectedUpstream | undefined): void {
-		const {context: {decisions, metrics}, request: {requestId, route}, progress} = this.#options;
+		const {context, request, progress} = this.#options;
+		const {decisions, metrics} = context;
+		const {requestId, route} = request;
 		const {mayHaveRun, sends, events} = progress();
 		metrics.count('gateway.ended_early', {by});
 		decisions.unusual(requestId, by === 'caller' ? 'The caller left.' : 'The time limit was reached.', () => ({
-			route: route.name, upstream: state?.upstream.id, sends, events,
+			route: route.name, upstream: state?.upstream.id, sends, mayHaveRun, events, ...timeFields(context, request),
 		}));
 		if (by === 'deadline') {
 			this.#answer(mayHaveRun
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import {ExpiryWatch} from './expiry-watch.js';
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
 import type {GatewayOptions} from './gateway-options.js';
+import {LagWatch} from './lag-watch.js';
 import {sendGatewayAnswer} from './own-answer.js';
 import {Placer, scheduleTimer} from './placer.js';
 import {readRequestBody} from './read-request-body.js';
@@ -62,6 +63,7 @@
 			}),
 			...crashes,
 			expiryWatch: new ExpiryWatch(),
+			lag: new LagWatch(options),
 			retryBudgetOf: service => this.#retryBudgets.of(service),
 			isDraining: () => this.#isDraining,
 			decisions,
@@ -146,6 +148,7 @@
 			this.#connections.add(socket);
 		});
 		this.#server = server;
+		this.#context.lag.start(server);
 		this.#applyLimits();
 		await new Promise<void>((resolve, reject) => {
 			server.once('error', reject);
@@ -186,6 +189,7 @@
 		this.#server?.close();
 		this.#connections.closeAll();
 		this.#versionExpiryLog.close();
+		this.#context.lag.stop();
 		this.#context.expiryWatch.close();
 		this.#context.states.close();
 	}
--- a/packages/gateway/src/upstream-link.ts
+++ b/packages/gateway/src/upstream-link.ts
@@ -19,6 +19,9 @@
 
 	/** Id of the request, passed to `onExtraBytes`. */
 	readonly requestId?: string;
+
+	/** Called when the request is written to a connection. */
+	readonly onSent?: () => void;
 };
 
 export type UpstreamLinkOptions = {
@@ -113,6 +116,7 @@
 				}
 
 				wasSent = true;
+				request.onSent?.();
 				watch?.begin(request.requestId ?? '');
 			},
 			onResponseStart(started: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>) {
