Take the new lines on successful requests for routine in explain

Cause: "Read." and "Sent." of other requests would be shown as hints about the one in question. Change: they are left out like "Placed." and "Delivered." Result: the tests of explain pass.

--- a/packages/cli/src/explain/build-timeline.ts
+++ b/packages/cli/src/explain/build-timeline.ts
@@ -13,7 +13,7 @@
 ]);
 
 /** Messages on successful requests. Those of other requests are irrelevant. */
-const ROUTINE_MESSAGES: ReadonlySet<string> = new Set(['Placed.', 'Delivered.']);
+const ROUTINE_MESSAGES: ReadonlySet<string> = new Set(['Read.', 'Placed.', 'Sent.', 'Delivered.']);
 
 /** Log parts whose lines may explain why a request was not sent to any upstream. */
 const PROCESS_PARTS: ReadonlySet<string> = new Set(['process', 'store']);
