Break the circles of imports in the gateway and the requests package

Change: the accepted request, the signs of an upstream and the options of the entry server stand in files of their own.

--- /dev/null
+++ b/packages/gateway/src/accepted-request.ts
@@ -0,0 +1,22 @@
+import type {CallerTimes, RouteTable} from '@yuccawood/dispatch';
+import type {Route} from '@yuccawood/fleet';
+
+/** A request that was read completely and passed all checks. */
+export type AcceptedRequest = {
+	readonly requestId: string;
+	readonly method: string;
+	readonly path: string;
+	readonly rawHeaders: readonly string[];
+	readonly body: Uint8Array | undefined;
+	readonly lastEventId: string | undefined;
+	readonly promptTokens: number | undefined;
+	readonly sharedParts: readonly string[];
+	readonly route: Route;
+	readonly table: RouteTable;
+	readonly service: string;
+	readonly account: string | undefined;
+	readonly priority: number;
+
+	/** Earliest monotonic time in milliseconds at which the request may have reached this VM. */
+	readonly arrivedAt: number;
+} & CallerTimes;
--- a/packages/gateway/src/crash-watch.test.ts
+++ b/packages/gateway/src/crash-watch.test.ts
@@ -3,8 +3,9 @@
 import {expect} from 'chai';
 import {CRASH_WINDOW_MS} from './constants.js';
 import {
-	CrashWatch, fingerprintOf, suspectsOf, type UpstreamSigns,
+	CrashWatch, fingerprintOf, suspectsOf,
 } from './crash-watch.js';
+import type {UpstreamSigns} from './upstream-signs.js';
 import {UpstreamState} from './upstream-state.js';
 
 const clock = new SystemClock();
--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -7,8 +7,9 @@
 import {createHash} from 'node:crypto';
 import type {Clock, Log} from '@yuccawood/common';
 import {WHOLE_REQUEST_DEPTH, type CrashReview, type Suspect} from '@yuccawood/crashes';
+import type {AcceptedRequest} from './accepted-request.js';
 import {CRASH_WINDOW_MS} from './constants.js';
-import type {AcceptedRequest} from './gateway-context.js';
+import type {UpstreamSigns} from './upstream-signs.js';
 
 /** Suspects in the log line of a crash. */
 const MAX_LOGGED_SUSPECTS = 40;
@@ -37,15 +38,6 @@
 	readonly isCertain: boolean;
 };
 
-/** What is known of the upstream at present. Times are monotonic milliseconds. */
-export type UpstreamSigns = {
-	/** Time of its latest data; undefined if this entry has received none. */
-	readonly lastDataAt: number | undefined;
-
-	/** When the oldest request was sent that it still has from this entry; undefined if it has none. */
-	readonly oldestSendAt: number | undefined;
-};
-
 /** Answers that ended early at one upstream within {@link CRASH_WINDOW_MS}. */
 type Break = {readonly at: number; readonly requests: BrokenRequest[]};
 
--- a/packages/gateway/src/expired-answer.ts
+++ b/packages/gateway/src/expired-answer.ts
@@ -1,5 +1,6 @@
 /** Reports answers from versions that had expired when the answer began, although the request should have been cancelled. */
-import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
+import type {AcceptedRequest} from './accepted-request.js';
+import type {GatewayContext} from './gateway-context.js';
 import type {UpstreamState} from './upstream-state.js';
 
 export type ExpiredAnswer = {
--- a/packages/gateway/src/request-needs.ts
+++ b/packages/gateway/src/request-needs.ts
@@ -8,7 +8,8 @@
 import {
 	ANSWER_TIMEOUT_GOALS, MIN_ANSWER_TIMEOUT_MS, MIN_NO_DATA_TIMEOUT_MS, NO_DATA_TIMEOUT_GOALS,
 } from './constants.js';
-import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
+import type {AcceptedRequest} from './accepted-request.js';
+import type {GatewayContext} from './gateway-context.js';
 import type {ConnectedUpstream} from './upstream-states.js';
 
 export class RequestNeeds {
--- a/packages/gateway/src/upstream-state.ts
+++ b/packages/gateway/src/upstream-state.ts
@@ -3,7 +3,7 @@
 	afterFailure, afterSuccess, afterTrialStart, HEALTHY, healthStatus, type UpstreamHealth, type UpstreamView,
 } from '@yuccawood/dispatch';
 import type {Upstream, UpstreamReport} from '@yuccawood/fleet';
-import type {UpstreamSigns} from './crash-watch.js';
+import type {UpstreamSigns} from './upstream-signs.js';
 import {UpstreamAnnouncement} from './upstream-announcement.js';
 import {UPSTREAM_AVERAGE_LIFETIME_MS, UPSTREAM_AVERAGE_WEIGHT} from './constants.js';
 
--- a/packages/requests/src/create-crash-review.ts
+++ b/packages/requests/src/create-crash-review.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@yuccawood/common';
 import {CrashExchange, CrashReview} from '@yuccawood/crashes';
-import type {EntryServerOptions} from './entry-server.js';
+import type {EntryServerOptions} from './entry-server-options.js';
 
 /** Finds what upstreams crash under that calls share, with the evidence of all entries. */
 export const createCrashReview = (
--- a/packages/requests/src/entry-server.ts
+++ b/packages/requests/src/entry-server.ts
@@ -18,6 +18,7 @@
 } from './constants.js';
 import {DeathReporter} from './death-reporter.js';
 import type {EntryContext} from './entry-context.js';
+import type {EntryServerOptions} from './entry-server-options.js';
 import {RequestError} from './errors.js';
 import {Forwarding} from './forwarding.js';
 import {sendProblem, toRequestError} from './problem.js';
@@ -29,26 +30,6 @@
 import {Supervisor} from './supervisor.js';
 import {TargetQueues} from './target-queues.js';
 
-export type EntryServerOptions = {
-	readonly selfId: string;
-
-	/** `IP:port` to listen on for callers; with port 0 the system chooses one. */
-	readonly listen: string;
-	readonly members: MemberTable;
-	readonly configuration: ConfigurationSource;
-	readonly admission: Admission;
-	readonly keyValue: KeyValueService;
-	readonly peerServer: PeerServer;
-	readonly peerClient: PeerClient;
-	readonly log: Log;
-	readonly metrics: Metrics;
-	readonly clock?: Clock;
-	readonly random?: Random;
-
-	/** Time between `/healthz` turning 503 and the listener closing, in milliseconds. */
-	readonly drainGraceMs?: number;
-};
-
 /** Reads, admits and forwards each request; answers `/healthz` itself. */
 export class EntryServer {
 	readonly #options: EntryServerOptions;
--- a/packages/requests/src/test-fleet.test.ts
+++ b/packages/requests/src/test-fleet.test.ts
@@ -11,7 +11,8 @@
 import {from, type Stream} from 'most';
 import type {AgentRequestsOptions} from './agent-requests-options.js';
 import {AgentRequests} from './agent-requests.js';
-import {EntryServer, type EntryServerOptions} from './entry-server.js';
+import {EntryServer} from './entry-server.js';
+import type {EntryServerOptions} from './entry-server-options.js';
 
 export const MODEL_HASH = 'a'.repeat(64);
 export const SERVED: ServedVersion = {
