--- a/packages/gateway/src/accept-backlog.ts
+++ b/packages/gateway/src/accept-backlog.ts
@@ -13,9 +13,6 @@
 	readonly afterPoll?: (call: () => void) => void;
 };
 
-/** Callers give up a connection on which nothing was read for about as long, so an older one hardly matters. */
-const MAX_WAIT_MS = 1000;
-
 export class AcceptBacklog {
 	readonly #options: Required<AcceptBacklogOptions>;
 
@@ -44,14 +41,13 @@
 	@returns the earliest monotonic time in milliseconds at which the connection may have been opened
 	*/
 	recordAccept(readDelayMs: number): number {
-		const now = this.#options.clock.monotonic();
 		this.#hasAccepted = true;
 		if (this.#since === undefined) {
-			this.#since = now - readDelayMs;
+			this.#since = this.#options.clock.monotonic() - readDelayMs;
 			this.#watch();
 		}
 
-		return Math.max(this.#since, now - Math.max(readDelayMs, MAX_WAIT_MS));
+		return this.#since;
 	}
 
 	#watch(): void {
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -4,6 +4,7 @@
 A caller may send a request on an open connection at any time. A connection that was just accepted, or whose last answer has
 just ended, probably carries one already, so it is closed only after it has been idle for a while.
 */
+import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {STOPPING_IDLE_MS} from './constants.js';
 
@@ -24,6 +25,9 @@
 	*/
 	openedAt: number | undefined;
 	readonly acceptedAt: number;
+
+	/** Called when the caller ends what it sends, or closes the connection. */
+	readonly departures: Set<() => void>;
 };
 
 export class CallerConnections {
@@ -38,8 +42,18 @@
 	/** @param openedAt earliest monotonic time in milliseconds at which the connection may have been opened */
 	add(socket: Socket, openedAt: number): void {
 		const now = this.#now();
+		const departures = new Set<() => void>();
+		const depart = (): void => {
+			for (const call of departures) {
+				call();
+			}
+		};
+
+		// The close follows some turns of the event loop after the end.
+		socket.once('end', depart);
+		socket.once('close', depart);
 		this.#states.set(socket, {
-			requests: 0, idleSince: now, bytesBeforeIdle: 0, acceptedAt: now, openedAt,
+			requests: 0, idleSince: now, bytesBeforeIdle: 0, acceptedAt: now, openedAt, departures,
 		});
 		socket.on('close', () => {
 			this.#states.delete(socket);
@@ -58,6 +72,25 @@
 		return state?.openedAt !== undefined && arrivedAt <= state.acceptedAt ? state.openedAt : arrivedAt;
 	}
 
+	/** @returns a signal that aborts when the caller leaves before it has the whole answer */
+	departureDuring(response: ServerResponse, socket: Socket): AbortSignal {
+		const controller = new AbortController();
+		const departures = this.#states.get(socket)?.departures;
+		const depart = (): void => {
+			departures?.delete(depart);
+			if (!response.writableFinished) {
+				controller.abort();
+			}
+		};
+
+		departures?.add(depart);
+		response.once('finish', () => {
+			departures?.delete(depart);
+		});
+		response.once('close', depart);
+		return controller.signal;
+	}
+
 	beginRequest(socket: Socket): void {
 		const state = this.#states.get(socket);
 		if (state) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,6 @@
 import type {Upstream, UpstreamReport} from '@yuccawood/fleet';
 import {AcceptBacklog} from './accept-backlog.js';
 import {CallerConnections} from './caller-connections.js';
-import {CallerPresence} from './caller-presence.js';
 import {CONNECTION_CHECK_MS, DEFAULT_HEADER_BYTES} from './constants.js';
 import {createCrashWatch} from './create-crash-watch.js';
 import {DecisionLog} from './decision-log.js';
@@ -214,7 +213,7 @@
 
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const arrivedAt = this.#connections.arrivalOf(request.socket, this.#context.readDelay.boundMs);
-		const {departure} = new CallerPresence(request.socket, response);
+		const departure = this.#connections.departureDuring(response, request.socket);
 		this.#inProgress++;
 		this.#connections.beginRequest(request.socket);
 		response.once('close', () => {
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -83,6 +83,10 @@
 	}
 
 	async place(request: PlacementRequest): Promise<PlacementResult<State>> {
+		if (request.signal.aborted) {
+			return {kind: 'cancelled'};
+		}
+
 		const now = this.#options.clock.monotonic();
 		const serviceQueue = this.#queueOf(request.service);
 		// Slots may have become free without a notification, for example when a suspension ended. Queued requests go first.
--- a/packages/gateway/src/read-delay.ts
+++ b/packages/gateway/src/read-delay.ts
@@ -3,6 +3,7 @@
 
 Looks are recorded right after polls of the sockets, at most one after each. What is read after the latest look was not there
 at the poll before it, so it arrived after the previous look, and only while the loop was busy: an idle loop reads at once.
+Idle time counts no further than to the next timer, because a frozen process seems idle, too.
 */
 import {performance} from 'node:perf_hooks';
 
@@ -41,8 +42,10 @@
 		this.#latest = this.#previous;
 	}
 
-	/** Begins to look at intervals. */
+	/** Begins to look at intervals. Nothing has arrived before. */
 	start(): void {
+		this.#previous = this.#now;
+		this.#latest = this.#previous;
 		this.#timer ??= setInterval(() => {
 			this.look();
 		}, LOOK_INTERVAL_MS).unref();
@@ -64,13 +67,17 @@
 			this.#isLookDue = false;
 			this.#previous = this.#latest;
 			this.#latest = this.#now;
+			// After a long turn, the next one already shows that the process has caught up.
+			if (this.#latest.at - this.#previous.at > 2 * LOOK_INTERVAL_MS) {
+				this.look();
+			}
 		});
 	}
 
 	/** Longest time in milliseconds that bytes which are read now may have waited. */
 	get boundMs(): number {
 		const {at, idle} = this.#now;
-		return Math.max(0, at - this.#previous.at - (idle - this.#previous.idle));
+		return Math.max(0, at - this.#previous.at - Math.min(idle - this.#previous.idle, 2 * LOOK_INTERVAL_MS));
 	}
 
 	get #now(): Look {
--- a/packages/gateway/src/request-intake.ts
+++ b/packages/gateway/src/request-intake.ts
@@ -42,7 +42,7 @@
 	/** @returns undefined if the request was refused, which the caller knows by then, or if its caller has left */
 	async accept(arrived: ArrivedRequest): Promise<AcceptedRequest | undefined> {
 		const {gate, metrics} = this.#options;
-		const passed = await gate.pass('read', arrived.departure, async () => this.#read(arrived));
+		const passed = await gate.pass({stage: 'read', signal: arrived.departure, arrivedAt: arrived.arrivedAt}, async () => this.#read(arrived));
 		switch (passed.kind) {
 			case 'done': {
 				return passed.value;
--- a/packages/gateway/src/request-sender.ts
+++ b/packages/gateway/src/request-sender.ts
@@ -62,9 +62,9 @@
 
 	/** Passes the gate, again if the connection to the upstream took too long to open. */
 	async send(state: ConnectedUpstream): Promise<SendResult> {
-		const {context: {gate, metrics}, endSignal, endedBy} = this.#options;
+		const {context: {gate, metrics}, request: {arrivedAt}, endSignal, endedBy} = this.#options;
 		for (let isRepeat = false; ; isRepeat = true) {
-			const passed = await gate.pass('send', endSignal, async () => this.#start(state, {isRepeat}));
+			const passed = await gate.pass({stage: 'send', signal: endSignal, arrivedAt}, async () => this.#start(state, {isRepeat}));
 			const result = passed.kind === 'done' ? await passed.value : undefined;
 			if (result === undefined) {
 				return {
@@ -92,6 +92,12 @@
 			return undefined;
 		}
 
+		if (!context.states.has(state.upstream.key) || state.isLeaving) {
+			return {
+				kind: 'failed', failure: 'not-sent', detail: 'the upstream began to leave before the send', mayHaveRun: false, isCancelled: true,
+			};
+		}
+
 		this.#sends++;
 		const now = clock.monotonic();
 		// Undici writes on an idle connection one turn later. A process whose turns are long would never send otherwise.
--- a/packages/gateway/src/silence-watch.ts
+++ b/packages/gateway/src/silence-watch.ts
@@ -20,6 +20,7 @@
 export class SilenceWatch {
 	readonly #options: SilenceWatchOptions;
 	#timer: NodeJS.Timeout | undefined;
+	#immediate: NodeJS.Immediate | undefined;
 
 	/** Monotonic time of the latest progress, in milliseconds. */
 	#silentSince = 0;
@@ -45,20 +46,30 @@
 
 	stop(): void {
 		clearTimeout(this.#timer);
+		clearImmediate(this.#immediate);
 	}
 
 	#schedule(): void {
-		clearTimeout(this.#timer);
+		this.stop();
 		const limitMs = this.#options.limitMs();
 		if (limitMs === undefined) {
 			return;
 		}
 
 		this.#timer = setTimeout(() => {
-			this.#check();
+			this.#checkAfterPoll();
 		}, Math.max(1, Math.ceil(limitMs - this.#silentMs)));
 	}
 
+	/** In a busy process, data may have arrived that was not read yet. */
+	#checkAfterPoll(): void {
+		this.#immediate = setImmediate(() => {
+			this.#immediate = setImmediate(() => {
+				this.#check();
+			});
+		});
+	}
+
 	#check(): void {
 		const {limitMs, canGiveUp, onSilence} = this.#options;
 		if (this.#silentMs < (limitMs() ?? 0)) {
--- a/packages/gateway/src/upstream-state.ts
+++ b/packages/gateway/src/upstream-state.ts
@@ -123,6 +123,11 @@
 		return this.#health.suspendedUntil > now && before.suspendedUntil <= now;
 	}
 
+	/** Whether the upstream takes no more requests because it is about to end. */
+	get isLeaving(): boolean {
+		return this.upstream.state === 'draining' || this.announcement.isLeaving;
+	}
+
 	/** Version that the upstream holds, as far as this entry knows. */
 	heldVersion(now: number): number | undefined {
 		const agent = this.#currentAgentReport(now);
@@ -141,7 +146,7 @@
 			isInSubset,
 			slots: Math.max(1, upstream.slots),
 			refusesForMs: this.announcement.refusesForMs(now),
-			isLeaving: upstream.state === 'draining' || this.announcement.isLeaving,
+			isLeaving: this.isLeaving,
 			ownRequests: this.ownRequests,
 			maxConnections,
 			sharingEntries,
--- a/packages/gateway/src/work-gate.ts
+++ b/packages/gateway/src/work-gate.ts
@@ -14,7 +14,19 @@
 /** `dropped`: the signal aborted before. `overdue`: newer work went first for too long. */
 export type GateResult<T> = {readonly kind: 'done'; readonly value: T} | {readonly kind: 'dropped'} | {readonly kind: 'overdue'};
 
+export type GateWork = {
+	readonly stage: GateStage;
+
+	/** Aborts when the work is not wanted any more. */
+	readonly signal: AbortSignal;
+
+	/** Monotonic time in milliseconds at which its request arrived. */
+	readonly arrivedAt: number;
+};
+
 type GateItem = {
+	/** Monotonic times in milliseconds. */
+	readonly arrivedAt: number;
 	readonly queuedAt: number;
 
 	/** Turn of the event loop in which the item was queued. */
@@ -30,8 +42,11 @@
 	/** Time for work between two polls, in milliseconds. The last piece of work may exceed it. */
 	readonly budgetMs?: number;
 
-	/** Sends between two polls. They are written one turn later, so their writes add to the age of the look. */
-	readonly maxSends?: number;
+	/**
+	Pieces of work between two polls. What follows them in the same turn or the next one, such as the placement of a request
+	that was read or the write of a send, is not in the budget.
+	*/
+	readonly maxItems?: number;
 
 	/** Waiting time from which the process counts as behind, in milliseconds. */
 	readonly behindAfterMs?: number;
@@ -60,16 +75,15 @@
 	readonly #stages: Readonly<Record<GateStage, GateItem[]>> = {read: [], send: []};
 	#turn = 0;
 	#isScheduled = false;
-	#sendsInTurn = 0;
 
 	/** Monotonic time of the first poll since the last work, in milliseconds. */
 	#idleSince: number | undefined;
 
 	constructor({
-		clock, budgetMs = 5, maxSends = 4, behindAfterMs = 30, overdueAfterMs = 1000, isHeld = () => false, maxHoldMs = 20, onTurn = () => undefined, afterPoll = setImmediate,
+		clock, budgetMs = 5, maxItems = 4, behindAfterMs = 30, overdueAfterMs = 1000, isHeld = () => false, maxHoldMs = 20, onTurn = () => undefined, afterPoll = setImmediate,
 	}: WorkGateOptions) {
 		this.#options = {
-			clock, budgetMs, maxSends, behindAfterMs, overdueAfterMs, isHeld, maxHoldMs, onTurn, afterPoll,
+			clock, budgetMs, maxItems, behindAfterMs, overdueAfterMs, isHeld, maxHoldMs, onTurn, afterPoll,
 		};
 	}
 
@@ -83,7 +97,7 @@
 
 	@param act the part of the work that is done synchronously counts towards the budget
 	*/
-	async pass<T>(stage: GateStage, signal: AbortSignal, act: () => T): Promise<GateResult<T>> {
+	async pass<T>({stage, signal, arrivedAt}: GateWork, act: () => T): Promise<GateResult<T>> {
 		if (signal.aborted) {
 			return {kind: 'dropped'};
 		}
@@ -101,6 +115,7 @@
 			};
 
 			const item: GateItem = {
+				arrivedAt,
 				queuedAt: this.#options.clock.monotonic(),
 				turn: this.#turn,
 				act() {
@@ -130,7 +145,9 @@
 	}
 
 	#work(): void {
-		const {clock, budgetMs, isHeld, maxHoldMs, onTurn} = this.#options;
+		const {
+			clock, budgetMs, maxItems, isHeld, maxHoldMs, onTurn,
+		} = this.#options;
 		this.#turn++;
 		onTurn();
 		const now = clock.monotonic();
@@ -141,8 +158,7 @@
 		}
 
 		this.#idleSince = undefined;
-		this.#sendsInTurn = 0;
-		do {
+		for (let items = 0; items < maxItems && clock.monotonic() < now + budgetMs; items++) {
 			this.#refuseOverdue();
 			const item = this.#next();
 			if (!item) {
@@ -150,7 +166,7 @@
 			}
 
 			item.act();
-		} while (clock.monotonic() < now + budgetMs);
+		}
 
 		if (this.#stages.read.length > 0 || this.#stages.send.length > 0) {
 			this.#schedule();
@@ -169,16 +185,7 @@
 
 	/** A read goes ahead of no send, even if the send needs another poll: what was read may not wait while more is read. */
 	#next(): GateItem | undefined {
-		if (!this.#oldest('send')) {
-			return this.#take('read');
-		}
-
-		if (this.#sendsInTurn >= this.#options.maxSends) {
-			return undefined;
-		}
-
-		this.#sendsInTurn++;
-		return this.#take('send');
+		return this.#oldest('send') ? this.#take('send') : this.#take('read');
 	}
 
 	#take(stage: GateStage): GateItem | undefined {
@@ -193,7 +200,13 @@
 			return items.shift();
 		}
 
-		const newest = items.findLastIndex(item => !item.isOver && this.#isReady(item));
+		let newest = 0;
+		for (const [index, item] of items.entries()) {
+			if (!item.isOver && this.#isReady(item) && item.arrivedAt >= items[newest].arrivedAt) {
+				newest = index;
+			}
+		}
+
 		return items.splice(newest, 1)[0];
 	}
 
