Keep a failed connection from spoiling the answers of others

Cause: the link to an upstream counted its failed connections that were not closed yet, and reported each answer that ended meanwhile as broken, whichever connection it came on. A connection counts as failed from its error to its close, which lies behind the reading of all sockets in a turn of the event loop. A trace showed the entry's own idle timeouts of connections among these errors; the abort of a send whose caller leaves is one, too. By the same path, requests that may run once get 502 with the outcome unknown.

Change: each connection knows whether it has failed itself.

--- a/packages/gateway/src/connection-watch.ts
+++ b/packages/gateway/src/connection-watch.ts
@@ -45,6 +45,7 @@
 	#lastBodyPosition = 0;
 	#framingStartedAt: number | undefined;
 	#headTimer: NodeJS.Timeout | undefined;
+	#hasFailed = false;
 
 	/** @param onExtraBytes called when bytes follow a complete answer, with the label of its send; the connection is closed */
 	constructor(onExtraBytes: (label: string) => void) {
@@ -56,9 +57,19 @@
 		return this.#requests > 1;
 	}
 
+	/**
+	Whether the connection has failed. This is known before undici closes it: until then, undici would report an answer without
+	content-length as complete although it was truncated.
+	*/
+	get hasFailed(): boolean {
+		return this.#hasFailed;
+	}
+
 	watch(socket: Socket): void {
 		this.#socket = socket;
 		this.#requests = 0;
+		this.#hasFailed = false;
+		this.#watchFailure(socket);
 		this.#enterPhase('idle');
 		// Runs after the parser has read the bytes.
 		socket.on('readable', () => {
@@ -144,6 +155,20 @@
 		}
 	}
 
+	#watchFailure(socket: Socket): void {
+		const fail = (): void => {
+			this.#hasFailed ||= socket === this.#socket;
+		};
+
+		socket.once('error', fail);
+		socket.once('end', () => {
+			// When data and a reset arrive together, the stream ends without an error, but the socket has no remote address any more.
+			if (socket.remoteAddress === undefined) {
+				fail();
+			}
+		});
+	}
+
 	#checkHead(bytes: number): void {
 		if (bytes > MAX_HEAD_BYTES) {
 			this.#fail(`the answer's head is not complete after ${MAX_HEAD_BYTES} bytes`);
--- a/packages/gateway/src/upstream-link.test.ts
+++ b/packages/gateway/src/upstream-link.test.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import net, {type AddressInfo} from 'node:net';
+import {delay} from '@yuccawood/common';
 import {expect} from 'chai';
 import {UpstreamLink, type AnswerSink} from './upstream-link.js';
 
@@ -84,6 +85,29 @@
 		});
 	});
 
+	describe('answers that end while another connection fails', () => {
+		it('reports a complete answer as complete', async () => {
+			const sockets: net.Socket[] = [];
+			const link = await serve(socket => {
+				sockets.push(socket);
+			});
+			const left = link.send({
+				method: 'GET', path: '/', headers: [], body: undefined,
+			}, {
+				head: () => undefined, data: () => true, end: () => undefined, error: () => undefined,
+			});
+			const answered = sendOnce(link);
+			while (sockets.length < 2) {
+				await delay(5);
+			}
+
+			// The answer is read in the same turn of the event loop, before the aborted connection is closed.
+			sockets[1].write('HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone');
+			left.abort(new Error('the caller left'));
+			expect(await answered).to.deep.equal({kind: 'end', body: 'done'});
+		});
+	});
+
 	describe('failed sends', () => {
 		it('reports that the request was not sent if the connection was refused', async () => {
 			const server = http.createServer();
--- a/packages/gateway/src/upstream-link.ts
+++ b/packages/gateway/src/upstream-link.ts
@@ -3,7 +3,6 @@
 number.
 */
 import {Buffer} from 'node:buffer';
-import type {Socket} from 'node:net';
 import {
 	buildConnector, Pool, type Client, type Dispatcher,
 } from 'undici';
@@ -65,12 +64,10 @@
 export class UpstreamLink {
 	readonly #pool: Pool;
 
-	/** Connections that have failed but are not closed yet. */
-	#failedConnections = 0;
 	#justFreedConnections = 0;
 
 	constructor({address, onExtraBytes = () => undefined}: UpstreamLinkOptions) {
-		const connect = this.#createConnector();
+		const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS});
 		this.#pool = new Pool(`http://${address}`, {
 			pipelining: 1,
 			connect,
@@ -135,7 +132,7 @@
 				this.#recordFreedConnection();
 				watch?.end();
 				finish(() => {
-					if (this.#failedConnections > 0) {
+					if (watch?.hasFailed) {
 						sink.error(new Error('the connection was reset before the answer was complete'), wasSent);
 					} else {
 						sink.end();
@@ -187,49 +184,6 @@
 		void this.#closePool();
 	}
 
-	/**
-	Connects, and detects failed connections before undici does. Between the failure of a connection and its close, undici
-	would report an answer without content-length as complete although it was truncated.
-	*/
-	#createConnector(): buildConnector.connector {
-		const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS});
-		return (options, callback) => {
-			connect(options, (...result) => {
-				const [, socket] = result;
-				if (socket) {
-					this.#watchFailure(socket);
-				}
-
-				callback(...result);
-			});
-		};
-	}
-
-	#watchFailure(socket: Socket): void {
-		let hasFailed = false;
-		const fail = (): void => {
-			if (hasFailed) {
-				return;
-			}
-
-			hasFailed = true;
-			this.#failedConnections++;
-			socket.once('close', () => {
-				queueMicrotask(() => {
-					this.#failedConnections--;
-				});
-			});
-		};
-
-		socket.once('error', fail);
-		socket.once('end', () => {
-			// When data and a reset arrive together, the stream ends without an error, but the socket has no remote address any more.
-			if (socket.remoteAddress === undefined) {
-				fail();
-			}
-		});
-	}
-
 	/**
 	Undici uses a connection again one turn of the event loop after the end of an answer. A request that is sent before
 	would open another connection.
