Refuse what a stopping entry can't answer in its grace

Cause: nothing asked whether a request could be answered in what was left: not when it was read, while it waited, nor before it was sent again.

Change: the planned stop is a subsystem of its own (planned-stop.ts). From SIGTERM on, a request is sent only if it ends in time: its caller's deadline or the route's timeout comes before the last answers are due, or the longest answers of its route in the last 30 to 60 s do (times 1.25, times 2 if it may run once). That is a pure decision (stop-admission.ts), asked before each send, while a request waits, and before a retry. Others get 503 with Retry-After and connection: close at once. 0.2 s before the connections are closed, requests that are still at work get 504 with the outcome unknown; begun answers are cut, so that they don't look complete. Before idle connections are closed, what the kernel holds is read.

'planned-stop' "answers a request that arrived while the process was busy" fails without the look at the sockets and passes with it.

--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -116,3 +116,13 @@
 
 /** Score penalty, as a fraction of an upstream's slots, for an upstream outside the entry's subset. */
 export const OUTSIDE_SUBSET_PENALTY = 0.5;
+
+/** Period over which the longest answers of each route are kept. They are used until the end of the next one. */
+export const ANSWER_TIMES_PERIOD_MS = 30_000;
+
+/** Number of answers from which the longest one says how long others take. */
+export const MIN_OBSERVED_ANSWERS = 8;
+
+/** Time that a stopping entry needs for an answer, as a multiple of the longest one on the same route lately. */
+export const REPEATABLE_ANSWER_FACTOR = 1.25;
+export const ONCE_ANSWER_FACTOR = 2;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -7,6 +7,8 @@
 export {callerTimes, type CallerTimes} from './caller-times.js';
 export {RequestQueue, type QueuedRequest} from './request-queue.js';
 export {decideRetry, isRetryable} from './decide-retry.js';
+export {AnswerTimes, type ObservedAnswers} from './answer-times.js';
+export {isAnswerable, type LateRequest} from './stop-admission.js';
 export {RetryBudget, type RetryBudgetOptions} from './retry-budget.js';
 export {
 	afterFailure, afterSuccess, afterTrialStart, HEALTHY, healthStatus, type UpstreamHealth,
--- /dev/null
+++ b/packages/dispatch/src/stop-admission.test.ts
@@ -0,0 +1,65 @@
+import {expect} from 'chai';
+import {AnswerTimes} from './answer-times.js';
+import {ANSWER_TIMES_PERIOD_MS} from './constants.js';
+import {isAnswerable, type LateRequest} from './stop-admission.js';
+
+/** A request of a stopping entry that has 2 s left; its caller waits for 6 s. */
+const request = (changes: Partial<LateRequest> = {}): LateRequest => ({
+	now: 1000, answerBy: 3000, deadlineAt: 7000, isRepeatable: true, observed: {count: 50, longestMs: 1200}, ...changes,
+});
+
+describe('isAnswerable', () => {
+	describe('for a request whose deadline is later than the end of the entry', () => {
+		it('accepts it if the longest answers of its route end in time', () => {
+			expect(isAnswerable(request())).to.equal(true);
+		});
+
+		it('refuses it if they do not', () => {
+			expect(isAnswerable(request({observed: {count: 50, longestMs: 1700}}))).to.equal(false);
+		});
+
+		it('leaves more time to a request that may run once', () => {
+			expect(isAnswerable(request({isRepeatable: false}))).to.equal(false);
+			expect(isAnswerable(request({isRepeatable: false, observed: {count: 50, longestMs: 900}}))).to.equal(true);
+		});
+
+		it('refuses it while few answers of its route are known', () => {
+			expect(isAnswerable(request({observed: {count: 2, longestMs: 10}}))).to.equal(false);
+		});
+	});
+
+	describe('for a request whose deadline is earlier', () => {
+		it('accepts it whatever is known of its route', () => {
+			expect(isAnswerable(request({deadlineAt: 2900, observed: {count: 0, longestMs: 0}, isRepeatable: false}))).to.equal(true);
+			expect(isAnswerable(request({deadlineAt: 2900, observed: {count: 50, longestMs: 5000}}))).to.equal(true);
+		});
+	});
+
+	it('refuses everything from the time on at which the last answers must have ended', () => {
+		expect(isAnswerable(request({now: 3000, deadlineAt: 3000}))).to.equal(false);
+	});
+});
+
+describe('AnswerTimes', () => {
+	it('gives the longest answer of each route', () => {
+		const times = new AnswerTimes();
+		times.record('a', 30, 100);
+		times.record('a', 20, 200);
+		times.record('b', 900, 200);
+		expect(times.of('a', 300)).to.deep.equal({count: 2, longestMs: 30});
+		expect(times.of('c', 300)).to.deep.equal({count: 0, longestMs: 0});
+	});
+
+	it('forgets it after the next period', () => {
+		const times = new AnswerTimes();
+		times.record('a', 30, ANSWER_TIMES_PERIOD_MS);
+		expect(times.of('a', (ANSWER_TIMES_PERIOD_MS * 3) - 1).longestMs).to.equal(30);
+		expect(times.of('a', ANSWER_TIMES_PERIOD_MS * 4).longestMs).to.equal(0);
+	});
+
+	it('forgets it after a pause without answers', () => {
+		const times = new AnswerTimes();
+		times.record('a', 30, ANSWER_TIMES_PERIOD_MS);
+		expect(times.of('a', ANSWER_TIMES_PERIOD_MS * 9).longestMs).to.equal(0);
+	});
+});
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -48,6 +48,12 @@
 */
 export const STOPPING_IDLE_MS = 500;
 
+/**
+Retry delay sent to callers whose request can't be answered before this entry ends. They reach another entry, and a random
+factor of 0.5 to 1.5 spreads those that are refused together.
+*/
+export const STOPPING_RETRY_MS = 200;
+
 /** Limit on request heads if the configuration is not known when the server starts. */
 export const DEFAULT_HEADER_BYTES = 16 * 1024;
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -24,6 +24,7 @@
 	readonly #suspects: readonly Suspect[];
 	readonly #relay: EventRelay | undefined;
 	#endedBy: EarlyEnd | undefined;
+	#isWaiting = false;
 	#sendCount = 0;
 	#possibleRunCount = 0;
 
@@ -82,13 +83,20 @@
 		}
 	}
 
+	/** Ends the request if it waits and can no longer be answered before this entry ends. @param isOver whether the last answers are due */
+	reviewStop(isOver: boolean): void {
+		if (isOver || (this.#isWaiting && !this.#context.stopLimit.canAnswer(this.#request))) {
+			this.#end('stop');
+		}
+	}
+
 	#end(by: EarlyEnd): void {
 		this.#endedBy ??= by;
 		this.#abortController.abort();
 	}
 
 	async #serve(): Promise<void> {
-		const {crashReview, placer, decisions} = this.#context;
+		const {crashReview, placer, decisions, stopLimit} = this.#context;
 		const {route, service, account, priority, deadlineAt, requestId} = this.#request;
 		this.#isTrial = this.#isBlocked && crashReview.takeTrials(this.#blockedSuspects);
 		for (;;) {
@@ -97,6 +105,12 @@
 				return;
 			}
 
+			if (!stopLimit.canAnswer(this.#request)) {
+				this.#answers.stopping();
+				return;
+			}
+
+			this.#isWaiting = true;
 			const placed = await placer.place({
 				service,
 				need: () => this.#placementNeed,
@@ -107,6 +121,7 @@
 				returnRecognizedAt: this.#request.returnRecognizedAt,
 				signal: this.#abortController.signal,
 			});
+			this.#isWaiting = false;
 			if (placed.kind !== 'placed') {
 				if (placed.kind === 'cancelled') {
 					this.#answerEndedEarly(this.#endedBy ?? 'caller');
@@ -124,10 +139,13 @@
 			const result = await this.#send(placed.state);
 			if (result.kind === 'delivered') {
 				this.#recordDelivery(placed.state, placed.load, placed.waitedMs);
+				stopLimit.recordAnswer(this.#request);
 				return;
 			}
 
 			if (result.kind === 'ended') {
+				// The answer would have taken longer still.
+				stopLimit.recordAnswer(this.#request);
 				this.#answerEndedEarly(result.by, placed.state);
 				return;
 			}
@@ -152,6 +170,11 @@
 		return this.#needs.placement({excludedKeys: this.#excluded, isRetry: this.#sendCount > 0});
 	}
 
+	get #remainingForRetryMs(): number {
+		const {clock, stopLimit} = this.#context;
+		return stopLimit.canAnswer(this.#request) ? this.#request.deadlineAt - clock.monotonic() : 0;
+	}
+
 	/** Decides whether to retry after a failed attempt. A granted retry excludes the failed upstream and may use up the retry budget. */
 	#mayRetry({failure, detail, bufferedAnswer, isSilence, isSuspect = false}: SendResult & {readonly kind: 'failed'}, state: ConnectedUpstream): boolean {
 		const {clock, retryBudgetOf, decisions, metrics, crashReview} = this.#context;
@@ -162,7 +185,7 @@
 			? {kind: 'give-up' as const, reason: 'answer-begun'}
 			: decideRetry({
 				kind: route.kind, isResumable: route.isResumable, failure, runs: this.#possibleRunCount, sends: this.#sendCount,
-				attempts: route.attempts, remainingMs: deadlineAt - now, hasBudget: budget.allowsRetry(now), isAfterSilence: isSilence,
+				attempts: route.attempts, remainingMs: this.#remainingForRetryMs, hasBudget: budget.allowsRetry(now), isAfterSilence: isSilence,
 				isSuspect: isSuspect && crashReview.isSuspected(this.#suspects),
 			});
 		decisions.unusual(requestId, decision.kind === 'resend' ? 'Sent again after a failure.' : 'Given up after a failure.', () => ({
@@ -248,11 +271,11 @@
 	/** Whether a retry is allowed and another upstream has a free slot now. If none has, the current upstream may still answer. */
 	#canRetryElsewhere(state: ConnectedUpstream): boolean {
 		const {clock, retryBudgetOf, placer} = this.#context;
-		const {route, service, deadlineAt} = this.#request;
+		const {route, service} = this.#request;
 		const now = clock.monotonic();
 		const decision = decideRetry({
 			kind: route.kind, isResumable: route.isResumable, failure: 'unknown', runs: this.#possibleRunCount + 1, sends: this.#sendCount,
-			attempts: route.attempts, remainingMs: deadlineAt - now, hasBudget: retryBudgetOf(service).allowsRetry(now),
+			attempts: route.attempts, remainingMs: this.#remainingForRetryMs, hasBudget: retryBudgetOf(service).allowsRetry(now),
 		});
 		return decision.kind === 'resend' && placer.hasFreeSlot(service, {
 			...this.#placementNeed, excludedKeys: new Set([...this.#excluded, state.upstream.key]), isRetry: true,
@@ -262,6 +285,8 @@
 	#answerEndedEarly(by: EarlyEnd, state?: ConnectedUpstream): void {
 		if (by === 'block') {
 			this.#answers.blocked(this.#blockedSuspects);
+		} else if (by === 'stop') {
+			this.#answers.stopping();
 		} else {
 			this.#answers.endedEarly(by, state);
 		}
--- a/packages/gateway/src/final-answers.ts
+++ b/packages/gateway/src/final-answers.ts
@@ -1,6 +1,6 @@
 /** Final answers of the gateway to requests that no upstream has answered. They say `not-run` only if no upstream may have run the request. */
 import type {ServerResponse} from 'node:http';
-import {UNAVAILABLE_RETRY_MS} from './constants.js';
+import {STOPPING_RETRY_MS, UNAVAILABLE_RETRY_MS} from './constants.js';
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
 import {sendGatewayAnswer} from './own-answer.js';
 import type {PlacementResult} from './placer.js';
@@ -55,7 +55,19 @@
 			});
 	}
 
-	endedEarly(by: Exclude<EarlyEnd, 'block'>, state: ConnectedUpstream | undefined): void {
+	/** This entry ends before it could answer. */
+	stopping(): void {
+		const {random} = this.#options.context;
+		const {mayHaveRun} = this.#reject('stopping', {});
+		const reason = 'This entry stops.';
+		this.#answer(mayHaveRun
+			? {status: 504, outcome: 'unknown', reason}
+			: {
+				status: 503, outcome: 'not-run', reason, retryAfterMs: Math.round(STOPPING_RETRY_MS * (0.5 + random.next())),
+			});
+	}
+
+	endedEarly(by: Exclude<EarlyEnd, 'block' | 'stop'>, state: ConnectedUpstream | undefined): void {
 		const {context: {decisions, metrics}, request: {requestId, route}, progress} = this.#options;
 		const {mayHaveRun, sends, events} = progress();
 		metrics.count('gateway.ended_early', {by});
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -6,6 +6,7 @@
 import type {DecisionLog} from './decision-log.js';
 import type {ExpiryWatch} from './expiry-watch.js';
 import type {Placer} from './placer.js';
+import type {StopLimit} from './stop-limit.js';
 import type {HeaderCodec} from './types.js';
 import type {ConnectedUpstream, UpstreamStates} from './upstream-states.js';
 
@@ -24,6 +25,7 @@
 	readonly versionBoundMs: number;
 	readonly failureDomain: string;
 	readonly isDraining: () => boolean;
+	readonly stopLimit: StopLimit;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly decisions: DecisionLog;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,9 +16,11 @@
 import type {AcceptedRequest, GatewayContext} from './gateway-context.js';
 import type {GatewayOptions} from './gateway-options.js';
 import {sendGatewayAnswer} from './own-answer.js';
+import {handlePendingEvents} from './pending-events.js';
 import {Placer, scheduleTimer} from './placer.js';
 import {readRequestBody} from './read-request-body.js';
 import {RetryBudgets} from './retry-budgets.js';
+import {RunningExchanges} from './running-exchanges.js';
 import type {GatewayAnswer} from './types.js';
 import {assumedEntryCount, UpstreamStates} from './upstream-states.js';
 import {VersionExpiryLog} from './version-expiry-log.js';
@@ -27,6 +29,7 @@
 const LOWEST_PRIORITY = 9;
 
 export class Gateway {
+	readonly exchanges: RunningExchanges;
 	readonly #options: GatewayOptions;
 	readonly #context: GatewayContext;
 	readonly #log: Log;
@@ -54,6 +57,7 @@
 			},
 		});
 		const crashes = createCrashWatch(options, states);
+		this.exchanges = new RunningExchanges({clock});
 		this.#context = {
 			...options,
 			states,
@@ -64,6 +68,7 @@
 			expiryWatch: new ExpiryWatch(),
 			retryBudgetOf: service => this.#retryBudgets.of(service),
 			isDraining: () => this.#isDraining,
+			stopLimit: this.exchanges.stopLimit,
 			decisions,
 		};
 		this.#versionExpiryLog = new VersionExpiryLog({...options, log: this.#log});
@@ -173,11 +178,10 @@
 		}
 	}
 
-	/**
-	Closes idle connections. To be called repeatedly while the last requests end. @returns the number of connections that
-	remain
-	*/
-	closeIdleConnections(): number {
+	/** Closes idle connections. To be called repeatedly while the last requests end. @returns the number of those that remain */
+	async closeIdleConnections(): Promise<number> {
+		// The next request on a connection may have arrived while this process was busy.
+		await handlePendingEvents(this.#context.clock);
 		return this.#connections.closeIdle();
 	}
 
@@ -207,7 +211,7 @@
 		try {
 			const accepted = await this.#accept(request, response);
 			if (accepted) {
-				await new Exchange(this.#context, accepted, response).run();
+				await this.exchanges.run(new Exchange(this.#context, accepted, response));
 			}
 		} catch (error) {
 			this.#options.metrics.count('gateway.faults');
--- a/packages/gateway/src/send-result.ts
+++ b/packages/gateway/src/send-result.ts
@@ -4,8 +4,8 @@
 import {MAX_BYTES_WITHOUT_EVENT} from './constants.js';
 import type {StreamFault} from './event-stream.js';
 
-/** Why a request ended before its answer was complete: the caller disconnected, the deadline passed, or upstreams crash under it. */
-export type EarlyEnd = 'caller' | 'deadline' | 'block';
+/** Why a request ended before its answer was complete: the caller disconnected, the deadline passed, upstreams crash under it, or the entry stops. */
+export type EarlyEnd = 'caller' | 'deadline' | 'block' | 'stop';
 
 /** Result of one attempt. `mayHaveRun` is false only if the upstream certainly did not run the request. */
 export type SendResult = {readonly mayHaveRun: boolean} & (
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -31,6 +31,9 @@
 /** Time before SIGKILL at which a stopping entry closes the connections of the remaining requests. */
 export const STOP_MARGIN_MS = 400;
 
+/** Time before the connections are closed in which a stopping entry ends the last requests and writes their answers. */
+export const FINAL_ANSWERS_MS = 200;
+
 /** Interval at which a stopping entry checks whether all connections have been closed. */
 export const IDLE_CHECK_MS = 50;
 
--- a/packages/node/src/entry-node.ts
+++ b/packages/node/src/entry-node.ts
@@ -6,12 +6,13 @@
 import {Gateway} from '@yuccawood/gateway';
 import {ALL_PARTS, PlatformHeaderCodec} from '@yuccawood/platform';
 import {ReportReader} from '@yuccawood/reports';
-import {ACCEPT_AFTER_SIGTERM_MS, IDLE_CHECK_MS, STOP_MARGIN_MS} from './constants.js';
+import {STOP_MARGIN_MS} from './constants.js';
 import {CrashCountWriter} from './crash-count-writer.js';
 import {EngineDirectoryPublisher} from './engine-directory-publisher.js';
 import {serveMetrics} from './metrics-endpoint.js';
 import {createNode} from './node-context.js';
 import {EntryRegistration} from './entry-registration.js';
+import {PlannedStop} from './planned-stop.js';
 
 const splitAddress = (address: string): {readonly host: string; readonly port: number} => {
 	const [host, port] = address.split(':');
@@ -60,10 +61,10 @@
 		}
 	});
 
-	let isLeaving = false;
+	const stop = new PlannedStop({gateway, clock});
 	const readiness = http.createServer((request, response) => {
 		request.resume();
-		response.writeHead(gateway.canServe && !isLeaving ? 200 : 503, {'content-length': 0});
+		response.writeHead(gateway.canServe && stop.isReady ? 200 : 503, {'content-length': 0});
 		response.end();
 	});
 	const readinessListen = splitAddress(readinessAddress);
@@ -89,22 +90,13 @@
 	const callers = splitAddress(callerAddress);
 	await gateway.listen(callers.host, callers.port);
 	process.on('SIGTERM', () => {
-		if (isLeaving) {
+		if (stop.hasBegun) {
 			return;
 		}
 
-		isLeaving = true;
 		log.audit('Entry stops.', {inProgress: gateway.inProgress});
 		void (async () => {
-			const {stopGraceMs} = settings();
-			const giveUpAt = clock.monotonic() + stopGraceMs - STOP_MARGIN_MS;
-			gateway.beginDraining();
-			await delay(Math.min(ACCEPT_AFTER_SIGTERM_MS, stopGraceMs / 3));
-			gateway.stopListening();
-			while (gateway.closeIdleConnections() > 0 && clock.monotonic() < giveUpAt) {
-				await delay(IDLE_CHECK_MS);
-			}
-
+			await stop.run(settings().stopGraceMs);
 			log.audit('Entry ends.', {cut: gateway.inProgress});
 			stopping.abort();
 			gateway.close();
