Let the last entry count as ready until another one is

What callers saw: entries are stopped 2 s apart and are back 6 to 7 s after their stop, so the third leaves before the first is back, and for some time no entry takes connections.

Cause: a stopping entry left at once, whether another one was ready or not.

Change: a stopping entry asks the others over the peer protocol. While none is ready it goes on counting as ready and listening, for 3.5 s at most. Only the one that was stopped last waits: with two stops less than 0.5 s apart all leave at once, so that no two count as ready 4 s later. With a silent entry on the list, or while the entry itself isn't listed, the limit is 1.9 s. The decision is pure (handover.ts). Refusals of a stopping entry carry connection: close also while it still counts as ready.

Entries stopped at the same time all leave at once. 'late-in-grace' found that a refusal kept the connection: failed, passes.

--- a/packages/gateway/src/final-answers.ts
+++ b/packages/gateway/src/final-answers.ts
@@ -64,7 +64,7 @@
 			? {status: 504, outcome: 'unknown', reason}
 			: {
 				status: 503, outcome: 'not-run', reason, retryAfterMs: Math.round(STOPPING_RETRY_MS * (0.5 + random.next())),
-			});
+			}, {mustClose: true});
 	}
 
 	endedEarly(by: Exclude<EarlyEnd, 'block' | 'stop'>, state: ConnectedUpstream | undefined): void {
@@ -106,14 +106,14 @@
 	}
 
 	/** Sends an error answer of the gateway. If an upstream's answer has begun, closes the connection so that it does not look complete. */
-	#answer(answer: GatewayAnswer): void {
-		const {context: {codec, isDraining, metrics}, request: {requestId}, response} = this.#options;
+	#answer(answer: GatewayAnswer, {mustClose = this.#options.context.isDraining()}: {readonly mustClose?: boolean} = {}): void {
+		const {context: {codec, metrics}, request: {requestId}, response} = this.#options;
 		if (response.headersSent) {
 			metrics.count('gateway.cut_answers');
 			response.destroy();
 			return;
 		}
 
-		sendGatewayAnswer(response, answer, {codec, requestId, mustClose: isDraining()});
+		sendGatewayAnswer(response, answer, {codec, requestId, mustClose});
 	}
 }
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -28,6 +28,21 @@
 /** Time after SIGTERM for which an entry still accepts connections: the load balancer removes it after two failed readiness checks, which are 1 s apart. */
 export const ACCEPT_AFTER_SIGTERM_MS = 2600;
 
+/**
+Time after SIGTERM until which an entry counts as ready while it is the only one that can: the latest that leaves time for the
+connections that the load balancer still sends. The shorter limit holds where another entry may do the same: two failed checks
+then come within 4 s of SIGTERM.
+*/
+export const MAX_READY_WHEN_ALONE_MS = 3500;
+export const MAX_READY_WHEN_UNSURE_MS = 1900;
+
+/** Time between two stops below which they count as simultaneous. */
+export const SIMULTANEOUS_STOPS_MS = 500;
+
+/** Interval at which a stopping entry asks whether another one is ready, and the time limit of a call. */
+export const READINESS_ASK_INTERVAL_MS = 150;
+export const READINESS_CALL_TIMEOUT_MS = 300;
+
 /** Time before SIGKILL at which a stopping entry closes the connections of the remaining requests. */
 export const STOP_MARGIN_MS = 400;
 
--- a/packages/node/src/entry-node.ts
+++ b/packages/node/src/entry-node.ts
@@ -13,6 +13,7 @@
 import {createNode} from './node-context.js';
 import {EntryRegistration} from './entry-registration.js';
 import {PlannedStop} from './planned-stop.js';
+import {ReadinessExchange} from './readiness-exchange.js';
 
 const splitAddress = (address: string): {readonly host: string; readonly port: number} => {
 	const [host, port] = address.split(':');
@@ -35,8 +36,12 @@
 	}
 
 	const stopping = new AbortController();
+	const otherAddresses = (): readonly string[] => [...view.entries].filter(([id]) => id !== vm).map(([, address]) => address);
 	const crashPeers = new CrashExchange({
-		peers: context.peers, peerServer, log, addresses: () => [...view.entries].filter(([id]) => id !== vm).map(([, address]) => address),
+		peers: context.peers, peerServer, log, addresses: otherAddresses,
+	});
+	const others = new ReadinessExchange({
+		peers: context.peers, peerServer, log, addresses: otherAddresses, isSelfListed: () => view.entries.has(vm),
 	});
 	const crashCounts = new CrashCountWriter({
 		store, view, random, log,
@@ -48,6 +53,9 @@
 		clock, random, log, metrics,
 	});
 	crashPeers.start(gateway.crashReview);
+	const stop = new PlannedStop({gateway, others, clock});
+	let isListening = false;
+	others.start(() => stop.state(isListening && gateway.canServe));
 	const reportReader = new ReportReader({
 		onReport(report) {
 			gateway.applyUpstreamReport(report);
@@ -61,7 +69,6 @@
 		}
 	});
 
-	const stop = new PlannedStop({gateway, clock});
 	const readiness = http.createServer((request, response) => {
 		request.resume();
 		response.writeHead(gateway.canServe && stop.isReady ? 200 : 503, {'content-length': 0});
@@ -89,6 +96,7 @@
 	}).run(stopping.signal);
 	const callers = splitAddress(callerAddress);
 	await gateway.listen(callers.host, callers.port);
+	isListening = true;
 	process.on('SIGTERM', () => {
 		if (stop.hasBegun) {
 			return;
--- /dev/null
+++ b/packages/node/src/handover.ts
@@ -0,0 +1,35 @@
+/**
+Decides how long a stopping entry still counts as ready.
+
+While entries are stopped one after the other, the last one may stop before the first one is back. It goes on taking
+connections until another entry does. Entries that stop at the same time can't help each other, and if two of them went on, the
+platform would count a stop as not begun. So at most the one that was stopped last waits.
+*/
+import {MAX_READY_WHEN_ALONE_MS, MAX_READY_WHEN_UNSURE_MS, SIMULTANEOUS_STOPS_MS} from './constants.js';
+
+/** What an entry says of itself. `forMs` is the time since it was asked to stop. */
+export type EntryState = {readonly kind: 'ready'} | {readonly kind: 'starting'} | {readonly kind: 'stopping'; readonly forMs: number};
+
+/** Another entry, as seen by this one; `silent` if it did not answer. */
+export type ObservedEntry = EntryState | {readonly kind: 'silent'};
+
+export type HandoverSituation = {
+	/** Milliseconds since this entry was asked to stop, and until its process is killed. */
+	readonly stoppingMs: number;
+	readonly graceMs: number;
+
+	/** Whether the list of entries contains this one. Otherwise it may lack others, too. */
+	readonly isListed: boolean;
+	readonly others: readonly ObservedEntry[];
+};
+
+/** Whether this entry is the only one that can take connections now. */
+const isAlone = ({stoppingMs, others}: HandoverSituation): boolean =>
+	others.every(other => other.kind !== 'ready' && !(other.kind === 'stopping' && other.forMs < stoppingMs + SIMULTANEOUS_STOPS_MS));
+
+export const staysReady = (situation: HandoverSituation): boolean => {
+	const {stoppingMs, graceMs, isListed, others} = situation;
+	const isSure = isListed && others.every(({kind}) => kind !== 'silent');
+	const limitMs = Math.min(isSure ? MAX_READY_WHEN_ALONE_MS : MAX_READY_WHEN_UNSURE_MS, graceMs / 2);
+	return stoppingMs < limitMs && isAlone(situation);
+};
