--- a/packages/node/src/late-in-grace.test.ts
+++ b/packages/node/src/late-in-grace.test.ts
@@ -1,17 +1,18 @@
 import {type ChildProcess, spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import http from 'node:http';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {SystemClock} from '@yuccawood/common';
 import {
-	callerHeaders, CONFIGURATION_KEY, configurationItem, DEFAULT_FLEET_BOUNDS, PLAIN_SERVICE, REQUEST_KINDS, settingsEnvironment, settingsText, StoreStandIn, UPSTREAM_PREFIX, upstreamItem, type RequestKind,
+	callerHeaders, CONFIGURATION_KEY, configurationItem, DEFAULT_FLEET_BOUNDS, PLAIN_SERVICE, REQUEST_KINDS, settingsEnvironment, settingsText, StoreStandIn, UPSTREAM_PREFIX, upstreamItem,
+	type RequestKind,
 } from '@yuccawood/platform/testing';
 import {expect} from 'chai';
+import {PacedWorker} from './testing/paced-worker.js';
 
 const ENTRY_IP = '127.0.45.1';
 const CALLER_PORT = 8005;
@@ -19,7 +20,6 @@
 
 /** Longer than the grace, so that the time limit of a request says nothing about the time that its answer takes. */
 const TIMEOUT_MS = 10_000;
-const EVENT_INTERVAL_MS = 100;
 
 /** Time from the last byte of a request to its refusal. Callers abandon a request that isn't read within a second. */
 const REFUSAL_MS = 1000;
@@ -46,58 +46,6 @@
 	readonly tookMs: number;
 };
 
-/** Worker that takes as long for a request as the request's query says. */
-class PacedWorker {
-	readonly #onRequest: (id: string) => void;
-	readonly #server = http.createServer((request, response) => {
-		void this.#serve(request, response);
-	});
-
-	constructor(onRequest: (id: string) => void) {
-		this.#onRequest = onRequest;
-	}
-
-	get address(): string {
-		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
-	}
-
-	async listen(): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
-		});
-	}
-
-	async close(): Promise<void> {
-		this.#server.closeAllConnections();
-		await new Promise(resolve => {
-			this.#server.close(resolve);
-		});
-	}
-
-	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const id = String(request.headers['yuccawood-attempt-id']);
-		this.#onRequest(id);
-		request.resume();
-		const {pathname, searchParams} = new URL(request.url!, 'http://h');
-		const endAt = clock.monotonic() + Number(searchParams.get('ms'));
-		const head = {'yuccawood-attempt-id': id, 'yuccawood-server-seal': 's'};
-		if (!pathname.startsWith('/stream/')) {
-			await clock.sleep(endAt - clock.monotonic());
-			response.writeHead(200, {...head, 'content-length': 4});
-			response.end('done');
-			return;
-		}
-
-		response.writeHead(200, {...head, 'content-type': 'text/event-stream'});
-		for (let event = 1; clock.monotonic() < endAt && !response.destroyed; event++) {
-			response.write(`id: ${event}\ndata: x\n\n`);
-			await clock.sleep(EVENT_INTERVAL_MS);
-		}
-
-		response.end();
-	}
-}
-
 /** A caller with one connection, which it keeps for as long as the entry does. */
 class KeptCaller {
 	readonly #agent = new http.Agent({keepAlive: true, maxSockets: 1});
--- /dev/null
+++ b/packages/node/src/testing/paced-worker.ts
@@ -0,0 +1,59 @@
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {SystemClock} from '@yuccawood/common';
+
+const EVENT_INTERVAL_MS = 100;
+
+const clock = new SystemClock();
+
+/** Worker that takes as long for a request as the request's query says. */
+export class PacedWorker {
+	readonly #onRequest: (id: string) => void;
+	readonly #server = http.createServer((request, response) => {
+		void this.#serve(request, response);
+	});
+
+	constructor(onRequest: (id: string) => void) {
+		this.#onRequest = onRequest;
+	}
+
+	get address(): string {
+		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	async listen(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+	}
+
+	async close(): Promise<void> {
+		this.#server.closeAllConnections();
+		await new Promise(resolve => {
+			this.#server.close(resolve);
+		});
+	}
+
+	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const id = String(request.headers['yuccawood-attempt-id']);
+		this.#onRequest(id);
+		request.resume();
+		const {pathname, searchParams} = new URL(request.url!, 'http://h');
+		const endAt = clock.monotonic() + Number(searchParams.get('ms'));
+		const head = {'yuccawood-attempt-id': id, 'yuccawood-server-seal': 's'};
+		if (!pathname.startsWith('/stream/')) {
+			await clock.sleep(endAt - clock.monotonic());
+			response.writeHead(200, {...head, 'content-length': 4});
+			response.end('done');
+			return;
+		}
+
+		response.writeHead(200, {...head, 'content-type': 'text/event-stream'});
+		for (let event = 1; clock.monotonic() < endAt && !response.destroyed; event++) {
+			response.write(`id: ${event}\ndata: x\n\n`);
+			await clock.sleep(EVENT_INTERVAL_MS);
+		}
+
+		response.end();
+	}
+}
