--- a/packages/gateway/src/final-answers.ts
+++ b/packages/gateway/src/final-answers.ts
@@ -1,7 +1,7 @@
 /** Final answers of the gateway to requests that no upstream has answered. They say `not-run` only if no upstream may have run the request. */
 import type {ServerResponse} from 'node:http';
-import {UNAVAILABLE_RETRY_MS} from './constants.js';
 import type {AcceptedRequest} from './accepted-request.js';
+import {STOPPING_RETRY_MS, UNAVAILABLE_RETRY_MS} from './constants.js';
 import type {GatewayContext} from './gateway-context.js';
 import {sendGatewayAnswer} from './own-answer.js';
 import type {PlacementResult} from './placer.js';
@@ -57,7 +57,19 @@
 			});
 	}
 
-	endedEarly(by: Exclude<EarlyEnd, 'block'>, state: ConnectedUpstream | undefined): void {
+	/** This entry ends before it could answer. */
+	stopping(): void {
+		const {random} = this.#options.context;
+		const {mayHaveRun} = this.#reject('stopping', {});
+		const reason = 'This entry stops.';
+		this.#answer(mayHaveRun
+			? {status: 504, outcome: 'unknown', reason}
+			: {
+				status: 503, outcome: 'not-run', reason, retryAfterMs: Math.round(STOPPING_RETRY_MS * (0.5 + random.next())),
+			}, {mustClose: true});
+	}
+
+	endedEarly(by: Exclude<EarlyEnd, 'block' | 'stop'>, state: ConnectedUpstream | undefined): void {
 		const {context, request, progress} = this.#options;
 		const {decisions, metrics} = context;
 		const {requestId, route} = request;
@@ -98,14 +110,14 @@
 	}
 
 	/** Sends an error answer of the gateway. If an upstream's answer has begun, closes the connection so that it does not look complete. */
-	#answer(answer: GatewayAnswer): void {
-		const {context: {codec, isDraining, metrics}, request: {requestId}, response} = this.#options;
+	#answer(answer: GatewayAnswer, {mustClose = this.#options.context.isDraining()}: {readonly mustClose?: boolean} = {}): void {
+		const {context: {codec, metrics}, request: {requestId}, response} = this.#options;
 		if (response.headersSent) {
 			metrics.count('gateway.cut_answers');
 			response.destroy();
 			return;
 		}
 
-		sendGatewayAnswer(response, answer, {codec, requestId, mustClose: isDraining()});
+		sendGatewayAnswer(response, answer, {codec, requestId, mustClose});
 	}
 }
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -8,6 +8,7 @@
 import type {LagWatch} from './lag-watch.js';
 import type {Placer} from './placer.js';
 import type {ReadDelay} from './read-delay.js';
+import type {StopLimit} from './stop-limit.js';
 import type {HeaderCodec} from './types.js';
 import type {ConnectedUpstream, UpstreamStates} from './upstream-states.js';
 import type {WorkGate} from './work-gate.js';
@@ -32,6 +33,7 @@
 	readonly failureDomain: string;
 	readonly isDraining: () => boolean;
 	readonly lag: LagWatch;
+	readonly stopLimit: StopLimit;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly decisions: DecisionLog;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,15 +15,18 @@
 import type {GatewayContext} from './gateway-context.js';
 import type {GatewayOptions} from './gateway-options.js';
 import {LagWatch} from './lag-watch.js';
+import {handlePendingEvents} from './pending-events.js';
 import {Placer, scheduleTimer} from './placer.js';
 import {eventLoopTimes, ReadDelay} from './read-delay.js';
 import {RequestIntake} from './request-intake.js';
 import {RetryBudgets} from './retry-budgets.js';
+import {RunningExchanges} from './running-exchanges.js';
 import {assumedEntryCount, UpstreamStates} from './upstream-states.js';
 import {VersionExpiryLog} from './version-expiry-log.js';
 import {WorkGate} from './work-gate.js';
 
 export class Gateway {
+	readonly exchanges: RunningExchanges;
 	readonly #options: GatewayOptions;
 	readonly #context: GatewayContext;
 	readonly #log: Log;
@@ -55,6 +58,7 @@
 		});
 		const crashes = createCrashWatch(options, states);
 		const readDelay = new ReadDelay(eventLoopTimes(clock.monotonic));
+		this.exchanges = new RunningExchanges({clock});
 		this.#context = {
 			...options,
 			states,
@@ -72,6 +76,7 @@
 			lag: new LagWatch({...options, backlog: this.#backlog}),
 			retryBudgetOf: service => this.#retryBudgets.of(service),
 			isDraining: () => this.#isDraining,
+			stopLimit: this.exchanges.stopLimit,
 			decisions,
 		};
 		this.#intake = new RequestIntake({...this.#context, routeTable: () => this.#routeTable});
@@ -184,11 +189,10 @@
 		}
 	}
 
-	/**
-	Closes idle connections. To be called repeatedly while the last requests end. @returns the number of connections that
-	remain
-	*/
-	closeIdleConnections(): number {
+	/** Closes idle connections. To be called repeatedly while the last requests end. @returns the number of those that remain */
+	async closeIdleConnections(): Promise<number> {
+		// The next request on a connection may have arrived while this process was busy.
+		await handlePendingEvents(this.#context.clock);
 		return this.#connections.closeIdle();
 	}
 
@@ -224,9 +228,9 @@
 				message: request, response, departure, arrivedAt,
 			});
 			if (accepted) {
-				await new Exchange({
+				await this.exchanges.run(new Exchange({
 					context: this.#context, request: accepted, response, departure,
-				}).run();
+				}));
 			}
 		} catch (error) {
 			this.#options.metrics.count('gateway.faults');
