Keep following the store when a listener throws

Cause: an error of one listener of FleetView left `apply` in the middle of a batch, kept the other listeners from being told, and ended the loop of PartFollower. The process stayed up and followed that part no more.

Change: FleetView catches and logs errors per listener and counts them as `fleet.listener_failures`; PartFollower takes an answer that can't be applied as a failed call, counts it as `fleet.follow_failures`, and makes the call again after the usual pause. Items that were applied are not applied twice.

An entry of a list that can't be decoded ends the use of what its id named before. Documents (configuration, versions, engine directory, crash counts) keep their last valid state.

--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -1,37 +1,22 @@
 /** Observed state of this process: configuration, upstreams, target versions, other entries. */
-import {Publisher, type Clock, type Log} from '@yuccawood/common';
+import {
+	MemoryMetrics, type Clock, type Log, type Metrics,
+} from '@yuccawood/common';
+import type {ConfigurationInForce, StoredDirectory} from './documents-in-force.js';
 import {applyCrashCount} from './crash-counts.js';
+import {FleetChanges, type FleetChange} from './fleet-changes.js';
 import {AGE_TOLERANCE_MS, LEASE_EXPIRY_GRACE_MS, MAX_TARGETS_PER_MODEL} from './constants.js';
 import type {
-	Announcement, EngineDirectory, AnnouncementContext, ModelTarget, TargetAge, TrafficConfiguration, Upstream,
+	Announcement, AnnouncementContext, ModelTarget, TargetAge, TrafficConfiguration, Upstream,
 } from './types.js';
 
-export type FleetChange = 'configuration' | 'upstreams' | 'targets' | 'entries' | 'crashers' | 'engines';
-
-/** The configuration in force, with its store revision and the time at which this process learned of it. */
-export type ConfigurationInForce = {
-	readonly configuration: TrafficConfiguration;
-	readonly revision: number;
-
-	/** Monotonic milliseconds. */
-	readonly learnedAt: number;
-};
-
-/** The engine directory with the store revision of its item. */
-export type StoredDirectory = {
-	readonly directory: EngineDirectory;
-
-	/** 0 for a directory that this process derived from the configuration. */
-	readonly itemRevision: number;
-};
-
 const roundMs = (milliseconds: number | undefined): number | undefined => milliseconds === undefined ? undefined : Math.round(milliseconds);
 
 export class FleetView {
 	readonly #clock: Clock;
 	readonly #log: Log;
 	readonly #initialTargetAgeMs: () => number;
-	readonly #changes = new Publisher<FleetChange>();
+	readonly #changes: FleetChanges;
 	readonly #upstreams = new Map<string, Upstream>();
 	#upstreamList: readonly Upstream[] | undefined;
 	readonly #graceTimers = new Map<string, NodeJS.Timeout>();
@@ -42,9 +27,10 @@
 	#engines: StoredDirectory | undefined;
 	#isInitialized = false;
 
-	constructor({clock, log, initialTargetAgeMs = () => 0}: {
+	constructor({clock, log, metrics = new MemoryMetrics(), initialTargetAgeMs = () => 0}: {
 		readonly clock: Clock;
 		readonly log: Log;
+		readonly metrics?: Metrics;
 
 		/**
 		Assumed age, in milliseconds, of target versions that this process finds in its first read of the store. It can't know
@@ -55,6 +41,7 @@
 		this.#initialTargetAgeMs = initialTargetAgeMs;
 		this.#clock = clock;
 		this.#log = log.part('fleet');
+		this.#changes = new FleetChanges({log: this.#log, metrics});
 	}
 
 	get inForce(): ConfigurationInForce | undefined {
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,8 +1,8 @@
 /** Observed state of configuration, upstreams and target versions, and how a process keeps it current. */
 export type * from './types.js';
-export {
-	FleetView, type ConfigurationInForce, type FleetChange, type StoredDirectory,
-} from './fleet-view.js';
+export type * from './documents-in-force.js';
+export type {FleetChange} from './fleet-changes.js';
+export {FleetView} from './fleet-view.js';
 export {StoreFollower, type AskPeer, type StoreFollowerOptions} from './store-follower.js';
 export {ItemLog} from './item-log.js';
 export {RevisionTimes} from './revision-times.js';
--- a/packages/fleet/src/part-follower.test.ts
+++ b/packages/fleet/src/part-follower.test.ts
@@ -47,4 +47,41 @@
 		await running;
 		expect(items.stateOf('big', 0).later).to.deep.equal({big: 50});
 	});
+
+	describe('when an answer cannot be applied', () => {
+		it('asks for it again, and follows later changes', async () => {
+			const items = new ItemLog({clock});
+			const metrics = new MemoryMetrics();
+			const stop = new AbortController();
+			let answers = 0;
+			const follower = new PartFollower({
+				part: {name: 'small', prefix: 'small', isBulky: false}, items, times: new RevisionTimes(), clock, random: seededRandom(1), log: SILENT_LOG, metrics,
+				source: {
+					...source,
+					snapshot: async () => Ok({items: [{key: 'small/a', value: 'first', revision: 1}], revision: 1, transfer: TRANSFER}),
+					async watch() {
+						await clock.sleep(20);
+						return Ok({items: [{key: 'small/b', value: 'later', revision: 2}], revision: 2, transfer: TRANSFER});
+					},
+				},
+				onItems(received) {
+					if (answers++ < 2) {
+						throw new Error('no room');
+					}
+
+					for (const item of received) {
+						items.record(item);
+					}
+				},
+				isRevisionSeen: () => false,
+				onRevisionKnown: () => undefined,
+			});
+			const running = follower.run(stop.signal);
+			await clock.sleep(2000);
+			stop.abort();
+			await running;
+			expect(items.keys).to.deep.equal(['small/a', 'small/b']);
+			expect(metrics.counters.get('fleet.follow_failures,part=small')).to.equal(2);
+		});
+	});
 });
--- a/packages/fleet/src/part-follower.ts
+++ b/packages/fleet/src/part-follower.ts
@@ -84,7 +84,7 @@
 	/** Runs until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			const result = this.#watchRevision === undefined ? await this.#read() : await this.#watch(this.#watchRevision, signal);
+			const result = await this.#callStore(signal);
 			if (result === undefined) {
 				const pauseMs = Math.min(MAX_STORE_RETRY_MS, MIN_STORE_RETRY_MS * (2 ** this.#failures++));
 				await delay(pauseMs * (0.5 + this.#options.random.next()), signal);
@@ -173,6 +173,17 @@
 		return this.part.isBulky && hasChanges ? Math.max(COALESCE_PAUSE_MS, Math.min(MAX_BULKY_PAUSE_MS, transfer.milliseconds * BULKY_PAUSE_FACTOR)) : COALESCE_PAUSE_MS;
 	}
 
+	/** Makes the next call. @returns undefined if it failed, for whatever reason, so that it is made again after a pause */
+	async #callStore(signal: AbortSignal): Promise<CallOutcome | undefined> {
+		try {
+			return this.#watchRevision === undefined ? await this.#read() : await this.#watch(this.#watchRevision, signal);
+		} catch (error) {
+			this.#options.metrics.count('fleet.follow_failures', {part: this.part.name});
+			this.#log.error('An answer of the store could not be applied; it is asked for again.', {storePart: this.part.name, error: error instanceof Error ? error.stack : describeError(error)});
+			return undefined;
+		}
+	}
+
 	/** Reads the newest value if the store has changed since the last response, because a watch would deliver all intermediate values, too. */
 	async #skipToNewest(signal: AbortSignal): Promise<void> {
 		const {source, isRevisionSeen} = this.#options;
--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -11,7 +11,7 @@
 import {RevisionTimes} from './revision-times.js';
 import {SeenRevisions} from './seen-revisions.js';
 import type {
-	ItemDecoder, ItemSource, PartState, StoreItem, StorePart,
+	Announcement, ItemDecoder, ItemSource, PartState, StoreItem, StorePart,
 } from './types.js';
 
 /** Asks a peer for the missing items of these parts, which are either all bulky or all not. Resolves to undefined when no peer responded. */
@@ -34,6 +34,15 @@
 	readonly metrics: Metrics;
 };
 
+/**
+What an unreadable item leaves of its key: an entry of a list names no process any more, as if it had been removed. Anything
+else keeps its last valid state.
+*/
+const withdrawalOf = ({key, revision}: StoreItem, decoder: ItemDecoder): Announcement | undefined => {
+	const removal = decoder.decode({key, value: undefined, revision});
+	return removal.ok && (removal.val.kind === 'upstream' || removal.val.kind === 'entry') ? removal.val : undefined;
+};
+
 export class StoreFollower {
 	readonly items: ItemLog;
 	readonly #options: StoreFollowerOptions;
@@ -92,10 +101,14 @@
 			if (decoded.err) {
 				metrics.count('fleet.unreadable_items');
 				this.#log.warn('A store item could not be decoded and was ignored; check its content.', {key: item.key, revision: item.revision, error: decoded.val.message});
-				continue;
 			}
 
-			view.apply(decoded.val, {revision: item.revision, mayBeLeaseExpiry: this.#mayBeLeaseExpiry, ...this.#estimateAges(item, {part, learnedBy})});
+			const announcement = decoded.ok ? decoded.val : withdrawalOf(item, decoder);
+			if (announcement) {
+				// A lease that expires removes its items.
+				const mayBeLeaseExpiry = item.value === undefined && this.#mayBeLeaseExpiry;
+				view.apply(announcement, {revision: item.revision, mayBeLeaseExpiry, ...this.#estimateAges(item, {part, learnedBy})});
+			}
 		}
 	}
 
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -330,6 +330,6 @@
 
 /** Decodes items of the store. */
 export interface ItemDecoder {
-	/** Returns an error for an item that cannot be decoded. Such an item is ignored. */
+	/** Returns an error for an item that cannot be decoded. It changes nothing, but an entry of a list then counts as removed. */
 	readonly decode: (item: StoreItem) => Result<Announcement, Error>;
 }
