Check the items that a peer sends

Cause: while the store is away, the answer of a peer was applied unchecked. The address may be that of another process: an answer such as a text or a list with a null threw out of the loop that asks peers, which then asked no more.

Change: items of another form, or outside of the parts that were asked for, are ignored and counted. An error in a round of the loops that ask peers or check revisions is logged and counted; the next round follows.

--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -1,6 +1,6 @@
 /** Follows the platform's store with one watch per part, and asks peers for changes while the store cannot be reached. */
 import {
-	delay, type Clock, type Log, type Metrics, type Random,
+	delay, describeError, type Clock, type Log, type Metrics, type Random,
 } from '@yuccawood/common';
 import {
 	MAX_PROMPT_ANSWER_MS, MAX_READ_STALENESS_MS, PEER_POLL_INTERVAL_MS, REVISION_CHECK_INTERVAL_MS, WATCH_DELIVERY_TIMEOUT_MS,
@@ -9,13 +9,14 @@
 import {ItemLog} from './item-log.js';
 import {PartFollower, type LearnedBy} from './part-follower.js';
 import {RevisionTimes} from './revision-times.js';
+import {itemsOfPeer} from './peer-items.js';
 import {SeenRevisions} from './seen-revisions.js';
 import type {
 	Announcement, ItemDecoder, ItemSource, PartState, StoreItem, StorePart,
 } from './types.js';
 
-/** Asks a peer for the missing items of these parts, which are either all bulky or all not. Resolves to undefined when no peer responded. */
-export type AskPeer = (parts: readonly PartState[], isBulky: boolean) => Promise<readonly StoreItem[] | undefined>;
+/** Asks a peer for the missing items of these parts, which are either all bulky or all not. Resolves to undefined when no peer responded, otherwise to its answer, whose type is not checked. */
+export type AskPeer = (parts: readonly PartState[], isBulky: boolean) => Promise<unknown>;
 
 export type StoreFollowerOptions = {
 	readonly source: ItemSource;
@@ -153,15 +154,30 @@
 				return;
 			}
 
-			const revision = await this.#readRecentRevision();
-			if (revision === undefined || this.#isRevisionSeen(revision)) {
-				continue;
-			}
+			await this.#attempt('revision check', async () => this.#checkRevision(signal));
+		}
+	}
 
-			await delay(WATCH_DELIVERY_TIMEOUT_MS, signal);
-			if (!signal.aborted && !this.#isRevisionSeen(revision)) {
-				await this.#probeParts(revision);
-			}
+	async #checkRevision(signal: AbortSignal): Promise<void> {
+		const revision = await this.#readRecentRevision();
+		if (revision === undefined || this.#isRevisionSeen(revision)) {
+			return;
+		}
+
+		await delay(WATCH_DELIVERY_TIMEOUT_MS, signal);
+		if (!signal.aborted && !this.#isRevisionSeen(revision)) {
+			await this.#probeParts(revision);
+		}
+	}
+
+	/** Runs one round of a loop. An error must not end the loop. */
+	async #attempt(round: string, run: () => Promise<void>): Promise<void> {
+		const {metrics} = this.#options;
+		try {
+			await run();
+		} catch (error) {
+			metrics.count('fleet.follow_failures', {round});
+			this.#log.error('A round failed; the next one follows.', {round, error: error instanceof Error ? error.stack : describeError(error)});
 		}
 	}
 
@@ -233,11 +249,23 @@
 				continue;
 			}
 
-			const items = await askPeer(unreachable.map(({state}) => state), isBulky);
-			if (items && items.length > 0) {
-				this.#log.info('Changes were learned from a peer while the store is away.', {items: items.length});
-				this.take(items);
-			}
+			await this.#attempt('peer poll', async () => {
+				const states = unreachable.map(({state}) => state);
+				this.#takeFromPeer(await askPeer(states, isBulky), states);
+			});
+		}
+	}
+
+	#takeFromPeer(answer: unknown, parts: readonly PartState[]): void {
+		const {items, unreadable} = itemsOfPeer(answer, parts);
+		if (unreadable > 0) {
+			this.#options.metrics.count('fleet.unreadable_items', {}, unreadable);
+			this.#log.warn('A peer sent items that cannot be read; they were ignored.', {items: unreadable});
+		}
+
+		if (items.length > 0) {
+			this.#log.info('Changes were learned from a peer while the store is away.', {items: items.length});
+			this.take(items);
 		}
 	}
 }
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -5,7 +5,7 @@
 	DroppingOutput, createLog, describeError, PeerClient, PeerServer, PROCESS_START_MS, PrometheusMetrics, SystemClock, systemRandom, type CallOptions, type Clock, type Log, type Random,
 } from '@yuccawood/common';
 import {
-	BULKY_TIMEOUT_MS, FleetView, PEER_CALL_TIMEOUT_MS, StoreFollower, type AskPeer, type PartState, type StoreItem, type StorePart,
+	BULKY_TIMEOUT_MS, FleetView, PEER_CALL_TIMEOUT_MS, StoreFollower, type AskPeer, type PartState, type StorePart,
 } from '@yuccawood/fleet';
 import {
 	parseNodeSettings, PlatformItemDecoder, SETTINGS_VARIABLE, StoreClient, type NodeSettings,
@@ -66,7 +66,7 @@
 	for (const group of addresses()) {
 		for (const address of random.sample(group, 1)) {
 			try {
-				return await peers.call<readonly StoreItem[]>(address, CHANGES_METHOD, {parts}, options);
+				return await peers.call<unknown>(address, CHANGES_METHOD, {parts}, options);
 			} catch (error) {
 				log.info('A peer did not answer; trying another one.', {address, method: CHANGES_METHOD, error: describeError(error)});
 			}
