Replace the list of upstreams in one step

Cause: UpstreamStates.refresh emptied its list of upstreams by service before it filled it again. An upstream that no connections can be made for ended it in between, and the gateway knew only those listed before it.

Change: the new lists are built first, then they replace the old ones. An upstream that fails is left out, logged, and counted in `gateway.unusable_upstreams`.

--- a/packages/gateway/src/upstream-states.ts
+++ b/packages/gateway/src/upstream-states.ts
@@ -1,5 +1,7 @@
 /** The upstreams that are listed now, with their connections and the state that this entry observes. */
-import type {Clock, Log, Metrics} from '@yuccawood/common';
+import {
+	describeError, type Clock, type Log, type Metrics,
+} from '@yuccawood/common';
 import {entriesSharingUpstream, upstreamSubset, type UpstreamView} from '@yuccawood/dispatch';
 import {
 	newestUpstreams, type FleetView, type Service, type Upstream,
@@ -38,8 +40,8 @@
 export class UpstreamStates {
 	readonly #options: UpstreamStatesOptions;
 	readonly #states = new Map<string, ConnectedUpstream>();
-	readonly #byService = new Map<string, ConnectedUpstream[]>();
-	readonly #byAddress = new Map<string, ConnectedUpstream>();
+	#byService: ReadonlyMap<string, readonly ConnectedUpstream[]> = new Map();
+	#byAddress: ReadonlyMap<string, ConnectedUpstream> = new Map();
 	readonly #announcements = new UpstreamAnnouncements();
 	#subset: ReadonlySet<string> = new Set();
 
@@ -79,7 +81,7 @@
 		return this.#byAddress.get(address);
 	}
 
-	/** Applies the current list of upstreams: connects to new ones, and drops removed ones. */
+	/** Applies the current list of upstreams: connects to new ones, and drops removed ones. One that fails leaves the others in force. */
 	refresh(): void {
 		const listed = newestUpstreams(this.#options.view.upstreams);
 		const keys = new Set(listed.map(({key}) => key));
@@ -91,18 +93,23 @@
 		}
 
 		this.#announcements.removeOver(key => keys.has(key), this.#options.clock.monotonic());
-		this.#byService.clear();
-		this.#byAddress.clear();
+		const byService = new Map<string, ConnectedUpstream[]>();
+		const byAddress = new Map<string, ConnectedUpstream>();
 		for (const upstream of listed) {
-			const state = this.#states.get(upstream.key) ?? new ConnectedUpstream(upstream, this.#connect(upstream), this.#announcements.of(upstream.key));
+			const state = this.#stateOf(upstream);
+			if (!state) {
+				continue;
+			}
+
 			state.upstream = upstream;
-			this.#states.set(upstream.key, state);
-			this.#byAddress.set(upstream.address, state);
-			const service = this.#byService.get(upstream.service) ?? [];
+			byAddress.set(upstream.address, state);
+			const service = byService.get(upstream.service) ?? [];
 			service.push(state);
-			this.#byService.set(upstream.service, service);
+			byService.set(upstream.service, service);
 		}
 
+		this.#byService = byService;
+		this.#byAddress = byAddress;
 		this.#refreshSubset();
 	}
 
@@ -146,6 +153,25 @@
 		return this.#options.view.inForce?.configuration.services.find(({name}) => name === service);
 	}
 
+	/** @returns undefined if no connections can be made for its address */
+	#stateOf(upstream: Upstream): ConnectedUpstream | undefined {
+		const known = this.#states.get(upstream.key);
+		if (known) {
+			return known;
+		}
+
+		try {
+			const state = new ConnectedUpstream(upstream, this.#connect(upstream), this.#announcements.of(upstream.key));
+			this.#states.set(upstream.key, state);
+			return state;
+		} catch (error) {
+			const {id, address} = upstream;
+			this.#options.metrics.count('gateway.unusable_upstreams');
+			this.#options.log.error('A listed upstream cannot be used; the others stay in force.', {upstream: id, address, error: describeError(error)});
+			return undefined;
+		}
+	}
+
 	#connect(upstream: Upstream): UpstreamLink {
 		const {onExtraBytes} = this.#options;
 		return new UpstreamLink({
