Check what entries send each other about crashes

Cause: answers and reports of other entries were used unchecked. One entry of the list whose address is that of another process was enough: its odd answer ended the review of crashes by an exception, or an age of -1e308 counted as a success for ever, so nothing was blocked.

Change: answers of another form count as missing; odd reports and questions are refused.

--- a/packages/crashes/src/crash-exchange.test.ts
+++ b/packages/crashes/src/crash-exchange.test.ts
@@ -69,4 +69,63 @@
 		await clock.sleep(600);
 		expect([first, second].map(({blocklist}) => blocklist.ids)).to.deep.equal([[], []]);
 	});
+
+	describe('with an entry whose address is that of another process', () => {
+		const oddAnswers: readonly unknown[] = [
+			null,
+			7,
+			'text',
+			[],
+			{},
+			{successes: 7, signsOfLife: []},
+			{successes: [null], signsOfLife: [7]},
+			{successes: [{id: 'part:deadly', ageMs: 'now'}], signsOfLife: []},
+			{successes: [{id: 'part:deadly', ageMs: -1e308}], signsOfLife: []},
+			{successes: [], signsOfLife: [{upstream: 'u-0', ageMs: -1e308}]},
+		];
+
+		const startOdd = async (host: string, answer: unknown): Promise<void> => {
+			const server = new PeerServer();
+			server.method('crashes.enquire', () => answer);
+			await server.listen(host, PORT);
+			closers.push(async () => server.close());
+		};
+
+		for (const answer of oddAnswers) {
+			it(`blocks what the others confirm when it answers ${JSON.stringify(answer)}`, async () => {
+				await startOdd('127.0.74.8', answer);
+				const review = await start('127.0.74.1', ['127.0.74.2', '127.0.74.8']);
+				await start('127.0.74.2', []);
+				for (let i = 0; i < MIN_CRASHES; i++) {
+					review.recordCrash(`u-${i}`, suspects, clock.monotonic() - ((MIN_CRASHES - i) * 400));
+				}
+
+				await clock.sleep(300);
+				expect(review.blocklist.ids).to.deep.equal(['part:deadly']);
+			});
+		}
+
+		it('refuses odd reports and questions, and goes on', async () => {
+			const review = await start('127.0.74.1', []);
+			const peers = new PeerClient();
+			closers.push(async () => peers.close());
+			const call = async (method: string, parameters: unknown): Promise<boolean> => {
+				try {
+					await peers.call(`127.0.74.1:${PORT}`, method, parameters);
+					return true;
+				} catch {
+					return false;
+				}
+			};
+
+			for (const parameters of [undefined, 7, [], {}, {upstream: 7}, {upstream: 'u', ageMs: 1e308, suspects: [7]}, {upstream: 'u', ageMs: -1, suspects}, {suspects: 7, upstreams: []}, {id: 7}]) {
+				for (const method of ['crashes.report', 'crashes.success', 'crashes.enquire']) {
+					expect(await call(method, parameters), `${method} ${JSON.stringify(parameters)}`).to.equal(false);
+				}
+			}
+
+			expect(await call('crashes.report', {upstream: 'u', ageMs: 5, suspects})).to.equal(true);
+			expect(review.isSuspected(suspects)).to.equal(true);
+		});
+	});
 });
--- a/packages/crashes/src/crash-exchange.ts
+++ b/packages/crashes/src/crash-exchange.ts
@@ -3,6 +3,9 @@
 	describeError, type Log, type PeerClient, type PeerServer,
 } from '@yuccawood/common';
 import {PEER_TIMEOUT_MS} from './constants.js';
+import {
+	isCrashReport, isEnquiry, isSuccessNotice, isTestimony,
+} from './crash-messages.js';
 import type {CrashReview} from './crash-review.js';
 import type {
 	CrashPeers, CrashReport, Enquiry, EnquiryResult, Testimony,
@@ -21,6 +24,15 @@
 	readonly addresses: () => readonly string[];
 };
 
+/** @throws {TypeError} which the peer server sends back */
+const checked = <Value>(value: unknown, isValid: (candidate: unknown) => candidate is Value): Value => {
+	if (!isValid(value)) {
+		throw new TypeError('The parameters have another form.');
+	}
+
+	return value;
+};
+
 export class CrashExchange implements CrashPeers {
 	readonly #options: CrashExchangeOptions;
 
@@ -31,15 +43,15 @@
 	/** Starts to answer the other entries. To be called before the peer server listens. */
 	start(review: Pick<CrashReview, 'applyReport' | 'applySuccess' | 'testify'>): void {
 		const {peerServer} = this.#options;
-		peerServer.method(REPORT_METHOD, (report: CrashReport): Record<string, never> => {
-			review.applyReport(report);
+		peerServer.method(REPORT_METHOD, (report: unknown): Record<string, never> => {
+			review.applyReport(checked(report, isCrashReport));
 			return {};
 		});
-		peerServer.method(SUCCESS_METHOD, ({id}: {readonly id: string}): Record<string, never> => {
-			review.applySuccess(id);
+		peerServer.method(SUCCESS_METHOD, (notice: unknown): Record<string, never> => {
+			review.applySuccess(checked(notice, isSuccessNotice).id);
 			return {};
 		});
-		peerServer.method(ENQUIRE_METHOD, (enquiry: Enquiry): Testimony => review.testify(enquiry));
+		peerServer.method(ENQUIRE_METHOD, (enquiry: unknown): Testimony => review.testify(checked(enquiry, isEnquiry)));
 	}
 
 	readonly report = (report: CrashReport): void => {
@@ -52,8 +64,8 @@
 
 	readonly enquire = async (enquiry: Enquiry): Promise<EnquiryResult> => {
 		const addresses = this.#options.addresses();
-		const answers = await Promise.all(addresses.map(async address => this.#call<Testimony>(address, ENQUIRE_METHOD, enquiry)));
-		return {asked: addresses.length, testimonies: answers.filter(answer => answer !== undefined)};
+		const answers = await Promise.all(addresses.map(async address => this.#call(address, ENQUIRE_METHOD, enquiry)));
+		return {asked: addresses.length, testimonies: answers.filter(answer => isTestimony(answer))};
 	};
 
 	#tellAll(method: string, parameters: unknown): void {
@@ -62,10 +74,10 @@
 		}
 	}
 
-	async #call<Result>(address: string, method: string, parameters: unknown): Promise<Result | undefined> {
+	async #call(address: string, method: string, parameters: unknown): Promise<unknown> {
 		const {peers, log} = this.#options;
 		try {
-			return await peers.call<Result>(address, method, parameters, {timeoutMs: PEER_TIMEOUT_MS});
+			return await peers.call<unknown>(address, method, parameters, {timeoutMs: PEER_TIMEOUT_MS});
 		} catch (error) {
 			log.info('An entry did not answer about a crash.', {address, method, error: describeError(error)});
 			return undefined;
