--- a/packages/node/src/target-age-exchange.test.ts
+++ b/packages/node/src/target-age-exchange.test.ts
@@ -242,4 +242,47 @@
 			expect(restarted.targetsOf('m')[0].learnedAt).to.be.within(startedAt - 5100, startedAt - 4850);
 		});
 	});
+
+	describe('when the answer of a peer has another form', () => {
+		const age = {
+			model: 'm', version: 2, ageMs: 5, countedMs: 5, isWitnessed: true,
+		};
+		const oddAnswers: readonly unknown[] = [
+			null,
+			7,
+			'text',
+			{},
+			{region: 'south', ages: 7},
+			{region: 'south', ages: [null]},
+			{region: 7, ages: [age]},
+			...[{version: 1e308}, {version: 1.5}, {ageMs: 'now'}, {ageMs: null}, {ageMs: 1e308}, {ageMs: -1e308}, {countedMs: 1e308}, {isWitnessed: 1}, {model: 7}]
+				.map(fields => ({region: 'south', ages: [age, {...age, version: 1, ...fields}]})),
+		];
+
+		const startOdd = async (host: string, answer: unknown): Promise<void> => {
+			const server = new PeerServer();
+			server.method('fleet.targetAges', () => answer);
+			await server.listen(host, PORT);
+			closers.push(async () => server.close());
+		};
+
+		for (const first of [0, 8]) {
+			it(`ignores it and asks the other peers, answers ${first} to ${first + 7}`, async () => {
+				const early = await start('127.0.73.1', []);
+				const answers = oddAnswers.slice(first, first + 8);
+				for (const [index, answer] of answers.entries()) {
+					await startOdd(`127.0.73.${index + 20}`, answer);
+				}
+
+				const view = await start('127.0.73.2', [`127.0.73.1:${PORT}`], {others: answers.map((_, index) => `127.0.73.${index + 20}:${PORT}`)});
+				const setAt = clock.monotonic();
+				setTarget(early, 2);
+				await clock.sleep(400);
+				setTarget(view, 2);
+				await clock.sleep(1000);
+				expect(view.targetsOf('m').map(({version}) => version)).to.deep.equal([2]);
+				expect(view.targetOf('m')!.learnedAt).to.be.within(setAt, setAt + 150);
+			});
+		}
+	});
 });
--- a/packages/node/src/target-age-exchange.ts
+++ b/packages/node/src/target-age-exchange.ts
@@ -16,6 +16,7 @@
 import {
 	MAX_PEERS_ASKED_FOR_AGES, AGE_ROUND_PAUSE_MS, MAX_AGE_ROUNDS, MIN_AGE_OBSERVERS,
 } from './constants.js';
+import {isTargetAges} from './target-ages-answer.js';
 import {supersededTargets} from './superseded-targets.js';
 
 const TARGET_AGES_METHOD = 'fleet.targetAges';
@@ -115,7 +116,12 @@
 		const {view, peers, clock, log} = this.#options;
 		const askedAt = clock.monotonic();
 		try {
-			const {region, ages} = await peers.call<TargetAges>(address, TARGET_AGES_METHOD, {}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
+			const answer = await peers.call<unknown>(address, TARGET_AGES_METHOD, {}, {timeoutMs: PEER_CALL_TIMEOUT_MS});
+			if (!isTargetAges(answer)) {
+				throw new TypeError('the answer has another form');
+			}
+
+			const {region, ages} = answer;
 			const receivedAt = clock.monotonic();
 			// The answer may have been on its way for most of the call.
 			const delayMs = Math.max(0, receivedAt - askedAt - AGE_TOLERANCE_MS);
--- a/packages/reports/src/report-reader.test.ts
+++ b/packages/reports/src/report-reader.test.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import net, {type AddressInfo, type Socket} from 'node:net';
+import process from 'node:process';
 import {
 	delay, MemoryMetrics, seededRandom, SILENT_LOG, SystemClock,
 } from '@yuccawood/common';
@@ -104,4 +105,58 @@
 		expect([connections, closedEarly]).to.deep.equal([1, 0]);
 		expect(reports.length).to.be.greaterThan(1);
 	});
+
+	describe('with a line of another form', () => {
+		const wasClosedEarly = (): boolean => closedEarly > 0;
+		const odd: ReadonlyArray<Readonly<Record<string, unknown>>> = [
+			{running: -1},
+			{running: 0.5},
+			{running: 1e308},
+			{waiting: -1},
+			{waiting: '1'},
+			{version: 1e308},
+			{version: 0.5},
+			{version: null},
+			{pace: -1},
+			{pace: 1e308},
+			{pace: null},
+			{address: 7},
+			{isSwitching: 1},
+		];
+
+		for (const fields of odd) {
+			it(`takes no report from ${JSON.stringify(fields)}`, async () => {
+				expect(await follow(await serve(`${JSON.stringify({...report, ...fields})}\n`.repeat(20)))).to.have.length(0);
+				expect(wasClosedEarly()).to.equal(true);
+			});
+		}
+
+		it('takes no report from nested lists', async () => {
+			expect(await follow(await serve(`${'['.repeat(8000)}${']'.repeat(8000)}\n`))).to.have.length(0);
+		});
+	});
+
+	it('goes on trying when no connection can be made to the address, and reads the other feeds', async () => {
+		const metrics = new MemoryMetrics();
+		const rejections: unknown[] = [];
+		const onRejection = (reason: unknown): void => {
+			rejections.push(reason);
+		};
+
+		process.on('unhandledRejection', onRejection);
+		const reports: UpstreamReport[] = [];
+		const reader = new ReportReader({
+			onReport(received) {
+				reports.push(received);
+			},
+			clock: new SystemClock(), random: seededRandom(1), log: SILENT_LOG, metrics,
+		});
+		reader.follow(['127.0.0.1:99999', await serve(`${JSON.stringify(report)}\n`.repeat(20))]);
+		await delay(1500);
+		reader.close();
+		process.off('unhandledRejection', onRejection);
+		expect(rejections).to.deep.equal([]);
+		expect(metrics.counters.get('reports.lost_feeds')).to.be.greaterThan(1);
+		expect(reports.length).to.be.greaterThan(1);
+	});
 });
--- a/packages/reports/src/report-reader.ts
+++ b/packages/reports/src/report-reader.ts
@@ -16,12 +16,17 @@
 	readonly metrics: Metrics;
 };
 
+/** An engine that is slower still answers nothing in time. */
+const MAX_PACE = 1000;
+
+const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) >= 0;
+
 /** Whether a decoded line of a feed is a valid report. */
 const isReport = (value: unknown): value is UpstreamReport => {
 	const report = value as Partial<UpstreamReport> | undefined;
-	return typeof report?.address === 'string' && typeof report.running === 'number' && typeof report.waiting === 'number'
-		&& typeof report.isSwitching === 'boolean' && typeof report.pace === 'number'
-		&& (report.version === undefined || typeof report.version === 'number');
+	return typeof report?.address === 'string' && isCount(report.running) && isCount(report.waiting)
+		&& typeof report.isSwitching === 'boolean' && typeof report.pace === 'number' && report.pace >= 0 && report.pace <= MAX_PACE
+		&& (report.version === undefined || isCount(report.version));
 };
 
 export class ReportReader {
@@ -62,7 +67,7 @@
 		let failures = 0;
 		while (!signal.aborted) {
 			const startedAt = clock.monotonic();
-			const error = await this.#readConnection(address, signal);
+			const error = await this.#endOfConnection(address, signal);
 			if (signal.aborted) {
 				return;
 			}
@@ -80,6 +85,15 @@
 		}
 	}
 
+	/** @returns the reason for the end of one connection, also when none can be made to the address */
+	async #endOfConnection(address: string, signal: AbortSignal): Promise<unknown> {
+		try {
+			return await this.#readConnection(address, signal);
+		} catch (error) {
+			return error;
+		}
+	}
+
 	/** Reads the feed over one connection until it ends. @returns the reason for the end */
 	async #readConnection(address: string, signal: AbortSignal): Promise<Error> {
 		return new Promise(resolve => {
