Prefer configured services at an address that is listed twice

Cause: of two entries with one address the later start counts. An entry of another writer that names a service which is not configured, with a later `born`, took the place of a sound upstream.

Change: in the gateway an upstream of a service that the configuration in force doesn't name yields to one of a service that it names.

Result: the new test failed with the call as before, passes now.

--- a/packages/gateway/src/upstream-states.ts
+++ b/packages/gateway/src/upstream-states.ts
@@ -83,7 +83,10 @@
 
 	/** Applies the current list of upstreams: connects to new ones, and drops removed ones. One that fails leaves the others in force. */
 	refresh(): void {
-		const listed = newestUpstreams(this.#options.view.upstreams);
+		const {upstreams, inForce} = this.#options.view;
+		const services = inForce && new Set(inForce.configuration.services.map(({name}) => name));
+		// An entry of another writer may name a service that is not configured and the address of a sound upstream.
+		const listed = newestUpstreams(upstreams, ({service}) => services?.has(service) ?? true);
 		const keys = new Set(listed.map(({key}) => key));
 		for (const [key, state] of this.#states) {
 			if (!keys.has(key)) {
