--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -1,6 +1,6 @@
 /** Follows the platform's store with one watch per part, and asks peers for changes while the store cannot be reached. */
 import {
-	delay, type Clock, type Log, type Metrics, type Random,
+	delay, describeError, type Clock, type Log, type Metrics, type Random,
 } from '@yuccawood/common';
 import {
 	MAX_PROMPT_ANSWER_MS, MAX_READ_STALENESS_MS, PEER_POLL_INTERVAL_MS, REVISION_CHECK_INTERVAL_MS, WATCH_DELIVERY_TIMEOUT_MS,
@@ -9,13 +9,14 @@
 import {ItemLog} from './item-log.js';
 import {PartFollower, type LearnedBy} from './part-follower.js';
 import {RevisionTimes} from './revision-times.js';
+import {itemsOfPeer} from './peer-items.js';
 import {SeenRevisions} from './seen-revisions.js';
 import type {
-	ItemDecoder, ItemSource, PartState, StoreItem, StorePart,
+	Announcement, ItemDecoder, ItemSource, PartState, StoreItem, StorePart,
 } from './types.js';
 
-/** Asks a peer for the missing items of these parts, which are either all bulky or all not. Resolves to undefined when no peer responded. */
-export type AskPeer = (parts: readonly PartState[], isBulky: boolean) => Promise<readonly StoreItem[] | undefined>;
+/** Asks a peer for the missing items of these parts, which are either all bulky or all not. Resolves to undefined when no peer responded, otherwise to its answer, whose type is not checked. */
+export type AskPeer = (parts: readonly PartState[], isBulky: boolean) => Promise<unknown>;
 
 export type StoreFollowerOptions = {
 	readonly source: ItemSource;
@@ -34,6 +35,15 @@
 	readonly metrics: Metrics;
 };
 
+/**
+What an unreadable item leaves of its key: an entry of a list names no process any more, as if it had been removed. Anything
+else keeps its last valid state.
+*/
+const withdrawalOf = ({key, revision}: StoreItem, decoder: ItemDecoder): Announcement | undefined => {
+	const removal = decoder.decode({key, value: undefined, revision});
+	return removal.ok && (removal.val.kind === 'upstream' || removal.val.kind === 'entry') ? removal.val : undefined;
+};
+
 export class StoreFollower {
 	readonly items: ItemLog;
 	readonly #options: StoreFollowerOptions;
@@ -92,10 +102,14 @@
 			if (decoded.err) {
 				metrics.count('fleet.unreadable_items');
 				this.#log.warn('A store item could not be decoded and was ignored; check its content.', {key: item.key, revision: item.revision, error: decoded.val.message});
-				continue;
 			}
 
-			view.apply(decoded.val, {revision: item.revision, mayBeLeaseExpiry: this.#mayBeLeaseExpiry, ...this.#estimateAges(item, {part, learnedBy})});
+			const announcement = decoded.ok ? decoded.val : withdrawalOf(item, decoder);
+			if (announcement) {
+				// A lease that expires removes its items.
+				const mayBeLeaseExpiry = item.value === undefined && this.#mayBeLeaseExpiry;
+				view.apply(announcement, {revision: item.revision, mayBeLeaseExpiry, ...this.#estimateAges(item, {part, learnedBy})});
+			}
 		}
 	}
 
@@ -140,15 +154,30 @@
 				return;
 			}
 
-			const revision = await this.#readRecentRevision();
-			if (revision === undefined || this.#isRevisionSeen(revision)) {
-				continue;
-			}
+			await this.#attempt('revision check', async () => this.#checkRevision(signal));
+		}
+	}
 
-			await delay(WATCH_DELIVERY_TIMEOUT_MS, signal);
-			if (!signal.aborted && !this.#isRevisionSeen(revision)) {
-				await this.#probeParts(revision);
-			}
+	async #checkRevision(signal: AbortSignal): Promise<void> {
+		const revision = await this.#readRecentRevision();
+		if (revision === undefined || this.#isRevisionSeen(revision)) {
+			return;
+		}
+
+		await delay(WATCH_DELIVERY_TIMEOUT_MS, signal);
+		if (!signal.aborted && !this.#isRevisionSeen(revision)) {
+			await this.#probeParts(revision);
+		}
+	}
+
+	/** Runs one round of a loop. An error must not end the loop. */
+	async #attempt(round: string, run: () => Promise<void>): Promise<void> {
+		const {metrics} = this.#options;
+		try {
+			await run();
+		} catch (error) {
+			metrics.count('fleet.follow_failures', {round});
+			this.#log.error('A round failed; the next one follows.', {round, error: error instanceof Error ? error.stack : describeError(error)});
 		}
 	}
 
@@ -220,11 +249,23 @@
 				continue;
 			}
 
-			const items = await askPeer(unreachable.map(({state}) => state), isBulky);
-			if (items && items.length > 0) {
-				this.#log.info('Changes were learned from a peer while the store is away.', {items: items.length});
-				this.take(items);
-			}
+			await this.#attempt('peer poll', async () => {
+				const states = unreachable.map(({state}) => state);
+				this.#takeFromPeer(await askPeer(states, isBulky), states);
+			});
+		}
+	}
+
+	#takeFromPeer(answer: unknown, parts: readonly PartState[]): void {
+		const {items, unreadable} = itemsOfPeer(answer, parts);
+		if (unreadable > 0) {
+			this.#options.metrics.count('fleet.unreadable_items', {}, unreadable);
+			this.#log.warn('A peer sent items that cannot be read; they were ignored.', {items: unreadable});
+		}
+
+		if (items.length > 0) {
+			this.#log.info('Changes were learned from a peer while the store is away.', {items: items.length});
+			this.take(items);
 		}
 	}
 }
