Accept the waiting connections before an entry stops listening

Change: the entry goes on accepting until a turn of the loop accepts nothing, for half a second at most. The list of upstreams is also applied when a configuration comes, which says which services it may name. A stand-in that speaks the platform's words moves to the platform's folder, as a test demands. Result: planned-stop 'answers requests on connections that wait to be accepted' got no answer for 10 s before, answers to all 20 after.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -116,3 +116,6 @@
 
 /** Time for which an observed time to first data counts for that. */
 export const FASTEST_START_WINDOW_MS = 1000;
+
+/** Longest time for which a stopping entry goes on accepting connections because more of them wait, in milliseconds. */
+export const DEFAULT_STOP_LISTENING_MS = 500;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 import type {Upstream, UpstreamReport} from '@yuccawood/fleet';
 import {AcceptBacklog} from './accept-backlog.js';
 import {CallerConnections} from './caller-connections.js';
-import {CONNECTION_CHECK_MS, DEFAULT_HEADER_BYTES} from './constants.js';
+import {CONNECTION_CHECK_MS, DEFAULT_HEADER_BYTES, DEFAULT_STOP_LISTENING_MS} from './constants.js';
 import {createCrashWatch} from './create-crash-watch.js';
 import {DecisionLog} from './decision-log.js';
 import {Exchange} from './exchange.js';
@@ -93,6 +93,7 @@
 				case 'configuration': {
 					this.#routeTable = new RouteTable(view.inForce!.configuration);
 					this.#applyLimits();
+					states.refresh();
 					break;
 				}
 
@@ -180,10 +181,18 @@
 	}
 
 	/**
-	Stops accepting connections. Open ones stay open: the HTTP server's own method would close those whose request has not
-	been read.
+	Stops accepting connections once none waits, because the kernel resets those that do. Open ones stay open: the HTTP
+	server's own method would close those whose request has not been read.
+
+	@param maxWaitMs time after which it stops all the same, in milliseconds
 	*/
-	stopListening(): void {
+	async stopListening({maxWaitMs = DEFAULT_STOP_LISTENING_MS}: {readonly maxWaitMs?: number} = {}): Promise<void> {
+		const {clock} = this.#context;
+		const end = clock.monotonic() + maxWaitMs;
+		do {
+			await handlePendingEvents(clock);
+		} while (this.#backlog.isDraining && clock.monotonic() < end);
+
 		if (this.#server) {
 			NetServer.prototype.close.call(this.#server);
 		}
--- a/packages/node/src/late-in-grace.test.ts
+++ b/packages/node/src/late-in-grace.test.ts
@@ -8,11 +8,9 @@
 import {fileURLToPath} from 'node:url';
 import {SystemClock} from '@yuccawood/common';
 import {
-	callerHeaders, CONFIGURATION_KEY, configurationItem, DEFAULT_FLEET_BOUNDS, PLAIN_SERVICE, REQUEST_KINDS, settingsEnvironment, settingsText, StoreStandIn, UPSTREAM_PREFIX, upstreamItem,
-	type RequestKind,
+	callerHeaders, CONFIGURATION_KEY, configurationItem, DEFAULT_FLEET_BOUNDS, PacedWorker, PLAIN_SERVICE, REQUEST_KINDS, settingsEnvironment, settingsText, StoreStandIn, type RequestKind, UPSTREAM_PREFIX, upstreamItem,
 } from '@yuccawood/platform/testing';
 import {expect} from 'chai';
-import {PacedWorker} from './testing/paced-worker.js';
 
 const ENTRY_IP = '127.0.45.1';
 const CALLER_PORT = 8005;
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -1,6 +1,6 @@
 /**
-Stops an entry in steps: it counts as ready until another entry is, callers open new connections elsewhere, requests that can't be answered in what is left of the grace
-are refused, and the others are answered before the process is killed.
+Stops an entry in steps: it counts as ready until another entry is, callers open new connections elsewhere, requests that
+can't be answered in what is left of the grace are refused, and the others are answered before the process is killed.
 */
 import type {Clock} from '@yuccawood/common';
 import type {Gateway} from '@yuccawood/gateway';
@@ -55,7 +55,7 @@
 		this.#hasLeft = true;
 		gateway.beginDraining();
 		await clock.sleep(Math.min(ACCEPT_AFTER_SIGTERM_MS, graceMs / 3));
-		gateway.stopListening();
+		await gateway.stopListening();
 		while (await gateway.closeIdleConnections() > 0 && clock.monotonic() < closeAt) {
 			await clock.sleep(IDLE_CHECK_MS);
 		}
