Check what reaches upstreams after callers of the soak have left

Cause: the platform soak had only callers that wait for the whole time limit of a route, so that GONE and BUDGET could break in it without being seen.

--- a/packages/bench/src/platform-soak/caller.ts
+++ b/packages/bench/src/platform-soak/caller.ts
@@ -6,9 +6,13 @@
 } from '@yuccawood/platform/testing';
 import type {Exchange} from './types.js';
 
-const CALLER_LIMIT_MS = ROUTE_TIMEOUT_MS + 2000;
+const AFTER_TIMEOUT_MS = 2000;
 const LONGEST_PAUSE_MS = 120;
 
+/** Time limits of hasty callers, and the share of their requests whose caller leaves before its limit. */
+const HASTY_LIMITS_MS = {from: 150, to: 1000} as const;
+const LEAVING_SHARE = 0.5;
+
 /** Bytes of an answer that are kept; more come only in answers without an end. */
 const MAX_BODY_LENGTH = 1024 * 1024;
 
@@ -20,17 +24,25 @@
 	readonly #random: Random;
 	readonly #now: () => number;
 	readonly #promptOf: (requestId: string, kind: RequestKind) => readonly string[];
+	readonly #isHasty: boolean;
+	readonly #streamTimeoutMs: number;
 	#count = 0;
 
 	/** Entry at the other end of the kept connection. */
 	#connected: Entry | undefined;
 
-	constructor({id, random, now, promptOf}: {
+	constructor({id, random, now, promptOf, isHasty = false, streamTimeoutMs = ROUTE_TIMEOUT_MS}: {
 		readonly id: number;
 		readonly random: Random;
 		readonly now: () => number;
 		readonly promptOf: (requestId: string, kind: RequestKind) => readonly string[];
+
+		/** Whether the caller has short time limits and closes its connection when they pass, or earlier. */
+		readonly isHasty?: boolean;
+		readonly streamTimeoutMs?: number;
 	}) {
+		this.#isHasty = isHasty;
+		this.#streamTimeoutMs = streamTimeoutMs;
 		this.#promptOf = promptOf;
 		this.#id = id;
 		this.#random = random;
@@ -58,19 +70,26 @@
 		const {index, ip} = entry;
 		const requestId = `c${this.#id}-${++this.#count}`;
 		const [host, port] = callerAddressOf(ip).split(':');
+		const timeoutMs = kind === 'stream' ? this.#streamTimeoutMs : ROUTE_TIMEOUT_MS;
+		const {limitMs, leavesAfterMs} = this.#patience(timeoutMs);
 		const sentAt = this.#now();
 		return new Promise(resolve => {
 			let body = '';
 			let connection: Exchange['connection'] = 'none';
+			let writtenAt = sentAt;
+			let leftAt: number | undefined;
+			let leaving: NodeJS.Timeout | undefined;
 			const finish = (answer: http.IncomingMessage | undefined, isComplete: boolean): void => {
+				clearTimeout(leaving);
 				resolve({
-					requestId, kind, entry: index, sentAt, endedAt: this.#now(), status: answer?.statusCode, isSealed: answer !== undefined && isUpstreamResponse(answer.headers), body, isComplete, connection,
+					requestId, kind, entry: index, sentAt, endedAt: this.#now(), writtenAt, timeoutMs, limitMs, leftAt,
+					status: answer?.statusCode, isSealed: answer !== undefined && isUpstreamResponse(answer.headers), body, isComplete, connection,
 				});
 			};
 
 			const request = http.request({
 				host, port, agent: this.#agent, method: kind === 'once' ? 'POST' : 'GET', path: `/${kind}/${requestId}`,
-				headers: callerHeaders({requestId, remainingMs: ROUTE_TIMEOUT_MS, promptParts: this.#promptOf(requestId, kind)}), timeout: CALLER_LIMIT_MS,
+				headers: callerHeaders({requestId, remainingMs: limitMs, promptParts: this.#promptOf(requestId, kind)}), timeout: timeoutMs + AFTER_TIMEOUT_MS,
 			}, answer => {
 				answer.setEncoding('utf8');
 				answer.on('data', (text: string) => {
@@ -100,6 +119,7 @@
 				if (socket.connecting) {
 					socket.once('connect', () => {
 						connection = 'new';
+						writtenAt = this.#now();
 					});
 				}
 			});
@@ -110,6 +130,23 @@
 				finish(undefined, false);
 			});
 			request.end(kind === 'once' ? `order ${requestId}` : undefined);
+			if (leavesAfterMs !== undefined) {
+				leaving = setTimeout(() => {
+					leftAt = this.#now();
+					request.destroy();
+				}, leavesAfterMs);
+			}
 		});
 	}
+
+	/** The time limit to send, and the time after which to leave; a caller that is not hasty waits for the answer. */
+	#patience(timeoutMs: number): {readonly limitMs: number; readonly leavesAfterMs?: number} {
+		if (!this.#isHasty) {
+			return {limitMs: timeoutMs};
+		}
+
+		const {from, to} = HASTY_LIMITS_MS;
+		const limitMs = Math.round(from + (this.#random.next() * (to - from)));
+		return {limitMs, leavesAfterMs: this.#random.next() < LEAVING_SHARE ? this.#random.next() * limitMs : limitMs};
+	}
 }
--- a/packages/bench/src/platform-soak/faults.ts
+++ b/packages/bench/src/platform-soak/faults.ts
@@ -51,6 +51,11 @@
 		this.#fleet.store.put(`${VERSION_PREFIX}${MODEL}`, targetVersionItem(version));
 	}
 
+	writeConfiguration(): void {
+		this.#configuration++;
+		this.#fleet.store.put(CONFIGURATION_KEY, this.#fleet.configuration(this.#configuration));
+	}
+
 	/** All processes fall at once; with a loss of power the engines do too, and nothing stays staged. */
 	async loseAll(loss: Loss, only?: 'agents'): Promise<void> {
 		const {entries, agents, upstreams} = this.#fleet;
@@ -116,8 +121,7 @@
 			naming,
 			{
 				name: 'the configuration is written again', isCore: false, run: async () => {
-					this.#configuration++;
-					this.#fleet.store.put(CONFIGURATION_KEY, this.#fleet.configuration(this.#configuration));
+					this.writeConfiguration();
 				},
 			},
 		];
--- a/packages/bench/src/platform-soak/recovery.ts
+++ b/packages/bench/src/platform-soak/recovery.ts
@@ -51,10 +51,10 @@
 	probe.close();
 };
 
-/** Checks the share served of each kind, of the requests sent later than `from`. */
+/** Checks the share served of each kind, of the requests sent later than `from` by callers that wait for the answer. */
 export const checkServed = ({exchanges, from, note}: {readonly exchanges: readonly Exchange[]; readonly from: number; readonly note: Note}): void => {
 	for (const kind of REQUEST_KINDS) {
-		const late = exchanges.filter(exchange => exchange.kind === kind && exchange.sentAt >= from);
+		const late = exchanges.filter(exchange => exchange.kind === kind && exchange.limitMs >= exchange.timeoutMs && exchange.sentAt >= from);
 		const served = late.filter(({status, isComplete}) => status === 200 && isComplete).length;
 		if (served < late.length * MIN_SERVED_SHARE || late.length === 0) {
 			note({promise: 'recover', detail: `${served} of ${late.length} requests of kind ${kind} were served after the recovery`});
--- a/packages/bench/src/platform-soak/types.ts
+++ b/packages/bench/src/platform-soak/types.ts
@@ -2,7 +2,7 @@
 
 /** A promise that was broken, with the request or process that shows it. */
 export type Breach = {
-	readonly promise: 'mixed' | 'order' | 'twice' | 'refused-ran' | 'unasked' | 'no-answer' | 'late-answer' | 'whole' | 'recover' | 'exit' | 'fault-line' | 'version' | 'drain' | 'memory' | 'endless' | 'deadly';
+	readonly promise: 'mixed' | 'order' | 'twice' | 'refused-ran' | 'unasked' | 'no-answer' | 'late-answer' | 'whole' | 'recover' | 'exit' | 'fault-line' | 'version' | 'drain' | 'memory' | 'endless' | 'deadly' | 'gone' | 'budget';
 	readonly detail: string;
 
 	/** Seconds since the start of the faults. */
@@ -17,6 +17,16 @@
 	readonly sentAt: number;
 	readonly endedAt: number;
 
+	/** Time at which an open connection took the request; that of sending until then. */
+	readonly writtenAt: number;
+
+	/** Time limit of the route, and the one that the caller sends, in milliseconds. */
+	readonly timeoutMs: number;
+	readonly limitMs: number;
+
+	/** Time at which the caller closed its connection without waiting for the end. */
+	readonly leftAt: number | undefined;
+
 	/** Nothing when the connection ended before an answer began. */
 	readonly status: number | undefined;
 	readonly isSealed: boolean;
