--- a/packages/bench/src/platform-soak.ts
+++ b/packages/bench/src/platform-soak.ts
@@ -6,6 +6,12 @@
 import {runPlatformSoak} from './platform-soak/run-platform-soak.js';
 import {USUAL_SIZE} from './platform-soak/soak-fleet.js';
 
+type Options = Readonly<Record<'seed' | 'seconds' | 'entries' | 'engines' | 'plain', string>> & {
+	readonly logs?: string;
+	readonly deadlyPart?: boolean;
+	readonly restarts?: boolean;
+};
+
 const program = new Command('platform-soak')
 	.description('Runs entries and agents as separate processes on stand-ins of the platform, injects faults drawn from the seed, and checks every answer.')
 	.option('--seed <text>', 'seed of the faults and the callers', String(Date.now()))
@@ -14,12 +20,13 @@
 	.option('--engines <number>', 'model engines, each with an agent', String(USUAL_SIZE.engines))
 	.option('--plain <number>', 'plain upstreams', String(USUAL_SIZE.plain))
 	.option('--deadly-part', 'lets a part of prompts crash engines')
+	.option('--restarts', 'restarts entries under full load instead of the usual faults')
 	.option('--logs <directory>', 'existing directory to which the output of each process is appended')
-	.action(async ({seed, seconds, entries, engines, plain, logs, deadlyPart}: Readonly<Record<'seed' | 'seconds' | 'entries' | 'engines' | 'plain', string>> & {readonly logs?: string; readonly deadlyPart?: boolean}) => {
+	.action(async ({seed, seconds, entries, engines, plain, logs, deadlyPart, restarts}: Options) => {
 		const startedAt = performance.now();
 		process.stderr.write(`Seed ${seed}.\n`);
 		const {breaches, ...counts} = await runPlatformSoak({
-			seed, hasDeadlyPart: deadlyPart, seconds: Number(seconds), size: {entries: Number(entries), engines: Number(engines), plain: Number(plain)},
+			seed, hasDeadlyPart: deadlyPart, hasRestarts: restarts, seconds: Number(seconds), size: {entries: Number(entries), engines: Number(engines), plain: Number(plain)},
 			onOutput: logs === undefined
 				? undefined
 				: (vm, text) => {
--- a/packages/bench/src/platform-soak/run-platform-soak.test.ts
+++ b/packages/bench/src/platform-soak/run-platform-soak.test.ts
@@ -28,6 +28,15 @@
 		expect(successes).to.be.greaterThan(100);
 	});
 
+	it('breaks no promise while entries restart under full load and callers leave early', async () => {
+		const {left, judgedRuns, breaches} = await runPlatformSoak({
+			seed: 'restarts', seconds: 5, progress: quiet, hasRestarts: true,
+		});
+		expect(breaches).to.deep.equal([]);
+		expect(left).to.be.greaterThan(50);
+		expect(judgedRuns).to.be.greaterThan(100);
+	});
+
 	for (const {seed, seconds, cause} of REGRESSIONS) {
 		it(`passes seed ${seed}, which failed because ${cause}`, async () => {
 			const {breaches} = await runPlatformSoak({seed, seconds, progress: quiet});
--- a/packages/bench/src/platform-soak/run-platform-soak.ts
+++ b/packages/bench/src/platform-soak/run-platform-soak.ts
@@ -5,6 +5,7 @@
 import {checkRun} from './check-run.js';
 import {Faults} from './faults.js';
 import {MemoryWatch} from './memory-watch.js';
+import {Restarts} from './restarts.js';
 import {PauseWatch} from './pause-watch.js';
 import {checkServed, checkWorking} from './recovery.js';
 import {SoakFleet, USUAL_SIZE, type FleetSize} from './soak-fleet.js';
@@ -13,8 +14,12 @@
 
 const CALLERS = 12;
 
-/** Callers that leave early. */
+/** Callers that leave early; with restarts they are many, so that entries are loaded fully. */
 const HASTY_CALLERS = 4;
+const HASTY_CALLERS_AT_RESTARTS = 48;
+
+/** Longest stream with restarts: one that begins before a stop keeps its connection in use through most of the grace. */
+const LONG_STREAM_MS = 6000;
 const START_LIMIT_MS = 20_000;
 const STORM_MS = 4000;
 
@@ -44,9 +49,12 @@
 	readonly breaches: readonly Breach[];
 };
 
-const boundsOf = (random: Random): FleetBounds => ({...DEFAULT_FLEET_BOUNDS, versionMs: 3000 + Math.round(random.next() * 2000), stableMs: 1000});
+const boundsOf = (random: Random, hasRestarts: boolean): FleetBounds => {
+	const bounds = {...DEFAULT_FLEET_BOUNDS, versionMs: 3000 + Math.round(random.next() * 2000), stableMs: 1000};
+	return hasRestarts ? {...bounds, stableMs: 3000, stopGraceMs: 4000 + Math.round(random.next() * 2000)} : bounds;
+};
 
-export const runPlatformSoak = async ({seed, seconds, progress, onOutput, size = USUAL_SIZE, hasDeadlyPart = false}: {
+export const runPlatformSoak = async ({seed, seconds, progress, onOutput, size = USUAL_SIZE, hasDeadlyPart = false, hasRestarts = false}: {
 	readonly seed: string;
 	readonly seconds: number;
 	readonly progress: (line: string) => void;
@@ -55,13 +63,16 @@
 	/** Whether a part of prompts crashes engines during the storms. */
 	readonly hasDeadlyPart?: boolean;
 
+	/** Whether the storms are restarts of entries under full load. */
+	readonly hasRestarts?: boolean;
+
 	/** Told all that the processes write. */
 	readonly onOutput?: (vm: string, text: string) => void;
 }): Promise<PlatformSoakResult> => {
 	const startedAt = performance.now();
 	const now = (): number => performance.now();
-	const bounds = boundsOf(seededRandom(`${seed} bounds`));
-	const streamTimeoutMs = ROUTE_TIMEOUT_MS;
+	const bounds = boundsOf(seededRandom(`${seed} bounds`), hasRestarts);
+	const streamTimeoutMs = hasRestarts ? LONG_STREAM_MS : ROUTE_TIMEOUT_MS;
 	const fleet = new SoakFleet({
 		random: seededRandom(`${seed} upstreams`), deadlyRandom: seededRandom(`${seed} deadly`), now, size, bounds, streamTimeoutMs, onOutput,
 	});
@@ -81,6 +92,9 @@
 		progress(line);
 	};
 
+	const restarts = new Restarts({
+		fleet, faults, random: seededRandom(`${seed} restarts`), report,
+	});
 	const stopping = new AbortController();
 	const pauses = new PauseWatch({now});
 	const memory = new MemoryWatch(() => fleet.processes);
@@ -90,7 +104,7 @@
 		await checkWorking({
 			fleet, version: faults.version, limitMs: START_LIMIT_MS, now, note,
 		});
-		const calling = Array.from({length: CALLERS + HASTY_CALLERS}, async (_, id) => new Caller({
+		const calling = Array.from({length: CALLERS + (hasRestarts ? HASTY_CALLERS_AT_RESTARTS : HASTY_CALLERS)}, async (_, id) => new Caller({
 			id, random: seededRandom(`${seed} caller ${id}`), now, promptOf: fleet.deadlyPrompts.promptOf, isHasty: id >= CALLERS, streamTimeoutMs,
 		}).run(stopping.signal, {
 			entryOf: fleet.chooseEntry,
@@ -104,9 +118,11 @@
 			fleet.deadlyPrompts.isActive = hasDeadlyPart;
 			const milliseconds = Math.min(leftMs, STORM_MS * (1 + faultRandom.next()));
 			leftMs -= milliseconds;
-			await runStorm({
-				faults, random: faultRandom, milliseconds, report,
-			});
+			await (hasRestarts
+				? restarts.run(milliseconds)
+				: runStorm({
+					faults, random: faultRandom, milliseconds, report,
+				}));
 			fleet.deadlyPrompts.isActive = false;
 			calmFrom = now();
 			progress('calm');
--- a/packages/bench/src/platform-soak/types.ts
+++ b/packages/bench/src/platform-soak/types.ts
@@ -2,7 +2,8 @@
 
 /** A promise that was broken, with the request or process that shows it. */
 export type Breach = {
-	readonly promise: 'mixed' | 'order' | 'twice' | 'refused-ran' | 'unasked' | 'no-answer' | 'late-answer' | 'whole' | 'recover' | 'exit' | 'fault-line' | 'version' | 'drain' | 'memory' | 'endless' | 'deadly' | 'gone' | 'budget';
+	readonly promise: 'mixed' | 'order' | 'twice' | 'refused-ran' | 'unasked' | 'no-answer' | 'late-answer'
+		| 'whole' | 'recover' | 'exit' | 'fault-line' | 'version' | 'drain' | 'memory' | 'endless' | 'deadly' | 'gone' | 'budget';
 	readonly detail: string;
 
 	/** Seconds since the start of the faults. */
