Look at the caller again after each wait before a send

Cause: Forwarding looked at the connection only at the top of its loop, before these waits. Attempt set its listener afterwards, which never hears of a close that already happened, and TargetQueue admitted at once without a look. Change: AgentChoice.next and Forwarding look after each wait; a listener that is set on CallerResponse after the close is called at once; an attempt that has ended is not sent; TargetQueue does not admit a call whose caller has disconnected.

--- a/packages/requests/src/agent-choice.ts
+++ b/packages/requests/src/agent-choice.ts
@@ -41,8 +41,8 @@
 		this.#excluded.add(id);
 	}
 
-	/** Waits for free capacity and chooses the agent of the next attempt. @throws {RequestError} when there is none or no retry is allowed. */
-	async next({failure, outcome}: PreviousAttempt): Promise<Agent> {
+	/** Waits for free capacity and chooses the agent of the next attempt. @returns `undefined` when the caller has disconnected. @throws {RequestError} when there is no agent or no retry is allowed. */
+	async next({failure, outcome}: PreviousAttempt): Promise<Agent | undefined> {
 		const {router, metrics, clock, quarantine} = this.#context;
 		if (failure?.kind === 'overloaded') {
 			await clock.sleep(AVOID_FULL_MS);
@@ -52,6 +52,10 @@
 			await this.#waitInQueue(outcome);
 		}
 
+		if (this.#response.isDisconnected) {
+			return undefined;
+		}
+
 		if (quarantine.isQuarantined(this.#call.fingerprint) || this.#isBlocked) {
 			throw createQuarantineFailure(outcome);
 		}
--- a/packages/requests/src/attempt.ts
+++ b/packages/requests/src/attempt.ts
@@ -80,6 +80,9 @@
 		this.#finished = new Promise(resolve => {
 			this.#resolve = resolve;
 		});
+		this.#exchange = new Exchange({
+			request: options.request, dispatcher: options.dispatcher, sink: this, now: options.now,
+		});
 		options.response.onWritable = () => {
 			this.#isPaused = false;
 			this.#exchange.resume();
@@ -88,14 +91,13 @@
 		options.response.onDisconnected = () => {
 			this.#onCallerDisconnected();
 		};
-
-		this.#exchange = new Exchange({
-			request: options.request, dispatcher: options.dispatcher, sink: this, now: options.now,
-		});
 	}
 
 	async start(): Promise<AttemptResult> {
-		this.#exchange.start();
+		if (!this.#result) {
+			this.#exchange.start();
+		}
+
 		return this.#finished;
 	}
 
--- a/packages/requests/src/caller-response.ts
+++ b/packages/requests/src/caller-response.ts
@@ -16,9 +16,8 @@
 	/** Called when more data can be written after `write` returned false. */
 	onWritable: (() => void) | undefined;
 
-	/** Called when the caller closes the connection before its answer is complete. */
-	onDisconnected: (() => void) | undefined;
 	readonly #response: ServerResponse;
+	#onDisconnected: (() => void) | undefined;
 	#isEventStream = false;
 
 	constructor({response, requestId}: {readonly response: ServerResponse; readonly requestId: string}) {
@@ -29,11 +28,23 @@
 		});
 		response.on('close', () => {
 			if (!response.writableFinished) {
-				this.onDisconnected?.();
+				this.#onDisconnected?.();
 			}
 		});
 	}
 
+	/** Called when the caller closes the connection before its answer is complete, at once if it already has. */
+	get onDisconnected(): (() => void) | undefined {
+		return this.#onDisconnected;
+	}
+
+	set onDisconnected(listener: (() => void) | undefined) {
+		this.#onDisconnected = listener;
+		if (this.isDisconnected) {
+			listener?.();
+		}
+	}
+
 	/** Whether the headers have been sent. */
 	get hasStarted(): boolean {
 		return this.#response.headersSent;
--- a/packages/requests/src/forwarding.ts
+++ b/packages/requests/src/forwarding.ts
@@ -62,6 +62,10 @@
 		let lastFailure: RequestError | undefined;
 		while (!this.#response.isDisconnected) {
 			const agent = await this.#agentChoice.next({failure: lastFailure, outcome: this.#outcome});
+			if (!agent) {
+				return;
+			}
+
 			if (lastFailure) {
 				this.#assignNewRequestId();
 			}
@@ -72,6 +76,10 @@
 				return;
 			}
 
+			if (this.#response.isDisconnected) {
+				return;
+			}
+
 			const result = await this.#attempt(agent);
 			if (result.kind === 'answered' || result.kind === 'gone') {
 				return;
--- a/packages/requests/src/target-queue.test.ts
+++ b/packages/requests/src/target-queue.test.ts
@@ -57,6 +57,13 @@
 		expect(answers.filter(answer => answer === 'full')).to.have.length(1);
 	});
 
+	it('does not admit a call whose caller has disconnected', async () => {
+		freeSlots = 1;
+		expect(await queue.enter({
+			account: 'a', weight: 1, deadlineAt: 1000, isDisconnected: () => true,
+		})).to.equal('expired');
+	});
+
 	it('ends the wait at the deadline', async () => {
 		const call = enter('large', {deadlineAt: 10});
 		queue.expire(10);
--- a/packages/requests/src/target-queue.ts
+++ b/packages/requests/src/target-queue.ts
@@ -13,7 +13,7 @@
 	readonly isDisconnected: () => boolean;
 };
 
-/** Whether a call is admitted or why not: the queue was full, or the deadline passed or the caller disconnected while it waited. */
+/** Whether a call is admitted or why not: the queue was full, or the deadline passed or the caller disconnected. */
 export type QueueResult = 'admitted' | 'full' | 'expired';
 
 type Waiter = {readonly call: WaitingCall; readonly finish: (result: QueueResult) => void};
@@ -47,6 +47,10 @@
 
 	/** Resolves when an agent has free capacity and this call is next, or with the reason why it cannot be admitted. */
 	async enter(call: WaitingCall): Promise<QueueResult> {
+		if (call.isDisconnected()) {
+			return 'expired';
+		}
+
 		if (this.#length === 0 && !this.#isFull()) {
 			return 'admitted';
 		}
