Pass the sends of the request path through the gate

Cause: a call was sent in the turn of the event loop that read it, so the end of its connection, which is read one poll later, could not be known. The end did not count either: only the close did, which follows some turns after it. Change: Forwarding passes the WorkGate of the gateway, which that package exports now, before each send; a call counts at its agent before, so that those which wait are not placed beyond the capacity. A call whose deadline passes at the gate fails with outcome not-run. CallerResponse counts the end of what a caller sends.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,3 +5,4 @@
 export {Placer, type PlacementClock, type PlacementStates} from './placer.js';
 export {UpstreamState} from './upstream-state.js';
 export {EventSplitter} from './event-stream.js';
+export {WorkGate} from './work-gate.js';
--- a/packages/requests/src/call.ts
+++ b/packages/requests/src/call.ts
@@ -45,7 +45,8 @@
 	/** Group of the prompt prefix; calls with the same prefix are in the same group. */
 	readonly prefix: string | undefined;
 
-	/** Monotonic time in milliseconds. */
+	/** Monotonic times in milliseconds. */
+	readonly arrivedAt: number;
 	readonly deadlineAt: number;
 	readonly bearer: string | undefined;
 	readonly idempotencyKey: string | undefined;
@@ -152,12 +153,12 @@
 const readBearer = (authorization: string | undefined): string | undefined => authorization?.startsWith('Bearer ') ? authorization.slice('Bearer '.length) : undefined;
 
 /** Reads and checks a request. @throws {RequestError} with outcome `not-run`. */
-export const readCall = async (request: IncomingMessage, {requestId, configuration, now}: {
+export const readCall = async (request: IncomingMessage, {requestId, configuration, arrivedAt}: {
 	readonly requestId: string;
 	readonly configuration: Configuration;
 
 	/** Monotonic time in milliseconds. */
-	readonly now: number;
+	readonly arrivedAt: number;
 }): Promise<Call> => {
 	const path = request.url ?? '/';
 	if (!path.startsWith('/')) {
@@ -178,7 +179,8 @@
 		...destination,
 		suspects: suspectsOf(destination.chat),
 		fingerprint: fingerprintOf(method, path, body),
-		deadlineAt: now + readDeadlineMs(request, route),
+		arrivedAt,
+		deadlineAt: arrivedAt + readDeadlineMs(request, route),
 		bearer: readBearer(request.headers.authorization),
 		idempotencyKey: singleValue(request.headers['idempotency-key']),
 		pinnedVersion: singleValue(request.headers[VERSION]),
--- a/packages/requests/src/caller-response.ts
+++ b/packages/requests/src/caller-response.ts
@@ -17,6 +17,7 @@
 	onWritable: (() => void) | undefined;
 
 	readonly #response: ServerResponse;
+	readonly #departure = new AbortController();
 	#onDisconnected: (() => void) | undefined;
 	#isEventStream = false;
 
@@ -28,6 +29,7 @@
 		});
 		response.on('close', () => {
 			if (!response.writableFinished) {
+				this.#departure.abort();
 				this.#onDisconnected?.();
 			}
 		});
@@ -50,9 +52,15 @@
 		return this.#response.headersSent;
 	}
 
-	/** Whether the caller closed the connection before its answer was complete. */
+	/** Aborts when the connection has closed before the answer is complete. */
+	get departure(): AbortSignal {
+		return this.#departure.signal;
+	}
+
+	/** Whether the caller closed the connection before its answer was complete. The close follows some turns of the event loop after the end of what it sends. */
 	get isDisconnected(): boolean {
-		return this.#response.destroyed && !this.#response.writableFinished;
+		const {destroyed, writableFinished, req: {socket}} = this.#response;
+		return (destroyed || socket.readableEnded) && !writableFinished;
 	}
 
 	start(status: number, headers: ResponseHeaders): void {
--- a/packages/requests/src/entry-context.ts
+++ b/packages/requests/src/entry-context.ts
@@ -1,6 +1,7 @@
 /** Components shared within an entry. */
 import type {Clock, Log, Metrics} from '@yuccawood/common';
 import type {CrashReview} from '@yuccawood/crashes';
+import type {WorkGate} from '@yuccawood/gateway';
 import type {ConnectionPools} from './connection-pools.js';
 import type {RequestIds} from './request-ids.js';
 import type {RetryBudget} from './retry-budget.js';
@@ -16,6 +17,7 @@
 	readonly router: Router;
 	readonly queues: TargetQueues;
 	readonly pools: ConnectionPools;
+	readonly gate: WorkGate;
 	readonly settlement: Settlement;
 	readonly supervisor: Supervisor;
 	readonly budget: RetryBudget;
--- a/packages/requests/src/entry-server.ts
+++ b/packages/requests/src/entry-server.ts
@@ -5,6 +5,7 @@
 	systemRandom, SystemClock, type Clock, type Log, type Metrics, type PeerClient, type PeerServer, type Random,
 } from '@yuccawood/common';
 import type {ConfigurationSource} from '@yuccawood/configuration';
+import {WorkGate} from '@yuccawood/gateway';
 import type {MemberTable} from '@yuccawood/membership';
 import type {KeyValueService} from '@yuccawood/interfaces';
 import {readCall, type Call} from './call.js';
@@ -59,6 +60,7 @@
 			router,
 			queues: new TargetQueues({router}),
 			pools: new ConnectionPools(),
+			gate: new WorkGate({clock}),
 			settlement,
 			supervisor: new Supervisor({clock, log}),
 			budget: new RetryBudget(),
@@ -176,7 +178,7 @@
 			});
 		}
 
-		const call = await readCall(request, {requestId, configuration: current.configuration, now: this.#clock.monotonic()});
+		const call = await readCall(request, {requestId, configuration: current.configuration, arrivedAt: this.#clock.monotonic()});
 		const permit = await this.#admit(call);
 		try {
 			await new Forwarding({
--- a/packages/requests/src/forwarding.ts
+++ b/packages/requests/src/forwarding.ts
@@ -1,5 +1,6 @@
 /** Forwards a call to agents until one answers: retries repeatable calls, and asks the agent for the outcome of the others. */
 import type {Permit} from '@yuccawood/accounts';
+import {signalWithTimeout} from '@yuccawood/common';
 import {AgentChoice} from './agent-choice.js';
 import {Attempt, type AttemptResult, type AttemptFailure} from './attempt.js';
 import type {Call} from './call.js';
@@ -100,8 +101,50 @@
 	}
 
 	async #attempt(agent: Agent): Promise<AttemptResult> {
-		const {pools, supervisor, settlement, clock, quarantine, crashReview, queues} = this.#context;
+		const {quarantine, crashReview, queues} = this.#context;
+		const {target} = this.#call;
+		// Counts before the send, so that calls which wait for theirs are not placed beyond the capacity.
+		agent.load.ownRequests++;
+		queues.admitNext(target);
+		try {
+			const result = await this.#passGate(agent);
+			if (result.kind === 'answered') {
+				quarantine.clearSuspicion(this.#call.fingerprint);
+				crashReview.recordSuccess(this.#call.suspects);
+			}
+
+			return result;
+		} finally {
+			agent.load.ownRequests--;
+			queues.admitNext(target);
+		}
+	}
+
+	/** Sends the call right after a look at the connections of callers. @throws {RequestError} when the deadline passes before. */
+	async #passGate(agent: Agent): Promise<AttemptResult> {
+		const {gate, clock} = this.#context;
+		const {arrivedAt, deadlineAt} = this.#call;
+		const {signal, release} = signalWithTimeout(this.#response.departure, deadlineAt - clock.monotonic());
+		const passed = await gate.pass({stage: 'send', signal, arrivedAt}, async () => this.#send(agent));
+		release();
+		if (passed.kind === 'done') {
+			return passed.value;
+		}
+
+		if (this.#response.isDisconnected) {
+			return {kind: 'gone'};
+		}
+
+		throw this.#createFailure('deadline', 'The deadline passed before the request was sent.');
+	}
+
+	async #send(agent: Agent): Promise<AttemptResult> {
+		const {pools, supervisor, settlement, clock, quarantine} = this.#context;
 		const call = this.#call;
+		if (this.#response.isDisconnected) {
+			return {kind: 'gone'};
+		}
+
 		const attempt = new Attempt({
 			call,
 			agent,
@@ -114,21 +157,11 @@
 			sleep: clock.sleep,
 			query: async () => settlement.query({requestId: call.requestId, address: agent.address, incarnation: agent.incarnation}),
 		});
-		agent.load.ownRequests++;
 		supervisor.add(attempt);
-		queues.admitNext(call.target);
 		try {
-			const result = await attempt.start();
-			if (result.kind === 'answered') {
-				quarantine.clearSuspicion(this.#call.fingerprint);
-				crashReview.recordSuccess(this.#call.suspects);
-			}
-
-			return result;
+			return await attempt.start();
 		} finally {
 			supervisor.remove(attempt);
-			agent.load.ownRequests--;
-			queues.admitNext(call.target);
 		}
 	}
 
