--- a/packages/requests/src/caller-response.ts
+++ b/packages/requests/src/caller-response.ts
@@ -16,9 +16,9 @@
 	/** Called when more data can be written after `write` returned false. */
 	onWritable: (() => void) | undefined;
 
-	/** Called when the caller closes the connection before its answer is complete. */
-	onDisconnected: (() => void) | undefined;
 	readonly #response: ServerResponse;
+	readonly #departure = new AbortController();
+	#onDisconnected: (() => void) | undefined;
 	#isEventStream = false;
 
 	constructor({response, requestId}: {readonly response: ServerResponse; readonly requestId: string}) {
@@ -29,19 +29,38 @@
 		});
 		response.on('close', () => {
 			if (!response.writableFinished) {
-				this.onDisconnected?.();
+				this.#departure.abort();
+				this.#onDisconnected?.();
 			}
 		});
 	}
 
+	/** Called when the caller closes the connection before its answer is complete, at once if it already has. */
+	get onDisconnected(): (() => void) | undefined {
+		return this.#onDisconnected;
+	}
+
+	set onDisconnected(listener: (() => void) | undefined) {
+		this.#onDisconnected = listener;
+		if (this.isDisconnected) {
+			listener?.();
+		}
+	}
+
 	/** Whether the headers have been sent. */
 	get hasStarted(): boolean {
 		return this.#response.headersSent;
 	}
 
-	/** Whether the caller closed the connection before its answer was complete. */
+	/** Aborts when the connection has closed before the answer is complete. */
+	get departure(): AbortSignal {
+		return this.#departure.signal;
+	}
+
+	/** Whether the caller closed the connection before its answer was complete. The close follows some turns of the event loop after the end of what it sends. */
 	get isDisconnected(): boolean {
-		return this.#response.destroyed && !this.#response.writableFinished;
+		const {destroyed, writableFinished, req: {socket}} = this.#response;
+		return (destroyed || socket.readableEnded) && !writableFinished;
 	}
 
 	start(status: number, headers: ResponseHeaders): void {
