End an answer in progress by when its request was read

Change: an answer in progress ends up to 0.4 s later, as far as the request may have arrived later. What waits still ends at the deadline, and nothing is sent after it.

--- a/packages/gateway/src/accepted-request.ts
+++ b/packages/gateway/src/accepted-request.ts
@@ -19,4 +19,10 @@
 
 	/** Earliest monotonic time in milliseconds at which the request may have reached this VM. */
 	readonly arrivedAt: number;
+
+	/**
+	Monotonic time in milliseconds at which an answer in progress ends. The deadline counts from the earliest arrival, and the
+	caller may have more time.
+	*/
+	readonly endsAt: number;
 } & CallerTimes;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -119,3 +119,9 @@
 
 /** Longest time for which a stopping entry goes on accepting connections because more of them wait, in milliseconds. */
 export const DEFAULT_STOP_LISTENING_MS = 500;
+
+/**
+Longest time after its deadline for which an answer in progress goes on, in milliseconds, because the request may have arrived
+later than assumed. Operators allow half a second.
+*/
+export const MAX_EXTRA_MS = 400;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -13,6 +13,7 @@
 import {RequestSender} from './request-sender.js';
 import type {EarlyEnd, SendResult} from './send-result.js';
 import {timeFields} from './time-fields.js';
+import {startTimeLimits} from './time-limits.js';
 import type {ConnectedUpstream} from './upstream-states.js';
 
 export type ExchangeOptions = {
@@ -78,11 +79,13 @@
 	/** Resolves once the caller has a final answer or has disconnected. */
 	async run(): Promise<void> {
 		const {clock, decisions} = this.#context;
-		const {deadlineAt, requestId} = this.#request;
+		const {deadlineAt, endsAt, requestId} = this.#request;
 		decisions.ordinary(requestId, 'Read.', () => timeFields(this.#context, this.#request));
-		const timer = setTimeout(() => {
-			this.#end('deadline');
-		}, Math.max(0, deadlineAt - clock.monotonic()));
+		const stopTimeLimits = startTimeLimits({
+			deadlineAt, endsAt, clock, isWaiting: () => this.#isWaiting, onEnd: () => {
+				this.#end('deadline');
+			},
+		});
 		const onDeparture = (): void => {
 			this.#end('caller');
 		};
@@ -101,7 +104,7 @@
 		try {
 			await this.#serve();
 		} finally {
-			clearTimeout(timer);
+			stopTimeLimits();
 			endListening();
 			this.#departure.removeEventListener('abort', onDeparture);
 		}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -225,6 +225,7 @@
 	}
 
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const readAt = this.#context.clock.monotonic();
 		const arrivedAt = this.#connections.arrivalOf(request.socket, this.#context.readDelay.boundMs);
 		const departure = this.#connections.departureDuring(response, request.socket);
 		this.#inProgress++;
@@ -234,7 +235,7 @@
 		});
 		try {
 			const accepted = await this.#intake.accept({
-				message: request, response, departure, arrivedAt,
+				message: request, response, departure, arrivedAt, readAt,
 			});
 			if (accepted) {
 				await this.exchanges.run(new Exchange({
--- a/packages/gateway/src/request-intake.ts
+++ b/packages/gateway/src/request-intake.ts
@@ -3,7 +3,7 @@
 import {callerTimes, pickBackend, type RouteTable} from '@yuccawood/dispatch';
 import type {Route} from '@yuccawood/fleet';
 import type {AcceptedRequest} from './accepted-request.js';
-import {DEFAULT_DEADLINE_MS, UNAVAILABLE_RETRY_MS} from './constants.js';
+import {DEFAULT_DEADLINE_MS, MAX_EXTRA_MS, UNAVAILABLE_RETRY_MS} from './constants.js';
 import type {GatewayContext} from './gateway-context.js';
 import {sendGatewayAnswer} from './own-answer.js';
 import {readRequestBody} from './read-request-body.js';
@@ -22,6 +22,9 @@
 
 	/** Earliest monotonic time in milliseconds at which the request may have reached this VM. */
 	readonly arrivedAt: number;
+
+	/** Monotonic time in milliseconds at which its head was read. */
+	readonly readAt: number;
 };
 
 /** What the head of a request leads to. */
@@ -64,7 +67,7 @@
 
 	async #read(arrived: ArrivedRequest): Promise<AcceptedRequest | undefined> {
 		const {codec, clock, random, metrics, retryBudgetOf} = this.#options;
-		const {message, arrivedAt} = arrived;
+		const {message, arrivedAt, readAt} = arrived;
 		const caller = codec.readCallerHeaders(message.headers);
 		const destination = this.#destinationOf(message, caller);
 		if ('status' in destination) {
@@ -87,6 +90,9 @@
 
 		metrics.count('gateway.requests', {service});
 		retryBudgetOf(service).countRequest(clock.monotonic());
+		const times = callerTimes({
+			arrivedAt, remainingMs: caller.remainingMs ?? DEFAULT_DEADLINE_MS, timeoutMs: route.timeoutMs, goalMs: route.goalMs,
+		});
 		return {
 			...destination,
 			service,
@@ -97,9 +103,8 @@
 			promptTokens: caller.promptTokens,
 			sharedParts: caller.sharedParts,
 			arrivedAt,
-			...callerTimes({
-				arrivedAt, remainingMs: caller.remainingMs ?? DEFAULT_DEADLINE_MS, timeoutMs: route.timeoutMs, goalMs: route.goalMs,
-			}),
+			endsAt: times.deadlineAt + Math.min(readAt - arrivedAt, MAX_EXTRA_MS),
+			...times,
 		};
 	}
 
