Count deadlines of the request path from arrival

Cause: deadlineAt counted from the moment at which the request was handled, and nothing compared it with the clock before the first send. Change: EntryServer bounds with the ReadDelay of the gateway, which that package exports now, how long the request may have waited in its socket, and counts from there. Forwarding compares the deadline with the clock right before each send. Time in the accept queue is not counted yet.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,3 +6,4 @@
 export {UpstreamState} from './upstream-state.js';
 export {EventSplitter} from './event-stream.js';
 export {WorkGate} from './work-gate.js';
+export {ReadDelay, eventLoopTimes} from './read-delay.js';
--- a/packages/requests/src/call.ts
+++ b/packages/requests/src/call.ts
@@ -45,7 +45,7 @@
 	/** Group of the prompt prefix; calls with the same prefix are in the same group. */
 	readonly prefix: string | undefined;
 
-	/** Monotonic times in milliseconds. */
+	/** Monotonic times in milliseconds. The call may have arrived later, if the process was busy. */
 	readonly arrivedAt: number;
 	readonly deadlineAt: number;
 	readonly bearer: string | undefined;
--- a/packages/requests/src/entry-server.ts
+++ b/packages/requests/src/entry-server.ts
@@ -5,7 +5,7 @@
 	systemRandom, SystemClock, type Clock, type Log, type Metrics, type PeerClient, type PeerServer, type Random,
 } from '@yuccawood/common';
 import type {ConfigurationSource} from '@yuccawood/configuration';
-import {WorkGate} from '@yuccawood/gateway';
+import {ReadDelay, WorkGate, eventLoopTimes} from '@yuccawood/gateway';
 import type {MemberTable} from '@yuccawood/membership';
 import type {KeyValueService} from '@yuccawood/interfaces';
 import {readCall, type Call} from './call.js';
@@ -37,6 +37,7 @@
 	readonly #clock: Clock;
 	readonly #context: EntryContext;
 	readonly #claims: Claims;
+	readonly #readDelay: ReadDelay;
 	readonly #ids: RequestIds;
 	readonly #server: http.Server;
 	#address = '';
@@ -54,13 +55,18 @@
 		const settlement = new Settlement({client: peerClient});
 		this.#options = options;
 		this.#clock = clock;
+		this.#readDelay = new ReadDelay(eventLoopTimes(clock.monotonic));
 		this.#ids = new RequestIds({selfId, incarnation: members.self.incarnation});
 		this.#context = {
 			ids: this.#ids,
 			router,
 			queues: new TargetQueues({router}),
 			pools: new ConnectionPools(),
-			gate: new WorkGate({clock}),
+			gate: new WorkGate({
+				clock, onTurn: () => {
+					this.#readDelay.look();
+				},
+			}),
 			settlement,
 			supervisor: new Supervisor({clock, log}),
 			budget: new RetryBudget(),
@@ -108,6 +114,7 @@
 		this.#context.supervisor.add(this.#context.queues);
 		this.#context.supervisor.start();
 		this.#claims.start();
+		this.#readDelay.start();
 	}
 
 	/** Reports unhealthy but accepts requests for a grace period, then closes the listener. Resolves when no request is in progress. */
@@ -129,6 +136,7 @@
 		this.#server.closeAllConnections();
 		this.#context.supervisor.close();
 		this.#claims.close();
+		this.#readDelay.stop();
 		this.#context.router.close();
 		await this.#context.pools.close();
 	}
@@ -140,6 +148,7 @@
 		}
 
 		const requestId = this.#ids.next();
+		const arrivedAt = this.#clock.monotonic() - this.#readDelay.boundMs;
 		const startedAt = this.#clock.monotonic();
 		this.#inProgress++;
 		if (this.#isDraining) {
@@ -149,7 +158,7 @@
 		let result = 'answered';
 		const callerResponse = new CallerResponse({response, requestId});
 		try {
-			await this.#forward(request, callerResponse, requestId);
+			await this.#forward(request, callerResponse, {requestId, arrivedAt});
 		} catch (error) {
 			const failure = toRequestError(error);
 			result = failure.kind;
@@ -170,7 +179,7 @@
 	}
 
 	/** @throws {RequestError} when the request is invalid, is not admitted or cannot be answered. */
-	async #forward(request: IncomingMessage, response: CallerResponse, requestId: string): Promise<void> {
+	async #forward(request: IncomingMessage, response: CallerResponse, {requestId, arrivedAt}: Pick<Call, 'requestId' | 'arrivedAt'>): Promise<void> {
 		const {current} = this.#options.configuration;
 		if (!current) {
 			throw new RequestError({
@@ -178,7 +187,7 @@
 			});
 		}
 
-		const call = await readCall(request, {requestId, configuration: current.configuration, arrivedAt: this.#clock.monotonic()});
+		const call = await readCall(request, {requestId, configuration: current.configuration, arrivedAt});
 		const permit = await this.#admit(call);
 		try {
 			await new Forwarding({
--- a/packages/requests/src/forwarding.ts
+++ b/packages/requests/src/forwarding.ts
@@ -135,7 +135,7 @@
 			return {kind: 'gone'};
 		}
 
-		throw this.#createFailure('deadline', 'The deadline passed before the request was sent.');
+		throw this.#createLateFailure();
 	}
 
 	async #send(agent: Agent): Promise<AttemptResult> {
@@ -145,6 +145,10 @@
 			return {kind: 'gone'};
 		}
 
+		if (clock.monotonic() >= call.deadlineAt) {
+			throw this.#createLateFailure();
+		}
+
 		const attempt = new Attempt({
 			call,
 			agent,
@@ -279,6 +283,10 @@
 		throw reply.state === 'completed' ? this.#createFailure('answer-lost', 'The request was completed, but its answer is not available any more.', 'completed') : this.#createFailure(kind, detail);
 	}
 
+	#createLateFailure(): RequestError {
+		return this.#createFailure('deadline', 'The deadline passed before the request was sent.');
+	}
+
 	#createFailure(kind: RequestErrorKind, detail: string, outcome: ExecutionOutcome = this.#outcome): RequestError {
 		return createFailure(kind, detail, outcome);
 	}
