--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -124,4 +124,4 @@
 Longest time after its deadline for which an answer in progress goes on, in milliseconds, because the request may have arrived
 later than assumed. Operators allow half a second.
 */
-export const MAX_EXTRA_MS = 400;
+export const MAX_ANSWER_OVERTIME_MS = 400;
--- a/packages/gateway/src/request-intake.ts
+++ b/packages/gateway/src/request-intake.ts
@@ -3,7 +3,7 @@
 import {callerTimes, pickBackend, type RouteTable} from '@yuccawood/dispatch';
 import type {Route} from '@yuccawood/fleet';
 import type {AcceptedRequest} from './accepted-request.js';
-import {DEFAULT_DEADLINE_MS, MAX_EXTRA_MS, UNAVAILABLE_RETRY_MS} from './constants.js';
+import {DEFAULT_DEADLINE_MS, MAX_ANSWER_OVERTIME_MS, UNAVAILABLE_RETRY_MS} from './constants.js';
 import type {GatewayContext} from './gateway-context.js';
 import {sendGatewayAnswer} from './own-answer.js';
 import {readRequestBody} from './read-request-body.js';
@@ -103,7 +103,7 @@
 			promptTokens: caller.promptTokens,
 			sharedParts: caller.sharedParts,
 			arrivedAt,
-			endsAt: times.deadlineAt + Math.min(readAt - arrivedAt, MAX_EXTRA_MS),
+			endsAt: times.deadlineAt + Math.min(readAt - arrivedAt, MAX_ANSWER_OVERTIME_MS),
 			...times,
 		};
 	}
--- a/packages/gateway/src/upstream-link.ts
+++ b/packages/gateway/src/upstream-link.ts
@@ -94,8 +94,8 @@
 		let wasSent = false;
 		let isOver = false;
 
-		/** Whether the send begins within this call, so that it need not be current once more. */
-		let isBegun = false;
+		/** Whether undici gets the request right after the look at its caller, so that it need not be checked once more. */
+		let isSendingNow = false;
 
 		/** Whether the answer has ended or failed in undici, so that an abort could hit another send on the same connection. */
 		let isComplete = false;
@@ -117,7 +117,7 @@
 		const handler: Dispatcher.DispatchHandler = {
 			onRequestStart(started: Dispatcher.DispatchController) {
 				controller = started;
-				if (!abortReason && !isBegun && request.isCurrent?.() === false) {
+				if (!abortReason && !isSendingNow && request.isCurrent?.() === false) {
 					abortReason = new OutdatedSendError('the connection took too long to open');
 				}
 
@@ -170,9 +170,9 @@
 		};
 		const dispatch = ({isChecked}: {readonly isChecked: boolean}): void => {
 			if (!isOver) {
-				isBegun = isChecked;
+				isSendingNow = isChecked;
 				this.#pool.dispatch(options, handler);
-				isBegun = false;
+				isSendingNow = false;
 			}
 		};
 
