Name the time limits of a soak's caller plainly

Cause: 'patience' reads oddly for the limit that a caller states and the time at which it leaves. Change: a private method is renamed. Result: builds and lints; no test was run for it, since only the name differs.

--- a/packages/bench/src/platform-soak/caller.ts
+++ b/packages/bench/src/platform-soak/caller.ts
@@ -71,7 +71,7 @@
 		const requestId = `c${this.#id}-${++this.#count}`;
 		const [host, port] = callerAddressOf(ip).split(':');
 		const timeoutMs = kind === 'stream' ? this.#streamTimeoutMs : ROUTE_TIMEOUT_MS;
-		const {limitMs, leavesAfterMs} = this.#patience(timeoutMs);
+		const {limitMs, leavesAfterMs} = this.#callerLimits(timeoutMs);
 		const sentAt = this.#now();
 		return new Promise(resolve => {
 			let body = '';
@@ -140,7 +140,7 @@
 	}
 
 	/** The time limit to send, and the time after which to leave; a caller that is not hasty waits for the answer. */
-	#patience(timeoutMs: number): {readonly limitMs: number; readonly leavesAfterMs?: number} {
+	#callerLimits(timeoutMs: number): {readonly limitMs: number; readonly leavesAfterMs?: number} {
 		if (!this.#isHasty) {
 			return {limitMs: timeoutMs};
 		}
