--- a/review/common/fleet.js
+++ b/review/common/fleet.js
@@ -6,6 +6,9 @@
 
 const STORE_HOST = `${NETWORK}.200`;
 
+/** Time after a crash at which a worker is back. */
+const RESTART_MS = 3000;
+
 export class Fleet {
 	store = new Store();
 	entries = [];
@@ -13,8 +16,11 @@
 	relays = [];
 	/** Each request that a worker began to run: its id, the worker, its size and the time on the steady clock. */
 	runs = [];
+	/** Each crash of a worker under a request. */
+	crashes = [];
 	#onEnd;
-	#workers = 0;
+	/** What the store lists of each worker. */
+	#items = new Map();
 
 	constructor({onEnd}) {
 		this.#onEnd = onEnd;
@@ -29,13 +35,37 @@
 			onRun: run => {
 				this.runs.push({...run, at: performance.now()});
 			},
+			onCrash: requestId => {
+				this.crashes.push({requestId, worker: id, at: performance.now()});
+				setTimeout(() => {
+					worker.restart();
+					this.#list(id, {born: Date.now()});
+				}, RESTART_MS).unref();
+			},
 		});
 		this.#onEnd(() => worker.close());
-		const address = await worker.listen(`${NETWORK}.${100 + this.#workers++}`);
-		this.store.put(`servers/${id}`, workerItem({service, address, slots}));
+		const address = await worker.listen(`${NETWORK}.${100 + this.#items.size}`);
+		this.#list(id, {service, address, slots});
 		return worker;
 	}
 
+	/** Changes what the store lists of a worker. */
+	#list(id, changes) {
+		const item = {...this.#items.get(id), ...changes};
+		this.#items.set(id, item);
+		this.store.put(`servers/${id}`, workerItem(item));
+	}
+
+	/** A worker writes to the store as at each of its beats. */
+	beat(id) {
+		this.#list(id, {seq: (this.#items.get(id).seq ?? 1) + 1, coldLeftMs: 100});
+	}
+
+	/** A worker reports to the store that it leaves. */
+	drain(id) {
+		this.#list(id, {state: 'draining'});
+	}
+
 	/** Starts entries and waits until all are ready. */
 	async startEntries(count) {
 		const storeAddress = await this.store.listen(STORE_HOST);
--- a/review/common/relay.js
+++ b/review/common/relay.js
@@ -11,13 +11,19 @@
 		this.#server = net.createServer(near => {
 			const far = net.connect({host, port: Number(port), noDelay: true});
 			near.setNoDelay(true);
-			const pair = {near, far, isSilent: false};
+			const pair = {
+				near, far, isSilent: false, bytesLeft: Number.POSITIVE_INFINITY,
+			};
 			this.#pairs.add(pair);
 			const forward = (from, to) => {
 				from.on('data', bytes => {
-					if (!pair.isSilent) {
-						to.write(bytes);
+					if (pair.isSilent) {
+						return;
 					}
+
+					to.write(from === far ? bytes.subarray(0, pair.bytesLeft) : bytes);
+					pair.bytesLeft -= from === far ? bytes.byteLength : 0;
+					pair.isSilent = pair.bytesLeft <= 0;
 				});
 				from.on('error', () => undefined);
 				from.on('close', () => {
@@ -50,6 +56,15 @@
 		return this.#pairs.size;
 	}
 
+	/** As {@link Relay.silence}, in the middle of what is answered next: after so many bytes of it. */
+	silenceAfter(bytes) {
+		for (const pair of this.#pairs) {
+			pair.bytesLeft = bytes;
+		}
+
+		return this.#pairs.size;
+	}
+
 	close() {
 		for (const {near, far} of this.#pairs) {
 			near.destroy();
--- a/review/common/worker.js
+++ b/review/common/worker.js
@@ -1,23 +1,46 @@
 /** Stand-in of a worker of a plain service. It reports each request that it runs. */
 import http from 'node:http';
 
+const EVENT_PAUSE_MS = 100;
+
 export class Worker {
-	#server;
-	#id;
-
-	/** @param onRun called with the id of each request as it begins to run, and its size */
-	constructor({id, workMs = 20, onRun}) {
-		this.#id = id;
-		this.#server = http.createServer((request, response) => {
-			let bytes = 0;
-			request.on('data', part => {
-				bytes += part.byteLength;
-			});
-			request.on('end', () => {
-				this.#run(request.headers, bytes, response, {workMs, onRun});
-			});
+	#options;
+	#isDown = false;
+	#sockets = new Set();
+	#server = http.createServer((request, response) => {
+		const parts = [];
+		request.on('data', part => {
+			parts.push(part);
 		});
+		request.on('end', () => {
+			this.#run(request, parts, response);
+		});
+	});
+
+	/**
+	@param id of the worker, which entries expect
+	@param workMs time that a request takes which is no stream
+	@param events number of events of a stream, one each 100 ms. Paths that begin with `/stream/` are streams
+	@param crashAfterMs returns the time after the first event at which the body crashes the worker; undefined if it doesn't
+	@param onRun called with the id of each request as it begins to run, its body and its size
+	@param onCrash called when a request has crashed the worker
+	*/
+	constructor({id, workMs = 20, events = 12, crashAfterMs = () => undefined, onRun, onCrash}) {
+		this.#options = {
+			id, workMs, events, crashAfterMs, onRun, onCrash,
+		};
 		this.#server.keepAliveTimeout = 30_000;
+		this.#server.on('connection', socket => {
+			if (this.#isDown) {
+				socket.resetAndDestroy();
+				return;
+			}
+
+			this.#sockets.add(socket);
+			socket.on('close', () => {
+				this.#sockets.delete(socket);
+			});
+		});
 	}
 
 	/** @returns the address, `IP:port` */
@@ -28,29 +51,85 @@
 		return `${host}:${this.#server.address().port}`;
 	}
 
+	/** Ends all connections as the end of a process does, and refuses new ones until {@link Worker.restart}. */
+	crash() {
+		this.#isDown = true;
+		for (const socket of this.#sockets) {
+			socket.resetAndDestroy();
+		}
+	}
+
+	restart() {
+		this.#isDown = false;
+	}
+
 	close() {
 		this.#server.closeAllConnections();
 		this.#server.close();
 	}
 
-	#run(headers, bytes, response, {workMs, onRun}) {
-		if (headers['yuccawood-expect-instance'] !== this.#id) {
-			response.writeHead(421, {'yuccawood-instance-id': this.#id, 'content-length': 0});
+	#run({headers, url}, parts, response) {
+		const {id, workMs, onRun} = this.#options;
+		if (headers['yuccawood-expect-instance'] !== id) {
+			response.writeHead(421, {'yuccawood-instance-id': id, 'content-length': 0});
 			response.end();
 			return;
 		}
 
 		const requestId = headers['yuccawood-attempt-id'];
-		onRun({requestId, worker: this.#id, bytes});
+		const answerHeaders = {'yuccawood-attempt-id': requestId, 'yuccawood-server-seal': `seal-${id}`};
+		const bytes = parts.reduce((sum, part) => sum + part.byteLength, 0);
+		const body = bytes < 1000 ? parts.join('') : '';
+		onRun({
+			requestId, worker: id, bytes, body,
+		});
+		if (url.startsWith('/stream/')) {
+			response.writeHead(200, {...answerHeaders, 'content-type': 'text/event-stream'});
+			this.#writeEvents(response, Number(headers['last-event-id'] ?? 0) + 1);
+			this.#crashLater(body, requestId);
+			return;
+		}
+
 		setTimeout(() => {
-			const body = `done ${requestId}`;
-			response.writeHead(200, {'yuccawood-attempt-id': requestId, 'yuccawood-server-seal': `seal-${this.#id}`, 'content-length': body.length});
-			response.end(body);
+			const text = `done ${requestId}`;
+			response.writeHead(200, {...answerHeaders, 'content-length': text.length});
+			response.end(text);
 		}, workMs);
 	}
+
+	#writeEvents(response, number) {
+		if (response.destroyed) {
+			return;
+		}
+
+		if (number > this.#options.events) {
+			response.end();
+			return;
+		}
+
+		response.write(`id: ${number}\ndata: piece ${number}\n\n`);
+		setTimeout(() => {
+			this.#writeEvents(response, number + 1);
+		}, EVENT_PAUSE_MS);
+	}
+
+	#crashLater(body, requestId) {
+		const {crashAfterMs, onCrash} = this.#options;
+		const afterMs = crashAfterMs(body);
+		if (afterMs === undefined) {
+			return;
+		}
+
+		setTimeout(() => {
+			if (!this.#isDown) {
+				this.crash();
+				onCrash(requestId);
+			}
+		}, afterMs);
+	}
 }
 
 /** Value of a worker's entry in the store. */
-export const workerItem = ({service, address, slots = 16, state = 'ready', born = 1_700_000_000_000}) => ({
-	service, address, zone: 'za', version: 'v1', slots, state, coldLeftMs: 0, seq: 1, born,
+export const workerItem = ({service, address, slots = 16, state = 'ready', born = 1_700_000_000_000, seq = 1, coldLeftMs = 0}) => ({
+	service, address, zone: 'za', version: 'v1', slots, state, coldLeftMs, seq, born,
 });
