--- a/review/common/configuration.js
+++ b/review/common/configuration.js
@@ -2,6 +2,11 @@
 export const HOST = 'voka93.example';
 export const PATH = '/filo73/2f';
 export const KEY = 'jnbanfqasnmgkcuyj8pj';
+
+/** Weights of a model. */
+export const LAYERS = 16;
+export const CHUNKS = 48;
+export const CHUNK_BYTES = 49_152;
 export const BODY_BYTES = 4_194_304;
 
 /** A configuration with one route, to the first of the services. */
@@ -18,3 +23,32 @@
 	},
 	tenants: [{name: 'bozi300', apiKeys: [KEY], priority: 1}],
 });
+
+const ENGINE_COSTS = JSON.parse(`{
+	"step_ms": 7.4, "per_seq_ms": 0.0387, "context_per_k": 0.0203, "read_per_s": 31900, "pairs_per_m": 0.733, "chunk": 2048, "stride": 6,
+	"report_lag_ms": 200, "layer_mb": 4540
+}`);
+
+/** A configuration with one route for streams, to a service of model engines. */
+export const engineConfiguration = ({version, service, model, originAddress}) => {
+	const {services, ...rest} = configuration({
+		version, services: [service], prefix: '/stream/', kind: 'stream', attempts: 2, streamResume: true, sticky: true, gapTargetMs: 300, timeoutMs: 6000, goalMs: 402, priority: 1,
+	});
+	return {
+		...rest,
+		services: [
+			{
+				...services[0],
+				maxConns: 434,
+				engine: {
+					...ENGINE_COSTS, slots: 16, kvTokens: 685_000, kvBytes: 327_680, models: [{
+						name: model, pace: 1, loadS: 4, warmS: 0.3,
+					}], usual: {prompt: 972, answer: 106}, layers: LAYERS, chunks: CHUNKS, chunkBytes: CHUNK_BYTES,
+				},
+			},
+			{
+				name: 'weights', origin: originAddress, zone: 'za', linkMbps: 15, maxConns: 48,
+			},
+		],
+	};
+};
--- a/review/common/entry.js
+++ b/review/common/process.js
@@ -1,4 +1,4 @@
-/** Starts entries with the command of the deploy file, and stops them. */
+/** Starts entries and agents with the commands of the deploy file, and stops them. */
 import {spawn} from 'node:child_process';
 import {
 	mkdtempSync, readFileSync, rmSync, writeFileSync,
@@ -24,31 +24,48 @@
 	return /^run = "(.*)"$/m.exec(section)[1].split(' ');
 };
 
-const settingsOf = ({name, ip, storeAddress, seeds, graceS = 8}) => `node=${name}
-role=entry
+/** Zones and their regions. */
+const ZONES = {za: 'ra', zb: 'rb', zc: 'rc'};
+export const ZONE_NAMES = Object.keys(ZONES);
+
+const ROLE_SETTINGS = {
+	entry: ({ip}) => `role=entry
 machineClass=front
 serves=front,control
-ip=${ip}
-zone=za
-region=ra
-zones.za=ra
 listen.front=${ip}:${CALLER_PORT}
 listen.ready=${ip}:${READY_PORT}
 listen.control=${ip}:8000
-portRange=7700,7715
-seeds=${seeds.map(seed => `${seed}:8000`).join(',')}
-bootstrap=true
 limits.cpuShare=0.513
-limits.cores=1
 limits.memoryMb=350
 limits.maxFds=4100
-limits.linkMbps=1000.0
+limits.linkMbps=1000.0`,
+	agent: ({app, service}) => `role=agent
+machineClass=side
+serves=side
+app=${app}
+service=${service}
+limits.cpuShare=0.81
+limits.memoryMb=218
+limits.maxFds=1494
+limits.linkMbps=6.58`,
+};
+
+const settingsOf = (role, options) => `node=${options.name}
+${ROLE_SETTINGS[role](options)}
+ip=${options.ip}
+zone=${options.zone}
+region=${ZONES[options.zone]}
+${Object.entries(ZONES).map(([zone, region]) => `zones.${zone}=${region}`).join('\n')}
+portRange=7700,7715
+seeds=${options.seeds.map(seed => `${seed}:8000`).join(',')}
+bootstrap=true
+limits.cores=1
 discovery=platform
 entry=vip
 beatMs=1200
 bounds.stableMs=3000
 bounds.drainMs=2000
-bounds.graceS=${graceS}
+bounds.graceS=8
 bounds.lossSlackMs=200
 bounds.configMs=2000
 bounds.revertMs=250
@@ -58,7 +75,7 @@
 bounds.retrySlack=104
 bounds.recoverS=12
 bounds.version_ms=8000
-platform.address=${storeAddress}
+platform.address=${options.storeAddress}
 platform.form=kv
 platform.writesPerS=400
 platform.readsPerS=2000
@@ -67,23 +84,18 @@
 platform.ttlMinMs=1000
 `;
 
-export class Entry {
+class NodeProcess {
 	#child;
 	#directory;
 	#lines = [];
 
-	/** @param index number of the entry; entries of one fleet have 0, 1 and so on */
-	constructor({index, storeAddress, count}) {
-		this.name = `front-${index + 1}`;
-		this.ip = `${NETWORK}.${index + 1}`;
-		this.callerAddress = {host: this.ip, port: CALLER_PORT};
+	constructor(role, {name, ip, ...options}) {
+		this.name = name;
+		this.ip = ip;
 		this.#directory = mkdtempSync(path.join(tmpdir(), 'yuccawood-review-'));
 		const file = path.join(this.#directory, 'local.conf');
-		const seeds = Array.from({length: count}, (_, other) => `${NETWORK}.${other + 1}`);
-		writeFileSync(file, settingsOf({
-			name: this.name, ip: this.ip, storeAddress, seeds,
-		}));
-		const [program, ...args] = commandOf('entry');
+		writeFileSync(file, settingsOf(role, {name, ip, ...options}));
+		const [program, ...args] = commandOf(role);
 		this.#child = spawn(program, args, {
 			cwd: ROOT, stdio: ['ignore', 'pipe', 'pipe'],
 			env: {PATH: process.env.PATH, HOME: process.env.HOME, YUCCAWOOD_NODE_FILE: file},
@@ -122,6 +134,27 @@
 		}
 	}
 
+	signal(name) {
+		if (!this.ended) {
+			this.#child.kill(name);
+		}
+	}
+
+	async close() {
+		this.signal('SIGCONT');
+		this.signal('SIGKILL');
+		await this.exited;
+		rmSync(this.#directory, {recursive: true, force: true});
+	}
+}
+
+export class Entry extends NodeProcess {
+	callerAddress = {host: this.ip, port: CALLER_PORT};
+
+	constructor(options) {
+		super('entry', options);
+	}
+
 	async isReady() {
 		return new Promise(resolve => {
 			const request = http.get({
@@ -138,18 +171,12 @@
 			});
 		});
 	}
+}
 
-	signal(name) {
-		if (!this.ended) {
-			this.#child.kill(name);
-		}
-	}
-
-	async close() {
-		this.signal('SIGCONT');
-		this.signal('SIGKILL');
-		await this.exited;
-		rmSync(this.#directory, {recursive: true, force: true});
+/** Agent of the engine at `app` (`IP:port`), whose IP address it shares. */
+export class Agent extends NodeProcess {
+	constructor(options) {
+		super('agent', options);
 	}
 }
 
--- a/review/common/worker.js
+++ b/review/common/worker.js
@@ -130,6 +130,6 @@
 }
 
 /** Value of a worker's entry in the store. */
-export const workerItem = ({service, address, slots = 16, state = 'ready', born = 1_700_000_000_000, seq = 1, coldLeftMs = 0}) => ({
-	service, address, zone: 'za', version: 'v1', slots, state, coldLeftMs, seq, born,
+export const workerItem = item => ({
+	zone: 'za', version: 'v1', slots: 16, state: 'ready', coldLeftMs: 0, seq: 1, born: 1_700_000_000_000, ...item,
 });
