--- a/review/3/case.js
+++ b/review/3/case.js
@@ -64,5 +64,11 @@
 	}
 
 	journal.say(`Requests run by the old service, sent by machines in touch later than ${CONFIG_MS} ms after the change: ${late.length} of ${exchanges.length}.`);
+	for (const entry of fleet.entries) {
+		for (const line of entry.linesWith('The store does not answer', 'The store answers', 'did not deliver', 'Configuration is in force')) {
+			journal.note(`${entry.name} logged: ${line}`);
+		}
+	}
+
 	return late.length > 0;
 });
--- a/review/common/fleet.js
+++ b/review/common/fleet.js
@@ -35,7 +35,7 @@
 	}
 
 	/** Starts a worker and lists it. @param options `slots`, and those of {@link Worker} */
-	async addWorker({id, service, slots, ...options}) {
+	async addWorker({id, service, slots = 16, ...options}) {
 		const worker = new Worker({
 			...options,
 			id,
