--- a/review/common/fleet.js
+++ b/review/common/fleet.js
@@ -35,7 +35,8 @@
 	}
 
 	/** Starts a worker and lists it. @param options `slots`, and those of {@link Worker} */
-	async addWorker({id, service, slots = 16, ...options}) {
+	async addWorker({id, service, ...options}) {
+		const {slots = 16} = options;
 		const worker = new Worker({
 			...options,
 			id,
--- a/review/common/store.js
+++ b/review/common/store.js
@@ -21,6 +21,8 @@
 };
 
 export class Store {
+	/** Age of what stale reads return, in milliseconds. */
+	staleMs = 0;
 	#revision = 1;
 	#lastLease = 0;
 	#items = new Map();
@@ -88,7 +90,7 @@
 	}
 
 	#record(event) {
-		this.#history.push(event);
+		this.#history.push({...event, acceptedAt: performance.now()});
 		for (const watch of this.#watches) {
 			watch.look();
 		}
@@ -173,11 +175,25 @@
 		}
 	}
 
+	/** Items and revision as they were some time ago. */
+	#stateBefore(milliseconds) {
+		const until = performance.now() - milliseconds;
+		const items = new Map();
+		let at = 1;
+		for (const {acceptedAt, ...event} of this.#history.filter(({acceptedAt}) => acceptedAt <= until)) {
+			at = event.revision;
+			items.set(event.key, event);
+		}
+
+		return {at, items: [...items.values()].filter(({removed}) => !removed)};
+	}
+
 	#range(query, response) {
 		const prefix = query.get('prefix') ?? '';
 		const after = query.get('after') ?? '';
-		const found = [...this.#items.values()].filter(({key}) => key.startsWith(prefix) && key > after).sort((a, b) => a.key < b.key ? -1 : 1);
-		send(response, 200, {items: found.slice(0, PAGE_ITEMS), hasMore: found.length > PAGE_ITEMS, at: this.#revision});
+		const {at, items} = query.get('staleRead') === '1' && this.staleMs > 0 ? this.#stateBefore(this.staleMs) : {at: this.#revision, items: [...this.#items.values()]};
+		const found = items.filter(({key}) => key.startsWith(prefix) && key > after).sort((a, b) => a.key < b.key ? -1 : 1);
+		send(response, 200, {items: found.slice(0, PAGE_ITEMS), hasMore: found.length > PAGE_ITEMS, at});
 	}
 
 	#watch(query, response) {
--- a/review/common/worker.js
+++ b/review/common/worker.js
@@ -6,6 +6,9 @@
 export class Worker {
 	#options;
 	#isDown = false;
+	#running = new Set();
+	#waiting = [];
+	#preempted = new Map();
 	#sockets = new Set();
 	#server = http.createServer((request, response) => {
 		const parts = [];
@@ -13,7 +16,7 @@
 			parts.push(part);
 		});
 		request.on('end', () => {
-			this.#run(request, parts, response);
+			this.#take(request, parts, response);
 		});
 	});
 
@@ -21,13 +24,17 @@
 	@param id of the worker, which entries expect
 	@param workMs time that a request takes which is no stream
 	@param events number of events of a stream, one each 100 ms. Paths that begin with `/stream/` are streams
+	@param slots most requests that run at the same time
+	@param queue most requests that wait for a slot; the others are refused
 	@param crashAfterMs returns the time after the first event at which the body crashes the worker; undefined if it doesn't
 	@param onRun called with the id of each request as it begins to run, its body and its size
 	@param onCrash called when a request has crashed the worker
 	*/
-	constructor({id, workMs = 20, events = 12, crashAfterMs = () => undefined, onRun, onCrash}) {
+	constructor({
+		id, workMs = 20, events = 12, slots = Number.POSITIVE_INFINITY, queue = 4, crashAfterMs = () => undefined, onRun, onCrash,
+	}) {
 		this.#options = {
-			id, workMs, events, crashAfterMs, onRun, onCrash,
+			id, workMs, events, slots, queue, crashAfterMs, onRun, onCrash,
 		};
 		this.#server.keepAliveTimeout = 30_000;
 		this.#server.on('connection', socket => {
@@ -59,6 +66,16 @@
 		}
 	}
 
+	/** Memory has run out: the newest stream makes no events for a while. @returns its id */
+	preempt(milliseconds) {
+		const newest = [...this.#running].findLast(requestId => !this.#preempted.has(requestId));
+		if (newest !== undefined) {
+			this.#preempted.set(newest, milliseconds);
+		}
+
+		return newest;
+	}
+
 	restart() {
 		this.#isDown = false;
 	}
@@ -68,15 +85,42 @@
 		this.#server.close();
 	}
 
-	#run({headers, url}, parts, response) {
-		const {id, workMs, onRun} = this.#options;
+	#take(request, parts, response) {
+		const {id, slots, queue} = this.#options;
+		const {headers} = request;
 		if (headers['yuccawood-expect-instance'] !== id) {
 			response.writeHead(421, {'yuccawood-instance-id': id, 'content-length': 0});
 			response.end();
 			return;
 		}
 
+		if (this.#running.size >= slots && this.#waiting.length >= queue) {
+			response.writeHead(503, {'yuccawood-attempt-id': headers['yuccawood-attempt-id'], 'yuccawood-not-executed': '1', 'content-length': 0});
+			response.end();
+			return;
+		}
+
+		this.#waiting.push({request, parts, response});
+		this.#runNext();
+	}
+
+	#runNext() {
+		while (this.#running.size < this.#options.slots && this.#waiting.length > 0) {
+			const {request, parts, response} = this.#waiting.shift();
+			if (!response.destroyed) {
+				this.#run(request, parts, response);
+			}
+		}
+	}
+
+	#run({headers, url}, parts, response) {
+		const {id, workMs, onRun} = this.#options;
 		const requestId = headers['yuccawood-attempt-id'];
+		this.#running.add(requestId);
+		response.once('close', () => {
+			this.#running.delete(requestId);
+			this.#runNext();
+		});
 		const answerHeaders = {'yuccawood-attempt-id': requestId, 'yuccawood-server-seal': `seal-${id}`};
 		const bytes = parts.reduce((sum, part) => sum + part.byteLength, 0);
 		const body = bytes < 1000 ? parts.join('') : '';
@@ -85,7 +129,7 @@
 		});
 		if (url.startsWith('/stream/')) {
 			response.writeHead(200, {...answerHeaders, 'content-type': 'text/event-stream'});
-			this.#writeEvents(response, Number(headers['last-event-id'] ?? 0) + 1);
+			this.#writeEvents(response, requestId, Number(headers['last-event-id'] ?? 0) + 1);
 			this.#crashLater(body, requestId);
 			return;
 		}
@@ -97,7 +141,7 @@
 		}, workMs);
 	}
 
-	#writeEvents(response, number) {
+	#writeEvents(response, requestId, number) {
 		if (response.destroyed) {
 			return;
 		}
@@ -108,9 +152,14 @@
 		}
 
 		response.write(`id: ${number}\ndata: piece ${number}\n\n`);
+		const preemptedMs = this.#preempted.get(requestId) ?? 0;
+		if (preemptedMs > 0) {
+			this.#preempted.set(requestId, 0);
+		}
+
 		setTimeout(() => {
-			this.#writeEvents(response, number + 1);
-		}, EVENT_PAUSE_MS);
+			this.#writeEvents(response, requestId, number + 1);
+		}, EVENT_PAUSE_MS + preemptedMs);
 	}
 
 	#crashLater(body, requestId) {
