--- a/review/common/case.js
+++ b/review/common/case.js
@@ -40,6 +40,7 @@
 @param run gets the journal and `onEnd`, which takes what has to be closed; resolves with whether the rule was broken
 */
 export const runCase = async (url, run) => {
+	process.stdout.on('error', () => undefined);
 	const journal = new Journal(path.join(path.dirname(fileURLToPath(url)), 'record.txt'));
 	const closers = [];
 	journal.say(HAS_TROUBLE ? 'With the disruption.' : 'Without the disruption.');
@@ -52,6 +53,13 @@
 		process.exit(code); // eslint-disable-line unicorn/no-process-exit
 	};
 
+	for (const name of ['SIGINT', 'SIGTERM']) {
+		process.once(name, async () => {
+			journal.say(`The run was ended by ${name}.`);
+			await end(EXIT.failed);
+		});
+	}
+
 	setTimeout(async () => {
 		journal.say('The run took too long.');
 		await end(EXIT.failed);
