--- a/review/3/case.js
+++ b/review/3/case.js
@@ -14,6 +14,9 @@
 const VERSION_MS = 8000;
 const STABLE_MS = 3000;
 
+/** Age of what the store returns to stale reads. */
+const STALE_MS = 2000;
+
 /** Time until all machines are in touch, from the silence to the version, and from the version to the end. */
 const CALM_MS = 15_000;
 const VERSION_AFTER_MS = 300;
@@ -22,6 +25,7 @@
 
 await runCase(import.meta.url, async (journal, onEnd) => {
 	const fleet = new Fleet({onEnd});
+	fleet.store.staleMs = STALE_MS;
 	const originAddress = await fleet.startEngines(ENGINES, {service: SERVICE, model: MODEL, entries: ENTRIES});
 	fleet.store.put('op/config', engineConfiguration({
 		version: 7, service: SERVICE, model: MODEL, originAddress,
