--- a/review/4/case.js
+++ b/review/4/case.js
@@ -1,4 +1,4 @@
-/** Workers near their limit preempt streams for a while, and entries reload their settings meanwhile. */
+/** Open channels to the store go silent, then a new configuration moves a route to another service. */
 import {setTimeout as pause} from 'node:timers/promises';
 import {Caller} from '../common/caller.js';
 import {HAS_TROUBLE, runCase} from '../common/case.js';
@@ -6,98 +6,73 @@
 import {Fleet} from '../common/fleet.js';
 
 const ENTRIES = 3;
-const WORKERS = 3;
-const SLOTS = 16;
-const QUEUE = 4;
-const CLIENTS = 20;
 
-/** Bound of the settings, in milliseconds: planned work around a SIGHUP. */
+/** Bounds of the settings, in milliseconds. */
 const CONFIG_MS = 2000;
+const STABLE_MS = 3000;
 
-/** Pause of a preempted stream, shorter than the gap after which clients give up, and the time between two. */
-const PREEMPTED_MS = 1800;
-const PREEMPT_GAP_MS = 800;
+/** Age of what the store returns to stale reads. */
+const STALE_MS = 2000;
 
-const CALM_MS = 6000;
-const RELOADS = 4;
-const RELOAD_GAP_MS = 4000;
+/** Time until all machines are in touch, from the silence to the change, and from the change to the end. */
+const CALM_MS = 5000;
+const CHANGE_AFTER_MS = 2500;
+const OBSERVED_MS = 9000;
+const GAP_MS = 25;
 
 await runCase(import.meta.url, async (journal, onEnd) => {
 	const fleet = new Fleet({onEnd});
-	const workers = [];
-	for (let index = 1; index <= WORKERS; index++) {
-		workers.push(await fleet.addWorker({
-			id: `i-${index}`, service: 'assistant', slots: SLOTS, queue: QUEUE,
-		}));
-	}
-
-	fleet.store.put('op/config', configuration({
-		version: 7, services: ['assistant'], prefix: '/stream/', kind: 'stream', attempts: 2, streamResume: true, gapTargetMs: 300, timeoutMs: 6000, goalMs: 402,
-	}));
+	fleet.store.staleMs = STALE_MS;
+	await fleet.addWorker({id: 'i-old', service: 'orders-old'});
+	await fleet.addWorker({id: 'i-new', service: 'orders-new'});
+	fleet.store.put('op/config', configuration({version: 7, services: ['orders-old', 'orders-new']}));
 	await fleet.startEntries(ENTRIES);
 	journal.say('All entries are ready.');
 	const sending = new AbortController();
-	const loop = async entry => {
-		const caller = new Caller({address: entry.callerAddress});
+	const calls = fleet.entries.map(async entry => {
+		const caller = new Caller({address: entry.callerAddress, channels: 4});
 		onEnd(() => caller.close());
-		const exchanges = [];
-		while (!sending.signal.aborted) {
-			const exchange = await caller.call({path: '/stream/2f', body: `a prompt ${exchanges.length}`, limitMs: 6000});
-			exchanges.push({entry, ...exchange});
-			await pause(100);
-		}
-
-		return exchanges;
-	};
-
-	const loops = fleet.entries.flatMap(entry => Array.from({length: CLIENTS}, async () => loop(entry)));
+		const exchanges = await caller.keepCalling(sending.signal, {gapMs: GAP_MS});
+		return exchanges.map(exchange => ({...exchange, entry}));
+	});
 	await pause(CALM_MS);
-	let preempted = 0;
-	const preempting = setInterval(() => {
-		for (const worker of HAS_TROUBLE ? workers : []) {
-			journal.note(`A worker preempts ${worker.preempt(PREEMPTED_MS)} for ${PREEMPTED_MS} ms.`);
-			preempted++;
-		}
-	}, PREEMPT_GAP_MS);
-	const reloadedAt = [];
-	for (let reload = 0; reload < RELOADS; reload++) {
-		for (const entry of fleet.entries) {
-			entry.signal('SIGHUP');
-		}
-
-		reloadedAt.push(performance.now());
-		journal.note('The entries get SIGHUP.');
-		await pause(RELOAD_GAP_MS);
+	let silencedAt = Number.NEGATIVE_INFINITY;
+	if (HAS_TROUBLE) {
+		silencedAt = performance.now();
+		const counts = fleet.relays.map(relay => relay.silence());
+		journal.say(`The open channels to the store go silent, new ones work: ${counts.join(', ')} of the entries.`);
 	}
 
-	clearInterval(preempting);
+	await pause(CHANGE_AFTER_MS);
+	fleet.store.put('op/config', configuration({version: 9, services: ['orders-new', 'orders-old']}));
+	const changedAt = performance.now();
+	journal.say('The store has accepted configuration 9, which moves the route to another service.');
+	await pause(OBSERVED_MS);
 	sending.abort();
-	const exchangesByClient = await Promise.all(loops);
-	const exchanges = exchangesByClient.flat();
-	const runsOf = new Map();
-	for (const {requestId, worker} of fleet.runs) {
-		runsOf.set(requestId, [...(runsOf.get(requestId) ?? []), worker]);
-	}
+	const exchangesByEntry = await Promise.all(calls);
+	const exchanges = exchangesByEntry.flat();
 
-	for (const {requestId, entry, status, error, text, sentAt, endedAt} of exchanges) {
-		const events = text.split('\n\n').length - 1;
-		journal.note(`${requestId} to ${entry.name}: ${status ?? error} after ${Math.round(endedAt - sentAt)} ms, ${events} events, run by ${(runsOf.get(requestId) ?? []).join(', ') || 'nobody'}`);
+	// A request counts if it was sent later than the bound, by a machine in touch.
+	const judgedFrom = Math.max(changedAt + CONFIG_MS, silencedAt + STABLE_MS);
+	const workerOf = new Map(fleet.runs.map(({requestId, worker}) => [requestId, worker]));
+	for (const {requestId, sentAt, entry, status, error} of exchanges) {
+		journal.note(`${requestId} sent ${Math.round(sentAt - changedAt)} ms after the change to ${entry.name}: ${status ?? error}, run by ${workerOf.get(requestId) ?? 'nobody'}`);
 	}
 
-	const cut = exchanges.filter(({requestId, status}) => status === undefined && runsOf.has(requestId));
-	const planned = cut.filter(({sentAt, endedAt}) => reloadedAt.some(at => sentAt < at + CONFIG_MS && endedAt > at));
-	const statuses = new Map();
-	for (const {status, error} of exchanges) {
-		statuses.set(status ?? error, (statuses.get(status ?? error) ?? 0) + 1);
+	const old = exchanges.filter(({requestId}) => workerOf.get(requestId) === 'i-old');
+	const late = old.filter(({sentAt}) => sentAt > judgedFrom);
+	for (const entry of fleet.entries) {
+		const lastMs = Math.max(...old.filter(exchange => exchange.entry === entry).map(({sentAt}) => sentAt)) - changedAt;
+		const lateCount = late.filter(exchange => exchange.entry === entry).length;
+		journal.say(`${entry.name}: the last request that the old service ran was sent ${Math.round(lastMs)} ms after the change; ${lateCount} were too late.`);
 	}
 
-	journal.say(`Answers: ${JSON.stringify(Object.fromEntries(statuses))}; ${preempted} streams were preempted.`);
-	journal.say(`Streams that a worker ran and whose channel ended without the rest: ${cut.length}, of these around a SIGHUP: ${planned.length}.`);
+	journal.say(`Requests run by the old service, sent by machines in touch later than ${CONFIG_MS} ms after the change: ${late.length} of ${exchanges.length}.`);
 	for (const entry of fleet.entries) {
-		for (const line of entry.linesWith('Given up', 'Sent again', 'Rejected')) {
+		for (const line of entry.linesWith('The store does not answer', 'The store answers', 'did not deliver', 'Configuration is in force')) {
 			journal.note(`${entry.name} logged: ${line}`);
 		}
 	}
 
-	return planned.length > 0;
+	return late.length > 0;
 });
--- a/review/common/engine.js
+++ b/review/common/engine.js
@@ -157,6 +157,7 @@
 		});
 		response.writeHead(200, {
 			'content-type': 'text/event-stream', 'yuccawood-attempt-id': requestId, 'yuccawood-server-seal': `seal-${this.#options.id}`, 'yuccawood-weight-versions': this.#version,
+			'yuccawood-instance-load': `${this.#running},${this.#waiting.length},16`,
 		});
 		this.#writeEvents(response, Number(headers['last-event-id'] ?? 0) + 1);
 	}
--- a/review/common/worker.js
+++ b/review/common/worker.js
@@ -8,7 +8,6 @@
 	#isDown = false;
 	#running = new Set();
 	#waiting = [];
-	#preempted = new Map();
 	#sockets = new Set();
 	#server = http.createServer((request, response) => {
 		const parts = [];
@@ -31,7 +30,7 @@
 	@param onCrash called when a request has crashed the worker
 	*/
 	constructor({
-		id, workMs = 20, events = 12, slots = Number.POSITIVE_INFINITY, queue = 4, crashAfterMs = () => undefined, onRun, onCrash,
+		id, workMs = 20, events = 12, slots = 16, queue = 4, crashAfterMs = () => undefined, onRun, onCrash,
 	}) {
 		this.#options = {
 			id, workMs, events, slots, queue, crashAfterMs, onRun, onCrash,
@@ -66,14 +65,9 @@
 		}
 	}
 
-	/** Memory has run out: the newest stream makes no events for a while. @returns its id */
-	preempt(milliseconds) {
-		const newest = [...this.#running].findLast(requestId => !this.#preempted.has(requestId));
-		if (newest !== undefined) {
-			this.#preempted.set(newest, milliseconds);
-		}
-
-		return newest;
+	/** Numbers of running and waiting requests and of slots. */
+	get #load() {
+		return `${this.#running.size},${this.#waiting.length},${this.#options.slots}`;
 	}
 
 	restart() {
@@ -95,7 +89,9 @@
 		}
 
 		if (this.#running.size >= slots && this.#waiting.length >= queue) {
-			response.writeHead(503, {'yuccawood-attempt-id': headers['yuccawood-attempt-id'], 'yuccawood-not-executed': '1', 'content-length': 0});
+			response.writeHead(503, {
+				'yuccawood-attempt-id': headers['yuccawood-attempt-id'], 'yuccawood-not-executed': '1', 'yuccawood-instance-load': this.#load, 'content-length': 0,
+			});
 			response.end();
 			return;
 		}
@@ -121,7 +117,7 @@
 			this.#running.delete(requestId);
 			this.#runNext();
 		});
-		const answerHeaders = {'yuccawood-attempt-id': requestId, 'yuccawood-server-seal': `seal-${id}`};
+		const answerHeaders = {'yuccawood-attempt-id': requestId, 'yuccawood-server-seal': `seal-${id}`, 'yuccawood-instance-load': this.#load};
 		const bytes = parts.reduce((sum, part) => sum + part.byteLength, 0);
 		const body = bytes < 1000 ? parts.join('') : '';
 		onRun({
@@ -152,14 +148,9 @@
 		}
 
 		response.write(`id: ${number}\ndata: piece ${number}\n\n`);
-		const preemptedMs = this.#preempted.get(requestId) ?? 0;
-		if (preemptedMs > 0) {
-			this.#preempted.set(requestId, 0);
-		}
-
 		setTimeout(() => {
 			this.#writeEvents(response, requestId, number + 1);
-		}, EVENT_PAUSE_MS + preemptedMs);
+		}, EVENT_PAUSE_MS);
 	}
 
 	#crashLater(body, requestId) {
