Review: renumber the cases for a graver one

The weakest goes: DRAIN after a cut watch, where requests came at most 129 ms too late. The others move up by one number; nothing else in them is changed, apart from a function of the store's stand-in that no case uses any more.

--- a/review/4/case.js
+++ b/review/4/case.js
@@ -1,38 +1,44 @@
-/** Open channels to the store go silent, then a new configuration moves a route to another service. */
+/** Open channels to the store go silent, then a new version of the weights is named. */
 import {setTimeout as pause} from 'node:timers/promises';
 import {Caller} from '../common/caller.js';
 import {HAS_TROUBLE, runCase} from '../common/case.js';
-import {configuration} from '../common/configuration.js';
+import {engineConfiguration} from '../common/configuration.js';
 import {Fleet} from '../common/fleet.js';
 
 const ENTRIES = 3;
+const ENGINES = 6;
+const SERVICE = 'assistant';
+const MODEL = 'daka510000';
 
 /** Bounds of the settings, in milliseconds. */
-const CONFIG_MS = 2000;
+const VERSION_MS = 8000;
 const STABLE_MS = 3000;
 
 /** Age of what the store returns to stale reads. */
 const STALE_MS = 2000;
 
-/** Time until all machines are in touch, from the silence to the change, and from the change to the end. */
-const CALM_MS = 5000;
-const CHANGE_AFTER_MS = 2500;
-const OBSERVED_MS = 9000;
-const GAP_MS = 25;
+/** Time until all machines are in touch, from the silence to the version, and from the version to the end. */
+const CALM_MS = 15_000;
+const VERSION_AFTER_MS = 300;
+const OBSERVED_MS = 16_000;
+const GAP_MS = 60;
 
 await runCase(import.meta.url, async (journal, onEnd) => {
 	const fleet = new Fleet({onEnd});
 	fleet.store.staleMs = STALE_MS;
-	await fleet.addWorker({id: 'i-old', service: 'orders-old'});
-	await fleet.addWorker({id: 'i-new', service: 'orders-new'});
-	fleet.store.put('op/config', configuration({version: 7, services: ['orders-old', 'orders-new']}));
+	const originAddress = await fleet.startEngines(ENGINES, {service: SERVICE, model: MODEL, entries: ENTRIES});
+	fleet.store.put('op/config', engineConfiguration({
+		version: 7, service: SERVICE, model: MODEL, originAddress,
+	}));
 	await fleet.startEntries(ENTRIES);
 	journal.say('All entries are ready.');
 	const sending = new AbortController();
 	const calls = fleet.entries.map(async entry => {
-		const caller = new Caller({address: entry.callerAddress, channels: 4});
+		const caller = new Caller({address: entry.callerAddress, channels: 32});
 		onEnd(() => caller.close());
-		const exchanges = await caller.keepCalling(sending.signal, {gapMs: GAP_MS});
+		const exchanges = await caller.keepCalling(sending.signal, {
+			path: '/stream/2f', body: 'a prompt', gapMs: GAP_MS, limitMs: 6000,
+		});
 		return exchanges.map(exchange => ({...exchange, entry}));
 	});
 	await pause(CALM_MS);
@@ -40,37 +46,37 @@
 	if (HAS_TROUBLE) {
 		silencedAt = performance.now();
 		const counts = fleet.relays.map(relay => relay.silence());
-		journal.say(`The open channels to the store go silent, new ones work: ${counts.join(', ')} of the entries.`);
+		journal.say(`The open channels to the store go silent, new ones work: ${counts.join(', ')} of the processes.`);
 	}
 
-	await pause(CHANGE_AFTER_MS);
-	fleet.store.put('op/config', configuration({version: 9, services: ['orders-new', 'orders-old']}));
-	const changedAt = performance.now();
-	journal.say('The store has accepted configuration 9, which moves the route to another service.');
+	await pause(VERSION_AFTER_MS);
+	fleet.store.put(`op/version/${MODEL}`, {model: MODEL, version: 2});
+	const namedAt = performance.now();
+	journal.say('The store has accepted that version 2 is named.');
 	await pause(OBSERVED_MS);
 	sending.abort();
 	const exchangesByEntry = await Promise.all(calls);
 	const exchanges = exchangesByEntry.flat();
 
-	// A request counts if it was sent later than the bound, by a machine in touch.
-	const judgedFrom = Math.max(changedAt + CONFIG_MS, silencedAt + STABLE_MS);
-	const workerOf = new Map(fleet.runs.map(({requestId, worker}) => [requestId, worker]));
-	for (const {requestId, sentAt, entry, status, error} of exchanges) {
-		journal.note(`${requestId} sent ${Math.round(sentAt - changedAt)} ms after the change to ${entry.name}: ${status ?? error}, run by ${workerOf.get(requestId) ?? 'nobody'}`);
+	// A run counts if it began on the older version later than the bound, and a machine in touch sent it on.
+	const exchangeOf = new Map(exchanges.map(exchange => [exchange.requestId, exchange]));
+	const runs = fleet.runs.map(run => ({...run, ...exchangeOf.get(run.requestId), sinceMs: run.at - namedAt}));
+	for (const {requestId, entry, worker, version, sinceMs, status, error} of runs) {
+		journal.note(`${requestId} by ${entry.name}: ${status ?? error}, began on version ${version} at ${worker} ${Math.round(sinceMs)} ms after version 2 was named`);
 	}
 
-	const old = exchanges.filter(({requestId}) => workerOf.get(requestId) === 'i-old');
-	const late = old.filter(({sentAt}) => sentAt > judgedFrom);
-	for (const entry of fleet.entries) {
-		const lastMs = Math.max(...old.filter(exchange => exchange.entry === entry).map(({sentAt}) => sentAt)) - changedAt;
-		const lateCount = late.filter(exchange => exchange.entry === entry).length;
-		journal.say(`${entry.name}: the last request that the old service ran was sent ${Math.round(lastMs)} ms after the change; ${lateCount} were too late.`);
+	const late = runs.filter(({version, sinceMs, sentAt}) => version === 1 && sinceMs > VERSION_MS && sentAt > silencedAt + STABLE_MS);
+	const last = Math.max(...runs.filter(({version}) => version === 1).map(({sinceMs}) => sinceMs));
+	const statuses = new Map();
+	for (const {status, error} of exchanges) {
+		statuses.set(status ?? error, (statuses.get(status ?? error) ?? 0) + 1);
 	}
 
-	journal.say(`Requests run by the old service, sent by machines in touch later than ${CONFIG_MS} ms after the change: ${late.length} of ${exchanges.length}.`);
-	for (const entry of fleet.entries) {
-		for (const line of entry.linesWith('The store does not answer', 'The store answers', 'did not deliver', 'Configuration is in force')) {
-			journal.note(`${entry.name} logged: ${line}`);
+	journal.say(`Answers: ${JSON.stringify(Object.fromEntries(statuses))}. The last request that began on version 1 did so ${Math.round(last)} ms after version 2 was named.`);
+	journal.say(`Requests that began on version 1 later than ${VERSION_MS} ms after version 2 was named, sent on by machines in touch: ${late.length} of ${runs.length}.`);
+	for (const node of [...fleet.entries, ...fleet.agents]) {
+		for (const line of node.linesWith('target version', 'Older versions may', 'Version is loaded')) {
+			journal.note(`${node.name} logged: ${line}`);
 		}
 	}
 
--- a/review/common/store.js
+++ b/review/common/store.js
@@ -68,16 +68,6 @@
 		}
 	}
 
-	/** Ends the connections of all watches that wait. @returns their number */
-	cutWatches() {
-		const waiting = [...this.#watches];
-		for (const {response} of waiting) {
-			response.socket?.destroy();
-		}
-
-		return waiting.length;
-	}
-
 	#write(key, value, lease) {
 		this.#leases.get(this.#items.get(key)?.lease)?.keys.delete(key);
 		const revision = ++this.#revision;
