--- a/review/common/case.js
+++ b/review/common/case.js
@@ -5,7 +5,7 @@
 import {fileURLToPath} from 'node:url';
 
 const EXIT = {held: 0, broken: 1, failed: 2};
-const LIMIT_MS = 110_000;
+const LIMIT_MS = 115_000;
 
 /** Whether the run has its disruption. */
 export const HAS_TROUBLE = process.env.TROUBLE !== '0';
--- a/review/common/process.js
+++ b/review/common/process.js
@@ -14,6 +14,7 @@
 
 const CALLER_PORT = 8005;
 const READY_PORT = 8002;
+const METRICS_PORT = 7701;
 
 /** A loopback network of this process, so that several runs do not meet. */
 export const NETWORK = `127.${20 + (Math.floor(process.pid / 250) % 200)}.${1 + (process.pid % 250)}`;
@@ -123,15 +124,11 @@
 		return this.#lines.filter(line => messages.some(message => line.includes(message)));
 	}
 
-	/** Resident memory in MB, and the highest so far, as the kernel counts it. */
-	get memory() {
-		try {
-			const status = readFileSync(`/proc/${this.pid}/status`, 'utf8');
-			const read = name => Number(new RegExp(String.raw`${name}:\s+(\d+)`).exec(status)?.[1] ?? 0) / 1024;
-			return {residentMb: read('VmRSS'), peakMb: read('VmHWM')};
-		} catch {
-			return {residentMb: 0, peakMb: 0};
-		}
+	/** The lines of its metrics whose name contains the part. */
+	async metricsWith(part) {
+		const response = await fetch(`http://${this.ip}:${METRICS_PORT}/metrics`);
+		const text = await response.text();
+		return text.split('\n').filter(line => !line.startsWith('#') && line.split(/[{ ]/, 1)[0].includes(part));
 	}
 
 	signal(name) {
