Notice silent connections to the store by a check of its own

Cause: a waiting watch looks the same while nothing changes and after its connection has died without being closed. The revision check that should tell them apart used any pooled connection, which could be dead itself, paused after its failure, compared with a read that may be seconds old, and took an answer that had begun to arrive for one that goes on.

Change: StoreCheck asks every second on a connection that only checks use, as old as those of the watches. No answer within 0.5 s, or a new connection, means that the others may be dead: all calls move to new ones and ask at once for what exists already. Entries ask for the present revision instead of a stale one, so a watch that misses a change is found after 1.3 s at most. An answer without data for 0.8 s while checks are answered is asked for again. The store counts as unreachable only when it refuses a check or when two new connections in a row carry no answer.

--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -4,8 +4,8 @@
 */
 export const MAX_WATCH_WAIT_MS = 28_000;
 
-/** Wait of a watch call that only checks for changes. */
-export const PROBE_WAIT_MS = 1;
+/** Wait of a watch call that only asks for changes that exist already. */
+export const LOOK_WAIT_MS = 1;
 
 /** Pause after a batch of changes, so that changes in quick succession arrive in few calls. */
 export const COALESCE_PAUSE_MS = 150;
@@ -20,17 +20,27 @@
 /** Time limit for the first byte of a bulky part's response, and between its chunks. Other responses may be sent before it. */
 export const BULKY_TIMEOUT_MS = 2500;
 
-/** Interval at which the store's revision is checked to detect watches that no longer deliver changes. */
-export const REVISION_CHECK_INTERVAL_MS = 1500;
+/** Interval of the checks that this process still hears from the store. A cheap check may return a revision that is seconds old. */
+export const CHECK_INTERVAL_MS = 1000;
+export const CHEAP_CHECK_INTERVAL_MS = 1500;
 
-/** Time that a watch has to deliver a revision known from a check before it is probed. */
-export const WATCH_DELIVERY_TIMEOUT_MS = 400;
+/**
+Time limits of the attempts of one check. The first uses the kept connection, the others a new one each. Two new connections
+in a row may die, too, without the store being unreachable.
+*/
+export const CHECK_TIMEOUTS_MS: readonly number[] = [500, 500, 1000];
+
+/** Shortest pause before the next check while the store cannot be reached. */
+export const CHECK_RETRY_MS = 300;
 
-/** Longest response time of a revision check while the path to the store is not congested. */
-export const MAX_PROMPT_ANSWER_MS = 600;
+/** Time that a watch has to deliver a revision known from a check before it is replaced. */
+export const WATCH_DELIVERY_TIMEOUT_MS = 300;
 
-/** Longest time by which the response to a revision check may lag behind the store. */
-export const MAX_READ_STALENESS_MS = 2000;
+/** Time without data after which an answer that has begun to arrive is given up, if checks are answered meanwhile. */
+export const STALLED_ANSWER_MS = 800;
+
+/** Longest response time of a check while the path to the store is not congested. */
+export const MAX_PROMPT_ANSWER_MS = 400;
 
 /** Number of revisions whose times are kept. */
 export const MAX_REVISION_TIMES = 256;
@@ -39,6 +49,9 @@
 export const MIN_STORE_RETRY_MS = 150;
 export const MAX_STORE_RETRY_MS = 1000;
 
+/** A watch that waited this long before it was cut was accepted by the store, so the pauses start again with the shortest one. */
+export const MIN_ACCEPTED_WATCH_MS = 300;
+
 /** Mean interval at which a process that cannot reach the store asks its peers for changes. */
 export const PEER_POLL_INTERVAL_MS = 500;
 
@@ -54,8 +67,11 @@
 */
 export const LEASE_EXPIRY_GRACE_MS = 1900;
 
-/** Time after the store becomes reachable again in which a removal may be a lease that expired during the outage. */
-export const LEASE_EXPIRY_WINDOW_MS = 4000;
+/** Time after the store becomes reachable again until which a live upstream is listed again, with a margin. */
+export const LEASE_EXPIRY_WINDOW_MS = 3000;
+
+/** Longest unexplained delay of an update with which a process still counts as a witness of the time at which a version was set. */
+export const MAX_WITNESS_DELAY_MS = 1500;
 
 /** Difference between two ages of a version that the duration of calls between peers can explain. */
 export const AGE_TOLERANCE_MS = 50;
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -165,7 +165,7 @@
 			}
 
 			case 'upstream': {
-				this.#applyUpstream(announcement.id, announcement.upstream, context.mayBeLeaseExpiry);
+				this.#applyUpstream(announcement.id, announcement.upstream, context);
 				return;
 			}
 
@@ -243,7 +243,7 @@
 		this.#changes.publish('targets');
 	}
 
-	#applyUpstream(id: string, upstream: Upstream | undefined, mayBeLapse: boolean): void {
+	#applyUpstream(id: string, upstream: Upstream | undefined, {mayBeLeaseExpiry, leaseGraceMs = LEASE_EXPIRY_GRACE_MS}: AnnouncementContext): void {
 		clearTimeout(this.#graceTimers.get(id));
 		this.#graceTimers.delete(id);
 		const known = this.#upstreams.get(id);
@@ -264,11 +264,11 @@
 			return;
 		}
 
-		if (mayBeLapse && known.state === 'ready') {
-			this.#log.warn('The lease of the upstream may have expired because of a store outage; keeping the upstream for a grace period.', {id, keptMs: LEASE_EXPIRY_GRACE_MS});
+		if (mayBeLeaseExpiry && known.state === 'ready') {
+			this.#log.warn('The lease of the upstream may have expired because of a store outage; keeping the upstream for a grace period.', {id, keptMs: roundMs(leaseGraceMs)});
 			this.#graceTimers.set(id, setTimeout(() => {
 				this.#removeUpstream(id);
-			}, LEASE_EXPIRY_GRACE_MS));
+			}, leaseGraceMs));
 			return;
 		}
 
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,5 +1,6 @@
 /** Observed state of configuration, upstreams and target versions, and how a process keeps it current. */
 export type * from './types.js';
+export type * from './item-source.js';
 export type * from './documents-in-force.js';
 export type {FleetChange} from './fleet-changes.js';
 export {FleetView} from './fleet-view.js';
--- a/packages/fleet/src/item-log.ts
+++ b/packages/fleet/src/item-log.ts
@@ -1,7 +1,7 @@
 /** Keeps the last known items of the store, so that peers that cannot reach the store can get them from this process. */
 import type {Clock} from '@yuccawood/common';
 import {REMOVAL_RETENTION_MS} from './constants.js';
-import type {PartState, StoreItem} from './types.js';
+import type {PartState, StoreItem} from './item-source.js';
 
 export class ItemLog {
 	readonly #clock: Clock;
--- a/packages/fleet/src/part-follower.test.ts
+++ b/packages/fleet/src/part-follower.test.ts
@@ -6,7 +6,7 @@
 import {ItemLog} from './item-log.js';
 import {PartFollower} from './part-follower.js';
 import {RevisionTimes} from './revision-times.js';
-import type {ItemSource} from './types.js';
+import type {ItemSource} from './item-source.js';
 
 const clock = new SystemClock();
 const TRANSFER = {bytes: 1, milliseconds: 0};
@@ -15,8 +15,9 @@
 const source: ItemSource = {
 	snapshot: async () => Ok({items: [{key: 'big', value: 'newest', revision: 50}], revision: 50, transfer: TRANSFER}),
 	watch: async () => Err(new PlatformError({kind: 'unavailable', detail: 'The answer is too large.', remedy: 'Read the newest value.'})),
-	recentRevision: async () => Ok(50),
+	check: async () => Ok({revision: 50, isNewConnection: false}),
 	revision: async () => Ok(1),
+	renewConnections: () => undefined,
 };
 
 describe('PartFollower', () => {
@@ -40,6 +41,7 @@
 			},
 			isRevisionSeen: () => false,
 			onRevisionKnown: () => undefined,
+			onCallFailed: async () => true,
 		});
 		const running = follower.run(stop.signal);
 		await clock.sleep(1000);
@@ -75,6 +77,7 @@
 				},
 				isRevisionSeen: () => false,
 				onRevisionKnown: () => undefined,
+				onCallFailed: async () => true,
 			});
 			const running = follower.run(stop.signal);
 			await clock.sleep(2000);
--- a/packages/fleet/src/part-follower.ts
+++ b/packages/fleet/src/part-follower.ts
@@ -2,15 +2,16 @@
 import {
 	delay, describeError, type Clock, type Log, type Metrics, type Random,
 } from '@yuccawood/common';
+import type {PlatformError} from '@yuccawood/interfaces';
 import {
-	BULKY_PAUSE_FACTOR, BULKY_TIMEOUT_MS, COALESCE_PAUSE_MS, LEASE_EXPIRY_WINDOW_MS, MAX_BULKY_PAUSE_MS, MAX_STORE_RETRY_MS, MAX_WATCH_WAIT_MS,
-	MIN_STORE_RETRY_MS, PROBE_WAIT_MS,
+	BULKY_PAUSE_FACTOR, BULKY_TIMEOUT_MS, COALESCE_PAUSE_MS, LOOK_WAIT_MS, MAX_BULKY_PAUSE_MS, MAX_STORE_RETRY_MS, MAX_WATCH_WAIT_MS,
+	MIN_ACCEPTED_WATCH_MS, MIN_STORE_RETRY_MS,
 } from './constants.js';
 import type {ItemLog} from './item-log.js';
 import type {RevisionTimes} from './revision-times.js';
 import type {
 	AnswerTransfer, ItemSource, PartState, StoreItem, StorePart, StoreSnapshot,
-} from './types.js';
+} from './item-source.js';
 
 /** `delivered`: a watch reported the change when it happened. `read`: this process read the item some time after the change. */
 export type LearnedBy = 'delivered' | 'read';
@@ -29,6 +30,9 @@
 
 	/** Called after each response, when the part is known up to some revision. */
 	readonly onRevisionKnown: () => void;
+
+	/** Called when a call fails. @returns whether the store answers other calls */
+	readonly onCallFailed: (error: unknown) => Promise<boolean>;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Log;
@@ -38,17 +42,24 @@
 export class PartFollower {
 	readonly #options: PartFollowerOptions;
 	readonly #log: Log;
-	#isReachable = false;
-	#wasReachableBefore = false;
-	#reachableAgainAt = Number.NEGATIVE_INFINITY;
 
 	/** Revision after which the watch continues; undefined while the whole part must be read first. */
 	#watchRevision: number | undefined;
 	#knownRevision = 0;
-	#currentWatch: AbortController | undefined;
-	#isReceiving = false;
+	#call: AbortController | undefined;
+
+	/** Monotonic milliseconds at which the last data of the present answer arrived; undefined while none is arriving. */
+	#lastDataAt: number | undefined;
+
+	/** Whether the next watch only asks for changes that exist already. */
+	#mustLook = false;
+	#pause = new AbortController();
+	#isSettling = false;
 	#failures = 0;
 
+	/** Whether the store answered other calls after the last failure. */
+	#isAnswering = false;
+
 	constructor(options: PartFollowerOptions) {
 		this.#options = options;
 		this.#log = options.log;
@@ -58,8 +69,9 @@
 		return this.#options.part;
 	}
 
-	get isReachable(): boolean {
-		return this.#isReachable;
+	/** Whether the part's own calls fail. */
+	get isFailing(): boolean {
+		return this.#failures > 1;
 	}
 
 	/** Whether the part was read at least once. */
@@ -69,12 +81,12 @@
 
 	/** Whether a response is arriving. Asking a peer meanwhile would only take bandwidth from it. */
 	get isReceiving(): boolean {
-		return this.#isReceiving;
+		return this.#lastDataAt !== undefined;
 	}
 
-	/** Whether a removal may be a lease that expired because of a store outage. */
-	get mayBeLeaseExpiry(): boolean {
-		return !this.#isReachable || this.#options.clock.monotonic() - this.#reachableAgainAt < LEASE_EXPIRY_WINDOW_MS;
+	/** Whether changes that exist already are being received, or asked for next. */
+	get isCatchingUp(): boolean {
+		return !this.isInitialized || this.isReceiving || this.#isSettling;
 	}
 
 	get state(): PartState {
@@ -83,105 +95,115 @@
 
 	/** Runs until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
+		const {clock, random} = this.#options;
+		const cancel = (): void => {
+			this.#call?.abort();
+			this.#pause.abort();
+		};
+
+		signal.addEventListener('abort', cancel, {once: true});
 		while (!signal.aborted) {
-			const result = await this.#callStore(signal);
-			if (result === undefined) {
-				const pauseMs = Math.min(MAX_STORE_RETRY_MS, MIN_STORE_RETRY_MS * (2 ** this.#failures++));
-				await delay(pauseMs * (0.5 + this.#options.random.next()), signal);
+			const startedAt = clock.monotonic();
+			const outcome = await this.#callStore();
+			if (outcome === 'interrupted') {
+				continue;
+			}
+
+			if (outcome === 'failed') {
+				const wasAccepted = clock.monotonic() - startedAt >= MIN_ACCEPTED_WATCH_MS;
+				this.#failures = wasAccepted && this.#isAnswering ? 1 : this.#failures + 1;
+				await this.#rest(Math.min(MAX_STORE_RETRY_MS, MIN_STORE_RETRY_MS * (2 ** (this.#failures - 1))) * (0.5 + random.next()), signal);
 				continue;
 			}
 
 			this.#failures = 0;
-			await delay(this.#pauseAfter(result), signal);
-			if (this.part.isBulky && result.hasChanges && !signal.aborted) {
+			this.#isSettling = outcome.hasChanges;
+			await this.#rest(this.#pauseAfter(outcome), signal);
+			if (this.part.isBulky && outcome.hasChanges && !signal.aborted) {
 				await this.#skipToNewest(signal);
 			}
-		}
-	}
 
-	/**
-	Asks the store for changes in a separate call, because the watch may no longer deliver any.
-
-	@param expected a revision that the store had some time ago
-	@returns false if the call failed; otherwise all changes up to the expected revision are known or about to arrive
-	*/
-	async probe(expected: number): Promise<boolean> {
-		const {source, metrics} = this.#options;
-		const watch = this.#currentWatch;
-		const from = this.#watchRevision;
-		if (watch === undefined || from === undefined || from >= expected || this.#isReceiving) {
-			return true;
+			this.#isSettling = false;
 		}
 
-		const startedAt = this.#options.clock.monotonic();
-		const result = await source.watch(this.part.prefix, {
-			afterRevision: from, waitMs: PROBE_WAIT_MS, idleTimeoutMs: this.#timeoutMs, signal: new AbortController().signal,
-		});
-		if (result.err) {
-			if (result.val.kind === 'history-lost') {
-				this.#restartAfterLostHistory(from);
-				watch.abort();
-				return true;
-			}
-
-			this.#markUnreachable(result.val);
-			return false;
-		}
+		signal.removeEventListener('abort', cancel);
+	}
 
-		const hasMissedChanges = this.#currentWatch === watch && !this.#isReceiving && result.val.items.some(({revision}) => revision <= expected);
-		this.#processAnswer('probe', result.val, {startedAt, learnedBy: hasMissedChanges ? 'read' : 'delivered'});
-		if (hasMissedChanges) {
-			this.#log.warn('The store watch did not deliver existing changes; restarting it.', {storePart: this.part.name, watched: from, revision: result.val.revision});
-			metrics.count('fleet.silent_watches');
-			watch.abort();
+	/** Ends a wait for changes, or a pause, and asks at once for changes that exist already. An answer that is arriving goes on. */
+	restart(): void {
+		if (this.isReceiving) {
+			return;
 		}
 
-		return true;
+		this.#mustLook = true;
+		this.#call?.abort();
+		this.endPause();
 	}
 
-	/** Takes the outcome of a revision check into account. A part whose own calls fail stays unreachable even if the check succeeds. */
-	noteRevisionCheck(error?: unknown): void {
-		if (error !== undefined && !this.#isReceiving) {
-			this.#markUnreachable(error);
-		} else if (error === undefined && this.isInitialized && this.#failures === 0) {
-			this.#markReachable();
-		}
+	/** Makes the next call at once. */
+	endPause(): void {
+		this.#pause.abort();
 	}
 
-	#markReachable(): void {
-		if (!this.#isReachable) {
-			this.#isReachable = true;
-			this.#reachableAgainAt = this.#wasReachableBefore ? this.#options.clock.monotonic() : Number.NEGATIVE_INFINITY;
-			this.#wasReachableBefore = true;
-			this.#log.info('The store answers.', {storePart: this.part.name, revision: this.#knownRevision});
+	/** Asks again if an answer has begun to arrive and nothing more came for this time, in milliseconds. */
+	giveUpStalledAnswer(idleMs: number): void {
+		const {clock, metrics} = this.#options;
+		if (this.#lastDataAt === undefined || clock.monotonic() - this.#lastDataAt < idleMs) {
+			return;
 		}
+
+		this.#log.warn('An answer of the store stalls while other calls are answered; asking again.', {storePart: this.part.name, revision: this.#knownRevision});
+		metrics.count('fleet.stalled_answers');
+		this.#lastDataAt = undefined;
+		this.restart();
 	}
 
-	#markUnreachable(error: unknown): void {
-		this.#options.metrics.count('fleet.store_failures');
-		if (this.#isReachable) {
-			this.#isReachable = false;
-			this.#log.warn('The store does not answer; the last known state stays in force.', {storePart: this.part.name, revision: this.#knownRevision, error: describeError(error)});
+	async #rest(milliseconds: number, signal: AbortSignal): Promise<void> {
+		if (signal.aborted) {
+			return;
 		}
+
+		this.#pause = new AbortController();
+		await delay(milliseconds, this.#pause.signal);
 	}
 
 	get #timeoutMs(): number | undefined {
 		return this.part.isBulky ? BULKY_TIMEOUT_MS : undefined;
 	}
 
-	#pauseAfter({hasChanges, transfer}: CallOutcome): number {
+	#pauseAfter({hasChanges, transfer}: Answer): number {
 		return this.part.isBulky && hasChanges ? Math.max(COALESCE_PAUSE_MS, Math.min(MAX_BULKY_PAUSE_MS, transfer.milliseconds * BULKY_PAUSE_FACTOR)) : COALESCE_PAUSE_MS;
 	}
 
-	/** Makes the next call. @returns undefined if it failed, for whatever reason, so that it is made again after a pause */
-	async #callStore(signal: AbortSignal): Promise<CallOutcome | undefined> {
+	/** Makes the next call. */
+	async #callStore(): Promise<CallOutcome> {
+		const call = new AbortController();
+		this.#call = call;
 		try {
-			return this.#watchRevision === undefined ? await this.#read() : await this.#watch(this.#watchRevision, signal);
+			const result = await (this.#watchRevision === undefined ? this.#read(call.signal) : this.#watch(this.#watchRevision, call.signal));
+			return result;
 		} catch (error) {
 			this.#options.metrics.count('fleet.follow_failures', {part: this.part.name});
 			this.#log.error('An answer of the store could not be applied; it is asked for again.', {storePart: this.part.name, error: error instanceof Error ? error.stack : describeError(error)});
-			return undefined;
+			return 'failed';
+		} finally {
+			this.#call = undefined;
+			this.#lastDataAt = undefined;
+		}
+	}
+
+	readonly #recordProgress = (): void => {
+		this.#lastDataAt = this.#options.clock.monotonic();
+	};
+
+	/** Finds out why a call failed. */
+	async #outcomeOfFailure(error: PlatformError, signal: AbortSignal): Promise<'failed' | 'interrupted'> {
+		if (signal.aborted) {
+			return 'interrupted';
 		}
+
+		this.#isAnswering = await this.#options.onCallFailed(error);
+		return this.#mustLook && this.#isAnswering ? 'interrupted' : 'failed';
 	}
 
 	/** Reads the newest value if the store has changed since the last response, because a watch would deliver all intermediate values, too. */
@@ -200,14 +222,13 @@
 	}
 
 	/** Reads the whole part. Known keys that it no longer contains count as removed at the revision of the snapshot. */
-	async #read(): Promise<CallOutcome | undefined> {
+	async #read(signal: AbortSignal): Promise<CallOutcome> {
 		const {source, items, clock} = this.#options;
 		const {prefix} = this.part;
 		const startedAt = clock.monotonic();
-		const result = await source.snapshot(prefix, {timeoutMs: this.#timeoutMs});
+		const result = await source.snapshot(prefix, {timeoutMs: this.#timeoutMs, onProgress: this.#recordProgress, signal});
 		if (result.err) {
-			this.#markUnreachable(result.val);
-			return undefined;
+			return this.#outcomeOfFailure(result.val, signal);
 		}
 
 		const {revision} = result.val;
@@ -219,61 +240,46 @@
 		return {hasChanges, transfer: result.val.transfer};
 	}
 
-	async #watch(from: number, signal: AbortSignal): Promise<CallOutcome | undefined> {
-		const {source, clock} = this.#options;
-		const controller = new AbortController();
-		const cancel = (): void => {
-			controller.abort();
-		};
-
-		signal.addEventListener('abort', cancel, {once: true});
-		this.#currentWatch = controller;
+	async #watch(from: number, signal: AbortSignal): Promise<CallOutcome> {
+		const {source, clock, metrics} = this.#options;
+		const isLook = this.#mustLook;
+		const waitMs = isLook ? LOOK_WAIT_MS : MAX_WATCH_WAIT_MS;
+		this.#mustLook = false;
 		const startedAt = clock.monotonic();
 		const result = await source.watch(this.part.prefix, {
-			afterRevision: from, waitMs: MAX_WATCH_WAIT_MS, idleTimeoutMs: this.#timeoutMs,
-			onResponseStart: () => {
-				this.#isReceiving = true;
-			},
-			signal: controller.signal,
+			afterRevision: from, waitMs, idleTimeoutMs: this.#timeoutMs, onProgress: this.#recordProgress, signal,
 		});
-		signal.removeEventListener('abort', cancel);
-		this.#currentWatch = undefined;
-		this.#isReceiving = false;
 		if (result.ok) {
+			const hasChanges = result.val.items.length > 0;
+			if (isLook && hasChanges) {
+				this.#log.warn('A watch of the store did not deliver existing changes.', {storePart: this.part.name, watched: from, revision: result.val.revision});
+				metrics.count('fleet.silent_watches');
+			}
+
 			// An empty response after the full wait shows that nothing changed until the wait ended.
-			const isWholeWait = result.val.items.length === 0 && clock.monotonic() - startedAt >= MAX_WATCH_WAIT_MS;
-			this.#processAnswer('watch', result.val, {startedAt: startedAt + (isWholeWait ? MAX_WATCH_WAIT_MS : 0), learnedBy: 'delivered'});
-			return {hasChanges: result.val.items.length > 0, transfer: result.val.transfer};
+			const isWholeWait = !hasChanges && clock.monotonic() - startedAt >= waitMs;
+			this.#processAnswer(isLook ? 'look' : 'watch', result.val, {startedAt: startedAt + (isWholeWait ? waitMs : 0), learnedBy: isLook ? 'read' : 'delivered'});
+			return {hasChanges, transfer: result.val.transfer};
 		}
 
 		if (result.val.kind === 'history-lost') {
-			this.#restartAfterLostHistory(from);
-			return {hasChanges: false, transfer: {bytes: 0, milliseconds: 0}};
+			this.#log.warn('The store no longer keeps the changes since the last watch; reading the whole part again.', {storePart: this.part.name, revision: from});
+			this.#watchRevision = undefined;
+			return 'interrupted';
 		}
 
-		if (!controller.signal.aborted) {
-			this.#markUnreachable(result.val);
-			if (this.part.isBulky) {
-				// The missed changes may exceed the size limit of a response, and only the newest value matters.
-				this.#watchRevision = undefined;
-			}
-
-			return undefined;
+		if (this.part.isBulky && !signal.aborted) {
+			// The missed changes may exceed the size limit of a response, and only the newest value matters.
+			this.#watchRevision = undefined;
 		}
 
-		return {hasChanges: false, transfer: {bytes: 0, milliseconds: 0}};
-	}
-
-	#restartAfterLostHistory(from: number): void {
-		this.#log.warn('The store no longer keeps the changes since the last watch; reading the whole part again.', {storePart: this.part.name, revision: from});
-		this.#watchRevision = undefined;
+		return this.#outcomeOfFailure(result.val, signal);
 	}
 
 	#processAnswer(call: string, answer: StoreSnapshot, {startedAt, learnedBy}: {readonly startedAt: number; readonly learnedBy: LearnedBy}): void {
 		const {clock, metrics, times, onItems, onRevisionKnown} = this.#options;
 		const {items, revision, transfer} = answer;
 		const labels = {part: this.part.name, call};
-		this.#markReachable();
 		metrics.count('fleet.store_bytes', labels, transfer.bytes);
 		if (items.some(item => item.revision > this.#knownRevision)) {
 			metrics.timing('fleet.store_transfer_ms', transfer.milliseconds, labels);
@@ -290,4 +296,7 @@
 	}
 }
 
-type CallOutcome = {readonly hasChanges: boolean; readonly transfer: AnswerTransfer};
+type Answer = {readonly hasChanges: boolean; readonly transfer: AnswerTransfer};
+
+/** `interrupted`: the call is to be made again at once. */
+type CallOutcome = Answer | 'failed' | 'interrupted';
--- a/packages/fleet/src/peer-items.ts
+++ b/packages/fleet/src/peer-items.ts
@@ -1,4 +1,4 @@
-import type {PartState, StoreItem} from './types.js';
+import type {PartState, StoreItem} from './item-source.js';
 
 const isStoreItem = (value: unknown): value is StoreItem => {
 	const item = value as Partial<StoreItem> | undefined | null; // eslint-disable-line @typescript-eslint/no-restricted-types
--- a/packages/fleet/src/store-follower.test.ts
+++ b/packages/fleet/src/store-follower.test.ts
@@ -5,7 +5,7 @@
 import {expect} from 'chai';
 import {FleetView} from './fleet-view.js';
 import {StoreFollower} from './store-follower.js';
-import type {ItemSource, StoreItem} from './types.js';
+import type {ItemSource, StoreItem} from './item-source.js';
 
 const clock = new SystemClock();
 const targetItem = (version: number): StoreItem => ({key: 'versions/m', value: String(version), revision: version});
@@ -27,7 +27,7 @@
 	describe('when a peer sends an odd answer while the store is away', () => {
 		const failure = Err(new PlatformError({kind: 'unavailable', detail: 'The store is away.', remedy: 'Wait.'}));
 		const awaySource: ItemSource = {
-			snapshot: async () => failure, watch: async () => failure, revision: async () => failure, recentRevision: async () => failure,
+			snapshot: async () => failure, watch: async () => failure, revision: async () => failure, check: async () => failure, renewConnections: () => undefined,
 		};
 		const sound = targetItem(2);
 		const oddItems: readonly unknown[] = [
--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -3,7 +3,7 @@
 	delay, describeError, type Clock, type Log, type Metrics, type Random,
 } from '@yuccawood/common';
 import {
-	MAX_PROMPT_ANSWER_MS, MAX_READ_STALENESS_MS, PEER_POLL_INTERVAL_MS, REVISION_CHECK_INTERVAL_MS, WATCH_DELIVERY_TIMEOUT_MS,
+	MAX_PROMPT_ANSWER_MS, PEER_POLL_INTERVAL_MS, STALLED_ANSWER_MS, WATCH_DELIVERY_TIMEOUT_MS,
 } from './constants.js';
 import type {FleetView} from './fleet-view.js';
 import {ItemLog} from './item-log.js';
@@ -11,9 +11,12 @@
 import {RevisionTimes} from './revision-times.js';
 import {itemsOfPeer} from './peer-items.js';
 import {SeenRevisions} from './seen-revisions.js';
+import {StoreCheck, type CheckResult} from './store-check.js';
+import {StoreReachability} from './store-reachability.js';
 import type {
-	Announcement, ItemDecoder, ItemSource, PartState, StoreItem, StorePart,
-} from './types.js';
+	ItemSource, PartState, StoreItem, StorePart,
+} from './item-source.js';
+import type {Announcement, ItemDecoder} from './types.js';
 
 /** Asks a peer for the missing items of these parts, which are either all bulky or all not. Resolves to undefined when no peer responded, otherwise to its answer, whose type is not checked. */
 export type AskPeer = (parts: readonly PartState[], isBulky: boolean) => Promise<unknown>;
@@ -51,8 +54,10 @@
 	readonly #parts: readonly PartFollower[];
 	readonly #times = new RevisionTimes();
 	readonly #seenRevisions = new SeenRevisions();
+	readonly #reachability: StoreReachability;
+	readonly #check: StoreCheck;
 
-	/** Start of the last revision check with a prompt response. Until then the path to the store did not delay updates. */
+	/** Start of the last check with a prompt response. Until then the path to the store did not delay updates. */
 	#lastPromptCheckAt: number | undefined;
 
 	constructor(options: StoreFollowerOptions) {
@@ -60,13 +65,28 @@
 		this.#options = options;
 		this.#log = options.log.part('store');
 		this.items = new ItemLog({clock});
+		this.#reachability = new StoreReachability({clock, log: this.#log, metrics});
+		this.#check = new StoreCheck({
+			source, clock, prefix: options.parts.find(({name}) => name === options.checkedPart)?.prefix,
+			onAnswer: result => {
+				this.#applyCheck(result);
+			},
+			onUnreachable: error => {
+				this.#reachability.recordFailure(error);
+			},
+		});
 		this.#parts = options.parts.map(part => new PartFollower({
 			part, source, items: this.items, times: this.#times, clock, random, log: this.#log, metrics,
 			onItems: (items, learnedBy) => {
 				this.#applyItems(items, learnedBy);
 			},
 			isRevisionSeen: revision => this.#isRevisionSeen(revision),
+			onCallFailed: async error => {
+				this.#log.info('A call to the store failed.', {storePart: part.name, error: describeError(error)});
+				return this.#reachability.isLost ? false : this.#check.check();
+			},
 			onRevisionKnown: () => {
+				this.#recordAnswer();
 				if (this.#parts.every(({part, isInitialized}) => part.isBulky || isInitialized)) {
 					this.#options.view.markInitialized();
 				}
@@ -76,7 +96,9 @@
 
 	/** Runs until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		await Promise.all([...this.#parts.map(async part => part.run(signal)), this.#checkRevisions(signal), this.#pollPeers(false, signal), this.#pollPeers(true, signal)]);
+		// The first check opens its connection before those of the watches: it dies with them.
+		const checking = this.#check.run(signal);
+		await Promise.all([checking, ...this.#parts.map(async part => part.run(signal)), this.#pollPeers(false, signal), this.#pollPeers(true, signal)]);
 	}
 
 	/** Applies items from another source: from a peer, or from a part that is not followed. */
@@ -107,20 +129,15 @@
 			const announcement = decoded.ok ? decoded.val : withdrawalOf(item, decoder);
 			if (announcement) {
 				// A lease that expires removes its items.
-				const mayBeLeaseExpiry = item.value === undefined && this.#mayBeLeaseExpiry;
-				view.apply(announcement, {revision: item.revision, mayBeLeaseExpiry, ...this.#estimateAges(item, {part, learnedBy})});
+				const leaseGraceMs = item.value === undefined ? this.#reachability.leaseGraceMs : 0;
+				view.apply(announcement, {
+					revision: item.revision, mayBeLeaseExpiry: leaseGraceMs > 0, leaseGraceMs, sinceUnreachableMs: this.#reachability.sinceUnreachableMs,
+					...this.#estimateAges(item, {part, learnedBy}),
+				});
 			}
 		}
 	}
 
-	/**
-	Whether a removal may be a lease that expired because of a store outage. All parts count, because the watch that reports
-	the removal may not have noticed the outage; except bulky parts, which may fail because of their size alone.
-	*/
-	get #mayBeLeaseExpiry(): boolean {
-		return this.#parts.some(({part, mayBeLeaseExpiry}) => !part.isBulky && mayBeLeaseExpiry);
-	}
-
 	#partOf(key: string): PartFollower | undefined {
 		return this.#parts.find(({part}) => key.startsWith(part.prefix));
 	}
@@ -146,27 +163,61 @@
 		return {ageBoundMs, ageMs: Math.min(maxDelayMs, ageBoundMs ?? maxDelayMs)};
 	}
 
-	/** Detects watches that no longer deliver changes: the store has a revision that no part has received. */
-	async #checkRevisions(signal: AbortSignal): Promise<void> {
-		while (!signal.aborted) {
-			await delay(REVISION_CHECK_INTERVAL_MS, signal);
-			if (signal.aborted) {
-				return;
+	#applyCheck({revision, startedAt, durationMs, mayBeSilent}: CheckResult): void {
+		if (durationMs < MAX_PROMPT_ANSWER_MS) {
+			this.#lastPromptCheckAt = startedAt;
+			for (const part of this.#parts) {
+				part.giveUpStalledAnswer(STALLED_ANSWER_MS);
+			}
+		}
+
+		if (!this.#checkedPart) {
+			this.#times.record(revision, startedAt);
+		}
+
+		if (mayBeSilent) {
+			this.#renew('a check got no answer on its connection');
+		}
+
+		this.#recordAnswer();
+		this.#expectDelivery(revision);
+	}
+
+	/** Replaces the connections of the watches unless these deliver the revision soon. */
+	#expectDelivery(revision: number): void {
+		if (this.#isRevisionSeen(revision)) {
+			return;
+		}
+
+		setTimeout(() => {
+			if (!this.#isRevisionSeen(revision) && this.#checkedParts.some(({isCatchingUp, state}) => !isCatchingUp && state.revision < revision)) {
+				this.#renew('a change was not delivered');
 			}
+		}, WATCH_DELIVERY_TIMEOUT_MS).unref();
+	}
 
-			await this.#attempt('revision check', async () => this.#checkRevision(signal));
+	/** Moves all calls to new connections. Watches on older ones may not deliver changes any more. */
+	#renew(reason: string): void {
+		const {source, metrics} = this.#options;
+		this.#log.info('The connections to the store are replaced.', {reason});
+		metrics.count('fleet.renewed_connections', {reason});
+		source.renewConnections();
+		for (const part of this.#parts) {
+			part.restart();
 		}
 	}
 
-	async #checkRevision(signal: AbortSignal): Promise<void> {
-		const revision = await this.#readRecentRevision();
-		if (revision === undefined || this.#isRevisionSeen(revision)) {
+	#recordAnswer(): void {
+		if (!this.#reachability.recordAnswer()) {
 			return;
 		}
 
-		await delay(WATCH_DELIVERY_TIMEOUT_MS, signal);
-		if (!signal.aborted && !this.#isRevisionSeen(revision)) {
-			await this.#probeParts(revision);
+		for (const part of this.#parts) {
+			if (part.isInitialized) {
+				part.restart();
+			} else {
+				part.endPause();
+			}
 		}
 	}
 
@@ -181,60 +232,24 @@
 		}
 	}
 
-	/** @returns a recent revision of the store; undefined when the call failed */
-	async #readRecentRevision(): Promise<number | undefined> {
-		const {clock, source} = this.#options;
-		const startedAt = clock.monotonic();
-		const result = await source.recentRevision(this.#checkedPart?.part.prefix);
-		if (result.ok && clock.monotonic() - startedAt < MAX_PROMPT_ANSWER_MS) {
-			this.#lastPromptCheckAt = startedAt;
-		}
-
-		for (const part of this.#parts) {
-			part.noteRevisionCheck(result.err ? result.val : undefined);
-		}
-
-		if (result.err) {
-			return undefined;
-		}
-
-		if (!this.#checkedPart) {
-			this.#times.record(result.val, startedAt - MAX_READ_STALENESS_MS);
-		}
-
-		return result.val;
-	}
-
 	get #checkedPart(): PartFollower | undefined {
 		return this.#parts.find(({part}) => part.name === this.#options.checkedPart);
 	}
 
+	get #checkedParts(): readonly PartFollower[] {
+		return this.#checkedPart ? [this.#checkedPart] : this.#parts;
+	}
+
 	#isRevisionSeen(revision: number): boolean {
+		const revisionOfAll = Math.min(...this.#checkedParts.map(({state}) => state.revision));
 		if (this.#checkedPart) {
-			return revision <= this.#checkedPart.state.revision;
+			return revision <= revisionOfAll;
 		}
 
-		this.#seenRevisions.advanceTo(Math.min(...this.#parts.map(part => part.state.revision)));
+		this.#seenRevisions.advanceTo(revisionOfAll);
 		return revision <= this.#seenRevisions.seenUpTo;
 	}
 
-	/** Asks the parts for missed changes, the bulky ones only when the revision is not found in the others. */
-	async #probeParts(revision: number): Promise<void> {
-		const parts = this.#checkedPart ? [this.#checkedPart] : this.#parts;
-		for (const isBulky of [false, true]) {
-			if (this.#isRevisionSeen(revision)) {
-				return;
-			}
-
-			const outcomes = await Promise.all(parts.filter(({part}) => part.isBulky === isBulky).map(async part => part.probe(revision)));
-			if (outcomes.includes(false)) {
-				return;
-			}
-		}
-
-		this.#seenRevisions.advanceTo(revision);
-	}
-
 	/** Asks peers for the changes of unreachable parts. Bulky parts have calls of their own, so that they don't delay the others. */
 	async #pollPeers(isBulky: boolean, signal: AbortSignal): Promise<void> {
 		const {askPeer, random} = this.#options;
@@ -244,7 +259,8 @@
 
 		while (!signal.aborted) {
 			await delay(PEER_POLL_INTERVAL_MS * (0.75 + (random.next() / 2)), signal);
-			const unreachable = this.#parts.filter(({part, isReachable, isReceiving}) => part.isBulky === isBulky && !isReachable && !isReceiving);
+			const isStoreAway = !this.#reachability.isReachable;
+			const unreachable = this.#parts.filter(({part, isFailing, isReceiving}) => part.isBulky === isBulky && (isStoreAway || isFailing) && !isReceiving);
 			if (unreachable.length === 0 || signal.aborted) {
 				continue;
 			}
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -1,5 +1,5 @@
 import type {Result} from '@yuccawood/common';
-import type {PlatformError} from '@yuccawood/interfaces';
+import type {StoreItem} from './item-source.js';
 
 /**
 Which requests of a route may be retried: `idempotent` ones always, `once` only if they did not run, `stream` only if they
@@ -222,33 +222,6 @@
 	readonly pace: number;
 };
 
-/** An item of the platform's store. Only the platform's adapter knows the format of keys and values. */
-export type StoreItem = {
-	readonly key: string;
-
-	/** Undefined when the item was removed. */
-	readonly value: string | undefined;
-
-	/** Store revision of the last change. */
-	readonly revision: number;
-};
-
-export type StoreSnapshot = {
-	readonly items: readonly StoreItem[];
-
-	/** Store revision after which a watch continues. */
-	readonly revision: number;
-	readonly transfer: AnswerTransfer;
-};
-
-/** Size and transfer time of a response of the store. */
-export type AnswerTransfer = {
-	readonly bytes: number;
-
-	/** Time from its first to its last byte. */
-	readonly milliseconds: number;
-};
-
 /** Content of a store item, decoded by the platform's adapter. */
 export type Announcement =
 	{readonly kind: 'configuration'; readonly configuration: TrafficConfiguration}
@@ -266,68 +239,19 @@
 	/** Whether a removal may be a lease that expired because of a store outage. The upstream then stays usable for a grace period. */
 	readonly mayBeLeaseExpiry: boolean;
 
+	/** Length of that grace period in milliseconds. */
+	readonly leaseGraceMs?: number;
+
 	/** Upper bound on the time for which the item has been in the store; undefined when unknown. */
 	readonly ageBoundMs?: number;
 
 	/** Assumed time for which the item has been in the store; undefined until the part was first read, when nothing is known of it. */
 	readonly ageMs?: number;
-};
-
-export type StoreOutcome<Value> = Promise<Result<Value, PlatformError>>;
-
-export type WatchOptions = {
-	readonly afterRevision: number;
-
-	/** Longest wait for a change, in milliseconds. */
-	readonly waitMs: number;
 
-	/** Time limit between two chunks of the response, in milliseconds. */
-	readonly idleTimeoutMs?: number;
-
-	/** Called when the response begins to arrive. */
-	readonly onResponseStart?: () => void;
-	readonly signal: AbortSignal;
-};
-
-/** A key range of the store with its own watch, so that bulky parts do not delay urgent ones. */
-export type StorePart = {
-	/** Name in logs and metrics. */
-	readonly name: string;
-	readonly prefix: string;
-
-	/** Whether values are large and only the newest one matters, so that intermediate ones may be skipped. */
-	readonly isBulky: boolean;
-
-	/** Whether each value of a key is applied, also when one response contains several. Otherwise only the newest one is. */
-	readonly needsEachValue?: boolean;
-};
-
-/** What a process already knows of a part. Sent to a peer to ask for the missing items. */
-export type PartState = {
-	readonly prefix: string;
-
-	/** Store revision up to which all changes are known. */
-	readonly revision: number;
-
-	/** Revisions of known items that are newer than `revision`, by key. */
-	readonly later: Readonly<Record<string, number>>;
+	/** Time since the store was last found unreachable, in milliseconds; undefined if it never was. */
+	readonly sinceUnreachableMs?: number;
 };
 
-/** Read access to the platform's store. */
-export interface ItemSource {
-	/** Reads all items under the prefix. The timeout, in milliseconds, applies to the first byte and between chunks of the response. */
-	readonly snapshot: (prefix: string, options?: {readonly timeoutMs?: number}) => StoreOutcome<StoreSnapshot>;
-
-	/** Waits for changes after the revision. Fails with the error kind `history-lost` when the store no longer keeps them. */
-	readonly watch: (prefix: string, options: WatchOptions) => StoreOutcome<StoreSnapshot>;
-
-	/** Returns the current revision of the store. */
-	readonly revision: () => StoreOutcome<number>;
-
-	/** Returns a recent revision of the store, or the newest one under the prefix. Cheap, but possibly some seconds old. */
-	readonly recentRevision: (prefix?: string) => StoreOutcome<number>;
-}
-
 /** Decodes items of the store. */
 export interface ItemDecoder {
 	/** Returns an error for an item that cannot be decoded. It changes nothing, but an entry of a list then counts as removed. */
--- a/packages/interfaces/src/errors.ts
+++ b/packages/interfaces/src/errors.ts
@@ -21,14 +21,19 @@
 	/** For `conflict`: the current version of the key, 0 if it does not exist. */
 	readonly currentVersion: number | undefined;
 
-	constructor({currentVersion, ...rest}: {
+	/** Whether the service itself answered, so that the connection to it works. */
+	readonly isAnswered: boolean;
+
+	constructor({currentVersion, isAnswered = false, ...rest}: {
 		readonly kind: PlatformErrorKind;
 		readonly detail: string;
 		readonly remedy: string;
 		readonly cause?: unknown;
 		readonly currentVersion?: number;
+		readonly isAnswered?: boolean;
 	}) {
 		super(rest);
 		this.currentVersion = currentVersion;
+		this.isAnswered = isAnswered;
 	}
 }
--- a/packages/interfaces/src/http-client.ts
+++ b/packages/interfaces/src/http-client.ts
@@ -19,8 +19,8 @@
 	/** Time limit for each {@link MIN_PROGRESS_BYTES} of the response body. Once the headers have arrived, it replaces the time limit of the call. */
 	readonly idleTimeoutMs?: number;
 
-	/** Called when the response headers have arrived. */
-	readonly onHeaders?: () => void;
+	/** Called when the response headers have arrived, and after each {@link MIN_PROGRESS_BYTES} of the body. */
+	readonly onProgress?: () => void;
 	readonly signal?: AbortSignal;
 };
 
@@ -39,7 +39,12 @@
 export class HttpClient {
 	readonly #address: string;
 	readonly #timeoutMs: number;
-	readonly #pool: Pool;
+	readonly #connections: number | undefined;
+
+	/** The present pool and those whose last calls are still in progress. */
+	readonly #openPools = new Set<Pool>();
+	#pool: Pool;
+	#openedConnections = 0;
 
 	constructor({address, timeoutMs, connections}: {
 		readonly address: string;
@@ -50,10 +55,19 @@
 	}) {
 		this.#address = address;
 		this.#timeoutMs = timeoutMs;
-		// The timeouts of undici have a granularity of one second, so this class uses timers of its own.
-		this.#pool = new Pool(`http://${address}`, {
-			connections: connections ?? null, connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0,
-		});
+		this.#connections = connections;
+		this.#pool = this.#openPool();
+	}
+
+	/** Number of connections that were opened so far. */
+	get openedConnections(): number {
+		return this.#openedConnections;
+	}
+
+	/** Makes all later calls on new connections. Calls in progress go on. */
+	renewConnections(): void {
+		void this.#retire(this.#pool);
+		this.#pool = this.#openPool();
 	}
 
 	/** Makes one call. @returns the response body, `undefined` for status 204; error for a status of 300 and above */
@@ -65,7 +79,7 @@
 	}
 
 	/** Makes one call. @returns the response, whatever its status */
-	async request(path: string, {method = 'GET', body, headers, timeoutMs = this.#timeoutMs, isIdleTimeout = false, idleTimeoutMs, onHeaders: onHead, signal}: CallOptions = {}): Outcome<HttpResponse> {
+	async request(path: string, {method = 'GET', body, headers, timeoutMs = this.#timeoutMs, isIdleTimeout = false, idleTimeoutMs, onProgress, signal}: CallOptions = {}): Outcome<HttpResponse> {
 		const subject = `${method} ${path} at ${this.#address}`;
 		const aborter = new AbortController();
 		const expire = (milliseconds: number): void => {
@@ -87,13 +101,14 @@
 				path, method, body, headers, signal: aborter.signal,
 			});
 			const headersAt = performance.now();
-			onHead?.();
+			onProgress?.();
 			if (idleTimeoutMs !== undefined) {
 				clearTimeout(timer);
 				timer = setTimeout(expire, idleTimeoutMs, idleTimeoutMs);
 			}
 
 			const bytes = await readBody(response.body, () => {
+				onProgress?.();
 				if (isIdleTimeout || idleTimeoutMs !== undefined) {
 					timer.refresh();
 				}
@@ -117,7 +132,25 @@
 
 	/** Closes all connections; calls in progress fail. */
 	async close(): Promise<void> {
-		await this.#pool.destroy();
+		await Promise.all([...this.#openPools].map(async pool => pool.destroy()));
+	}
+
+	/** Closes a pool after its last call. */
+	async #retire(pool: Pool): Promise<void> {
+		await pool.close();
+		this.#openPools.delete(pool);
+	}
+
+	#openPool(): Pool {
+		// The timeouts of undici have a granularity of one second, so this class uses timers of its own.
+		const pool = new Pool(`http://${this.#address}`, {
+			connections: this.#connections ?? null, connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0,
+		});
+		pool.on('connect', () => {
+			this.#openedConnections++;
+		});
+		this.#openPools.add(pool);
+		return pool;
 	}
 }
 
