Count the bound of a version from when it was provably not set

Cause: a process that reads a version late counts the bound from the last moment at which the version was surely not set. It dropped that as soon as three peers in all regions had learned of the version no earlier, taking this for an outage of the store. When the connections of all processes have gone silent, all learn of it equally late.

Change: peers tell since when the version was surely not set, and one such proof is enough, since the store tells all the same. That a peer learned late counts only if the store was unreachable for it until then, on new connections. The bound never starts before the latest proof, nor after the first knowledge.

Two tests of the exchange took equally late peers for an outage. They now say that the store was unreachable; a new one keeps the assumption without that.

--- a/packages/dispatch/src/routes-versions-health.test.ts
+++ b/packages/dispatch/src/routes-versions-health.test.ts
@@ -46,7 +46,7 @@
 
 describe('requiredVersion', () => {
 	const target = (version: number, learnedAt: number): ModelTarget => ({
-		model: 'm', version, learnedAt, knownAt: learnedAt, isWitnessed: true,
+		model: 'm', version, learnedAt, knownAt: learnedAt,
 	});
 
 	it('allows the old version only until shortly before the staleness bound', () => {
@@ -63,7 +63,7 @@
 describe('cancelAt', () => {
 	it('is shortly before the first staleness bound that the held version exceeds; undefined without a newer target version', () => {
 		const targets: readonly ModelTarget[] = [2, 3].map(version => ({
-			model: 'm', version, learnedAt: version * 1000, knownAt: version * 1000, isWitnessed: true,
+			model: 'm', version, learnedAt: version * 1000, knownAt: version * 1000,
 		}));
 		expect([1, 2, 3].map(heldVersion => cancelAt(targets, {heldVersion, boundMs: 8000}))).to.deep.equal([9600, 10_600, undefined]);
 	});
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -5,7 +5,9 @@
 import type {ConfigurationInForce, StoredDirectory} from './documents-in-force.js';
 import {applyCrashCount} from './crash-counts.js';
 import {FleetChanges, type FleetChange} from './fleet-changes.js';
-import {AGE_TOLERANCE_MS, LEASE_EXPIRY_GRACE_MS, MAX_TARGETS_PER_MODEL} from './constants.js';
+import {
+	AGE_TOLERANCE_MS, LEASE_EXPIRY_GRACE_MS, MAX_TARGETS_PER_MODEL, MAX_WITNESS_DELAY_MS,
+} from './constants.js';
 import type {
 	Announcement, AnnouncementContext, ModelTarget, TargetAge, TrafficConfiguration, Upstream,
 } from './types.js';
@@ -87,8 +89,9 @@
 	/** Time for which the target versions have been known, for peers that learned of them later. */
 	get targetAges(): readonly TargetAge[] {
 		const now = this.#clock.monotonic();
-		return this.targets.map(({model, version, knownAt, learnedAt, isWitnessed}) => ({
-			model, version, ageMs: now - knownAt, countedMs: now - learnedAt, isWitnessed,
+		const since = (at: number | undefined): number | undefined => at === undefined ? undefined : now - at;
+		return this.targets.map(({model, version, knownAt, learnedAt, absentAt, witnessedAt}) => ({
+			model, version, ageMs: now - knownAt, countedMs: now - learnedAt, absentMs: since(absentAt), witnessedMs: since(witnessedAt),
 		}));
 	}
 
@@ -109,19 +112,21 @@
 	}
 
 	/**
-	Lets the staleness bound of a target version count from the time at which the version became known, instead of from an
-	assumed earlier time. Called when enough peers followed the target versions and none learned of this one earlier: while
-	none of them could reach the store, no process could learn of the version.
+	Lets the staleness bound of a target version count from a later time than assumed, because the version was not set before,
+	or no process could learn of it before. It never counts from later than the version was known.
+
+	@param notBefore monotonic milliseconds
 	*/
-	confirmTargetTime({model, version}: Pick<ModelTarget, 'model' | 'version'>): void {
+	raiseTargetTime({model, version}: Pick<ModelTarget, 'model' | 'version'>, notBefore: number): void {
 		const known = this.targetsOf(model).find(target => target.version === version);
-		if (!known || known.learnedAt === known.knownAt) {
+		const learnedAt = Math.min(notBefore, known?.knownAt ?? notBefore);
+		if (!known || learnedAt <= known.learnedAt) {
 			return;
 		}
 
-		this.#targets.set(model, this.targetsOf(model).map(target => target === known ? {...known, learnedAt: known.knownAt} : target));
-		this.#log.info('No peer learned of the target version earlier; its staleness bound now counts from when it first became known.', {
-			model, version, byMs: roundMs(known.knownAt - known.learnedAt),
+		this.#targets.set(model, this.targetsOf(model).map(target => target === known ? {...known, learnedAt} : target));
+		this.#log.info('The target version was not set, or not readable, for some of the assumed time; its staleness bound now counts from later.', {
+			model, version, byMs: roundMs(learnedAt - known.learnedAt),
 		});
 		this.#changes.publish('targets');
 	}
@@ -224,7 +229,7 @@
 		this.#changes.publish('configuration');
 	}
 
-	#applyTarget(model: string, version: number, {revision, ageBoundMs, ageMs}: AnnouncementContext): void {
+	#applyTarget(model: string, version: number, {revision, ageBoundMs, ageMs, sinceUnreachableMs = Number.POSITIVE_INFINITY}: AnnouncementContext): void {
 		const known = this.targetOf(model);
 		if (known && known.version >= version) {
 			return;
@@ -233,8 +238,14 @@
 		// A starting process does not know when the version was set as the target.
 		const countedMs = ageMs ?? this.#initialTargetAgeMs();
 		const now = this.#clock.monotonic();
+		const unexplainedMs = Math.min(ageMs ?? Number.POSITIVE_INFINITY, sinceUnreachableMs);
 		const targets = [...this.targetsOf(model), {
-			model, version, learnedAt: now - countedMs, knownAt: now, isWitnessed: ageMs !== undefined,
+			model,
+			version,
+			learnedAt: now - countedMs,
+			knownAt: now,
+			absentAt: ageBoundMs === undefined ? undefined : now - ageBoundMs,
+			witnessedAt: ageMs !== undefined && unexplainedMs <= MAX_WITNESS_DELAY_MS ? now - unexplainedMs : undefined,
 		}];
 		this.#targets.set(model, targets.slice(-MAX_TARGETS_PER_MODEL));
 		this.#log.info('New target version.', {
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -180,8 +180,14 @@
 	/** Monotonic milliseconds at which this process or a peer knew for certain that the version was the target. */
 	readonly knownAt: number;
 
-	/** Whether this process already followed the target versions when it learned of this one, so that the delay is bounded. */
-	readonly isWitnessed: boolean;
+	/** Latest monotonic time in milliseconds at which the version was provably not set yet; undefined if unknown. */
+	readonly absentAt?: number;
+
+	/**
+	Latest monotonic time in milliseconds at which the version was not set yet, or at which the store was unreachable. Undefined
+	if this process may have learned of the version late for another reason.
+	*/
+	readonly witnessedAt?: number;
 };
 
 /** Time for which a process has known for certain that a version is a target. */
@@ -193,8 +199,11 @@
 	/** Time that the process counts towards the staleness bound: `ageMs`, or more if it may have learned of the version late. */
 	readonly countedMs: number;
 
-	/** Whether that process already followed the target versions when it learned of this one. */
-	readonly isWitnessed: boolean;
+	/** Time since the version was provably not set yet. */
+	readonly absentMs?: number;
+
+	/** Time since the version was not set yet or the store was unreachable; absent if that process may have learned of it late. */
+	readonly witnessedMs?: number;
 };
 
 /** Response of a peer to a query for the ages of the target versions that it knows. */
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -99,7 +99,7 @@
 /** Number of peers of each group that are asked how long they have known a version. */
 export const MAX_PEERS_ASKED_FOR_AGES = 10;
 
-/** Number of peers that must have been following the versions when the version was set, so that their ages replace the cautious assumption. */
+/** Number of peers for which the store must have been unreachable until they learned of a version, so that its bound counts from then. */
 export const MIN_AGE_OBSERVERS = 3;
 
 /** Number of times that peers are asked until enough of them know the version, and the pause between two. */
--- a/packages/node/src/target-age-exchange.test.ts
+++ b/packages/node/src/target-age-exchange.test.ts
@@ -62,8 +62,10 @@
 		return Object.assign(view, {listen});
 	};
 
-	const setTarget = (view: FleetView, version: number, ageMs = 0): void => {
-		view.apply({kind: 'target', model: 'm', version}, {revision: version, mayBeLeaseExpiry: false, ageMs});
+	const setTarget = (view: FleetView, version: number, ageMs = 0, context: {readonly ageBoundMs?: number; readonly sinceUnreachableMs?: number} = {}): void => {
+		view.apply({kind: 'target', model: 'm', version}, {
+			revision: version, mayBeLeaseExpiry: false, ageMs, ...context,
+		});
 	};
 
 	it('adopts the time at which a peer learned of a version if this process learned of it later', async () => {
@@ -146,12 +148,12 @@
 		expect(other.targetOf('m')!.learnedAt).to.be.at.least(setAt);
 	});
 
-	it('drops the cautious assumption if peers in all regions learned of the version just now, as after an outage of the store', async () => {
+	it('drops the cautious assumption if the store was unreachable until now for peers in all regions', async () => {
 		const others = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [], {region: index === 3 ? 'south' : 'north'})));
 		const late = await start('127.0.73.8', [1, 2, 3].map(index => `127.0.73.${index}:${PORT}`));
 		const returnedAt = clock.monotonic();
 		for (const view of [late, ...others]) {
-			setTarget(view, 2, 9000);
+			setTarget(view, 2, 9000, {sinceUnreachableMs: 0});
 		}
 
 		expect(late.targetOf('m')!.learnedAt).to.be.below(returnedAt - 8000);
@@ -159,13 +161,35 @@
 		expect(late.targetOf('m')!.learnedAt).to.be.at.least(returnedAt);
 	});
 
+	it('keeps the cautious assumption if all peers learned of the version as late, although the store was reachable, as when their connections had gone silent', async () => {
+		const others = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [], {region: index === 3 ? 'south' : 'north'})));
+		const late = await start('127.0.73.8', [1, 2, 3].map(index => `127.0.73.${index}:${PORT}`));
+		const learnedAt = clock.monotonic();
+		for (const view of [late, ...others]) {
+			setTarget(view, 2, 3000, {sinceUnreachableMs: 60_000});
+		}
+
+		await clock.sleep(400);
+		expect(late.targetOf('m')!.learnedAt).to.be.below(learnedAt - 2900);
+	});
+
+	it('counts from when one peer knew for certain that the version was not set yet', async () => {
+		const follower = await start('127.0.73.1', []);
+		const late = await start('127.0.73.2', [`127.0.73.1:${PORT}`]);
+		const learnedAt = clock.monotonic();
+		setTarget(follower, 2, 0, {ageBoundMs: 700});
+		setTarget(late, 2, 9000);
+		await clock.sleep(150);
+		expect(late.targetOf('m')!.learnedAt).to.be.within(learnedAt - 750, learnedAt - 650);
+	});
+
 	it('drops the cautious assumption in a deployment of few entries, some of which have just restarted, if the agents learned of the version just now', async () => {
 		const [restartedEntry, ...agents] = await Promise.all([1, 2, 3, 4].map(async index => start(`127.0.73.${index}`, [], {region: index === 4 ? 'south' : 'north'})));
 		const late = await start('127.0.73.8', [`127.0.73.1:${PORT}`], {others: [2, 3, 4].map(index => `127.0.73.${index}:${PORT}`)});
 		const returnedAt = clock.monotonic();
 		restartedEntry.apply({kind: 'target', model: 'm', version: 2}, {revision: 2, mayBeLeaseExpiry: false});
 		for (const view of [late, ...agents]) {
-			setTarget(view, 2, 9000);
+			setTarget(view, 2, 9000, {sinceUnreachableMs: 0});
 		}
 
 		await clock.sleep(150);
@@ -177,7 +201,7 @@
 		const late = await start('127.0.73.8', [1, 2, 3, 9].map(index => `127.0.73.${index}:${PORT}`));
 		const learnedAt = clock.monotonic();
 		for (const view of [late, ...neighbours]) {
-			setTarget(view, 2, 3000);
+			setTarget(view, 2, 3000, {sinceUnreachableMs: 0});
 		}
 
 		await clock.sleep(400);
@@ -245,7 +269,7 @@
 
 	describe('when the answer of a peer has another form', () => {
 		const age = {
-			model: 'm', version: 2, ageMs: 5, countedMs: 5, isWitnessed: true,
+			model: 'm', version: 2, ageMs: 5, countedMs: 5, absentMs: 5, witnessedMs: 5,
 		};
 		const oddAnswers: readonly unknown[] = [
 			null,
@@ -255,7 +279,7 @@
 			{region: 'south', ages: 7},
 			{region: 'south', ages: [null]},
 			{region: 7, ages: [age]},
-			...[{version: 1e308}, {version: 1.5}, {ageMs: 'now'}, {ageMs: null}, {ageMs: 1e308}, {ageMs: -1e308}, {countedMs: 1e308}, {isWitnessed: 1}, {model: 7}]
+			...[{version: 1e308}, {version: 1.5}, {ageMs: 'now'}, {ageMs: null}, {ageMs: 1e308}, {ageMs: -1e308}, {countedMs: 1e308}, {witnessedMs: 'now'}, {absentMs: 1e308}, {model: 7}]
 				.map(fields => ({region: 'south', ages: [age, {...age, version: 1, ...fields}]})),
 		];
 
--- a/packages/node/src/target-age-exchange.ts
+++ b/packages/node/src/target-age-exchange.ts
@@ -2,8 +2,9 @@
 When this process learns of a new target version, asks peers how long they have known it.
 
 This process may learn of a version late without noticing, because its path to the store was slow for a moment. Peers nearer
-to the store learn of it earlier. Ages are durations, so clocks need not be synchronised. If no peer has known the version
-for longer, the store was unreachable for all of them.
+to the store learn of it earlier. Ages are durations, so clocks need not be synchronised. A peer may also know until when the
+version was not set, or that the store was unreachable for it until it learned of the version. That it learned late says
+nothing by itself: its connections may have been dead, too.
 
 Peers also know versions that were superseded before this process could learn of them.
 */
@@ -67,8 +68,6 @@
 			this.#handledTargets.add(nameOf(target));
 		}
 
-		const otherRegions = this.#options.regions.filter(region => region !== this.#options.region);
-		const unconfirmed = new Set(newTargets);
 		const answers = new Map<string, PeerAnswer>();
 		const hasAnswered = (address: string): boolean => newTargets.every(target => reportsTarget(answers.get(address), target));
 		let asked: readonly string[] = [];
@@ -82,11 +81,8 @@
 			}));
 			// Superseded versions come first: a later time for the current version must not delay the expiry of still older ones.
 			this.#addSupersededTargets([...answers.values()]);
-			for (const target of unconfirmed) {
-				if (hasEnoughObservers([...answers.values()], target, otherRegions)) {
-					this.#options.view.confirmTargetTime(target);
-					unconfirmed.delete(target);
-				}
+			for (const target of newTargets) {
+				this.#raiseTime(target, [...answers.values()]);
 			}
 
 			// A peer that has not answered may have learned of the version earlier than all others, so it is asked again.
@@ -103,6 +99,21 @@
 		return addresses().flatMap(group => random.sample(group, MAX_PEERS_ASKED_FOR_AGES));
 	}
 
+	/** Applies what peers can tell of the time before which the version was not set, or was not readable for anyone. */
+	#raiseTime(target: ModelTarget, answers: readonly PeerAnswer[]): void {
+		const {view, regions, region} = this.#options;
+		const reports = answers.flatMap(answer => answer.ages.filter(age => nameOf(age) === nameOf(target)).map(age => ({answer, age})));
+		// The store tells all processes the same, so one proof is enough.
+		const absences = reports.flatMap(({answer, age: {absentMs}}) => absentMs === undefined ? [] : [answer.receivedAt - absentMs]);
+		const witnesses = reports.flatMap(({answer, age: {witnessedMs}}) => witnessedMs === undefined ? [] : [{region: answer.region, at: answer.receivedAt - witnessedMs}]);
+		// A region may have lost its path to the store while others learned of the version, so each other region must have a witness.
+		const hasWitnesses = witnesses.length >= MIN_AGE_OBSERVERS && regions.every(other => other === region || witnesses.some(witness => witness.region === other));
+		const times = [...absences, ...(hasWitnesses ? witnesses.map(({at}) => at) : [])];
+		if (times.length > 0) {
+			view.raiseTargetTime(target, Math.max(...times));
+		}
+	}
+
 	#addSupersededTargets(answers: readonly PeerAnswer[]): void {
 		const {view} = this.#options;
 		const reports = answers.flatMap(({ages, receivedAt}) => ages.map(age => ({age, receivedAt})));
@@ -125,7 +136,13 @@
 			const receivedAt = clock.monotonic();
 			// The answer may have been on its way for most of the call.
 			const delayMs = Math.max(0, receivedAt - askedAt - AGE_TOLERANCE_MS);
-			const presentAges = ages.map(age => ({...age, ageMs: age.ageMs + delayMs, countedMs: age.countedMs + delayMs}));
+			const presentAges = ages.map(age => ({
+				...age,
+				ageMs: age.ageMs + delayMs,
+				countedMs: age.countedMs + delayMs,
+				absentMs: age.absentMs === undefined ? undefined : age.absentMs + delayMs,
+				witnessedMs: age.witnessedMs === undefined ? undefined : age.witnessedMs + delayMs,
+			}));
 			for (const age of presentAges) {
 				view.applyPeerTargetAge(age);
 			}
@@ -141,9 +158,3 @@
 const nameOf = ({model, version}: Pick<ModelTarget, 'model' | 'version'>): string => `${model}@${version}`;
 
 const reportsTarget = (answer: TargetAges | undefined, target: ModelTarget): boolean => answer?.ages.some(age => nameOf(age) === nameOf(target)) ?? false;
-
-/** Peers in this region may have learned of the version as late as this process, so each other region must have an observer. */
-const hasEnoughObservers = (answers: readonly TargetAges[], target: ModelTarget, otherRegions: readonly string[]): boolean => {
-	const observers = answers.filter(({ages}) => ages.some(age => age.isWitnessed && nameOf(age) === nameOf(target)));
-	return observers.length >= MIN_AGE_OBSERVERS && otherRegions.every(region => observers.some(observer => observer.region === region));
-};
--- a/packages/node/src/target-ages-answer.ts
+++ b/packages/node/src/target-ages-answer.ts
@@ -7,8 +7,8 @@
 const isAge = (value: unknown): value is number => typeof value === 'number' && Math.abs(value) <= MAX_AGE_MS;
 
 const isTargetAge = (value: unknown): value is TargetAge => {
-	const {model, version, ageMs, countedMs, isWitnessed} = (value ?? {}) as Partial<TargetAge>;
-	return typeof model === 'string' && Number.isSafeInteger(version) && isAge(ageMs) && isAge(countedMs) && typeof isWitnessed === 'boolean';
+	const {model, version, ageMs, countedMs, absentMs = 0, witnessedMs = 0} = (value ?? {}) as Partial<TargetAge>;
+	return typeof model === 'string' && Number.isSafeInteger(version) && [ageMs, countedMs, absentMs, witnessedMs].every(age => isAge(age));
 };
 
 export const isTargetAges = (value: unknown): value is TargetAges => {
