Count recent events at a cost that does not depend on the past

Cause: Placer kept the time of each freed slot until a request had to wait, and then dropped the old ones one by one with shift(), for which Node.js moves all that is left of a long array. RetryBudget kept the time of each request until a failure in the same way, but dropped them in one step.

Change: both use RecentTimes, which drops outdated times as new ones come and moves the rest only when most are outdated.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -9,6 +9,7 @@
 export {decideRetry, isRetryable} from './decide-retry.js';
 export {AnswerTimes, type ObservedAnswers} from './answer-times.js';
 export {isAnswerable, type LateRequest} from './stop-admission.js';
+export {RecentTimes} from './recent-times.js';
 export {RetryBudget, type RetryBudgetOptions} from './retry-budget.js';
 export {
 	afterFailure, afterSuccess, afterTrialStart, HEALTHY, healthStatus, type UpstreamHealth,
--- a/packages/dispatch/src/retry-budget.ts
+++ b/packages/dispatch/src/retry-budget.ts
@@ -1,5 +1,6 @@
 /** Limits this entry's retries to one service in a sliding time window. */
 import {RETRY_BUDGET_FRACTION} from './constants.js';
+import {RecentTimes} from './recent-times.js';
 
 export type RetryBudgetOptions = {
 	/** Length of the sliding window. */
@@ -17,41 +18,29 @@
 
 export class RetryBudget {
 	readonly #options: RetryBudgetOptions;
-	readonly #requestTimes: number[] = [];
-	readonly #retryTimes: number[] = [];
+	readonly #requests: RecentTimes;
+	readonly #retries: RecentTimes;
 
 	constructor(options: RetryBudgetOptions) {
 		this.#options = options;
+		this.#requests = new RecentTimes(options);
+		this.#retries = new RecentTimes(options);
 	}
 
 	/** Counts a request. @param now its monotonic arrival time in milliseconds */
 	countRequest(now: number): void {
-		this.#requestTimes.push(now);
+		this.#requests.record(now);
 	}
 
 	/** Whether the budget allows another retry. */
 	allowsRetry(now: number): boolean {
-		const {windowMs, ratio, slack, entries} = this.#options;
-		const start = now - windowMs;
-		dropBefore(this.#requestTimes, start);
-		dropBefore(this.#retryTimes, start);
-		const allowed = ((ratio * this.#requestTimes.length) + (slack / Math.max(1, entries()))) * RETRY_BUDGET_FRACTION;
-		return this.#retryTimes.length + 1 <= allowed;
+		const {ratio, slack, entries} = this.#options;
+		const allowed = ((ratio * this.#requests.countAt(now)) + (slack / Math.max(1, entries()))) * RETRY_BUDGET_FRACTION;
+		return this.#retries.countAt(now) + 1 <= allowed;
 	}
 
 	/** Counts a retry. @param now its monotonic time in milliseconds */
 	countRetry(now: number): void {
-		this.#retryTimes.push(now);
+		this.#retries.record(now);
 	}
 }
-
-const dropBefore = (times: number[], start: number): void => {
-	let count = 0;
-	while (count < times.length && times[count] < start) {
-		count++;
-	}
-
-	if (count > 0) {
-		times.splice(0, count);
-	}
-};
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -4,7 +4,7 @@
 */
 import type {Metrics, Random} from '@yuccawood/common';
 import {
-	admitWaiting, chooseUpstream, retryAfterMs, RequestQueue, type Placement, type PlacementRequirements, type QueuedRequest, type UnplacedRequest, type UpstreamView,
+	admitWaiting, chooseUpstream, RecentTimes, retryAfterMs, RequestQueue, type Placement, type PlacementRequirements, type QueuedRequest, type UnplacedRequest, type UpstreamView,
 } from '@yuccawood/dispatch';
 import {
 	DEFAULT_TIME_TO_FIRST_DATA_MS, FASTEST_START_WINDOW_MS, FREED_SLOTS_WINDOW_MS, SERVICE_AVERAGE_WEIGHT,
@@ -39,7 +39,7 @@
 
 class ServiceQueue<State extends UpstreamState> {
 	readonly queue = new RequestQueue<QueuedPlacement<State>>();
-	readonly slotsFreedAt: number[] = [];
+	readonly freedSlots = new RecentTimes({windowMs: FREED_SLOTS_WINDOW_MS});
 	readonly fastestStart = new RecentMinimum({windowMs: FASTEST_START_WINDOW_MS});
 	timeToFirstDataMs = DEFAULT_TIME_TO_FIRST_DATA_MS;
 }
@@ -127,7 +127,7 @@
 	/** Records that a slot became free, and gives it to a queued request. */
 	recordFreedSlot(service: string): void {
 		const serviceQueue = this.#queueOf(service);
-		serviceQueue.slotsFreedAt.push(this.#options.clock.monotonic());
+		serviceQueue.freedSlots.record(this.#options.clock.monotonic());
 		this.placeQueued(service);
 	}
 
@@ -211,11 +211,6 @@
 	}
 
 	#admissionNeed(request: PlacementRequest, {serviceQueue, now, placement}: {readonly serviceQueue: ServiceQueue<State>; readonly now: number; readonly placement: Placement}): UnplacedRequest {
-		const start = now - FREED_SLOTS_WINDOW_MS;
-		while (serviceQueue.slotsFreedAt.length > 0 && serviceQueue.slotsFreedAt[0] < start) {
-			serviceQueue.slotsFreedAt.shift();
-		}
-
 		const slackMs = request.goalAt - now - serviceQueue.timeToFirstDataMs;
 		return {
 			isServable: placement.kind !== 'unavailable',
@@ -224,7 +219,7 @@
 			remainingMs: request.deadlineAt - now - serviceQueue.timeToFirstDataMs,
 			msUntilReturnIsRecognized: Math.max(0, request.returnRecognizedAt - now),
 			ahead: serviceQueue.queue.countAhead(request.priority, {isLate: slackMs <= 0, now}),
-			freedSlotsPerSecond: serviceQueue.slotsFreedAt.length * 1000 / FREED_SLOTS_WINDOW_MS,
+			freedSlotsPerSecond: serviceQueue.freedSlots.countAt(now) * 1000 / FREED_SLOTS_WINDOW_MS,
 		};
 	}
 
