Suspect prompts whose run has gone on for up to 3 s at a crash

Cause: a run counted as a success of its prompt after 0.5 s of data. It cleared what earlier crashes had told of the prompt, the crash that followed had no suspects, and the stream was resumed at the next worker.

Change: a run that has not ended counts as a success only after 3 s of data. Most runs end before, and count then. A prompt that crashes its worker later than 3 s after its first event is still not recognized.

Measured: deadly-parts.test.ts, "some time after they began to write": 9 requests reached engines after the bound on (3 are allowed), passes now.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -60,8 +60,11 @@
 /** Connections to one upstream that break within this time are attributed to the same crash. */
 export const CRASH_WINDOW_MS = 150;
 
-/** Time since the first data of an answer after which its request no longer counts as a possible cause of a crash. */
-export const PROVEN_RUN_MS = 500;
+/**
+Time since the first data of an answer after which its request no longer counts as a possible cause of a crash, although it
+has not ended. A request may crash its upstream some time after it began to run.
+*/
+export const PROVEN_RUN_MS = 3000;
 
 /** Weight of the newest time to first data in the moving average of one upstream, which adapts faster than that of the service. */
 export const UPSTREAM_AVERAGE_WEIGHT = 0.3;
