Check the store in proportion to the bounds of the settings

Calls to the store are priced, most on large deployments, whose bounds are also longer. Entries check it twice in the shortest bound of a change (drainMs, configMs), agents once: they follow only the versions, whose bound is longer.

--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -20,9 +20,8 @@
 /** Time limit for the first byte of a bulky part's response, and between its chunks. Other responses may be sent before it. */
 export const BULKY_TIMEOUT_MS = 2500;
 
-/** Interval of the checks that this process still hears from the store. A cheap check may return a revision that is seconds old. */
+/** Interval of the checks that this process still hears from the store, unless another one is given. */
 export const CHECK_INTERVAL_MS = 1000;
-export const CHEAP_CHECK_INTERVAL_MS = 1500;
 
 /**
 Time limits of the attempts of one check. The first uses the kept connection, the others a new one each. Two new connections
--- a/packages/fleet/src/store-check.ts
+++ b/packages/fleet/src/store-check.ts
@@ -8,9 +8,7 @@
 */
 import {delay, type Clock} from '@yuccawood/common';
 import type {PlatformError} from '@yuccawood/interfaces';
-import {
-	CHEAP_CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, CHECK_RETRY_MS, CHECK_TIMEOUTS_MS,
-} from './constants.js';
+import {CHECK_RETRY_MS, CHECK_TIMEOUTS_MS} from './constants.js';
 import type {ItemSource} from './item-source.js';
 
 export type CheckResult = {
@@ -29,6 +27,7 @@
 
 	/** Checks the newest revision under this prefix by cheap reads; the current revision of the store if undefined. */
 	readonly prefix?: string;
+	readonly intervalMs: number;
 	readonly onAnswer: (result: CheckResult) => void;
 
 	/** Called when the store refuses the check or cannot be reached. */
@@ -47,8 +46,7 @@
 
 	/** Runs until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, prefix} = this.#options;
-		const intervalMs = prefix === undefined ? CHECK_INTERVAL_MS : CHEAP_CHECK_INTERVAL_MS;
+		const {clock, intervalMs} = this.#options;
 		while (!signal.aborted) {
 			const startedAt = clock.monotonic();
 			const isAnswered = await this.check();
--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -3,7 +3,7 @@
 	delay, describeError, type Clock, type Log, type Metrics, type Random,
 } from '@yuccawood/common';
 import {
-	MAX_PROMPT_ANSWER_MS, PEER_POLL_INTERVAL_MS, STALLED_ANSWER_MS, WATCH_DELIVERY_TIMEOUT_MS,
+	CHECK_INTERVAL_MS, MAX_PROMPT_ANSWER_MS, PEER_POLL_INTERVAL_MS, STALLED_ANSWER_MS, WATCH_DELIVERY_TIMEOUT_MS,
 } from './constants.js';
 import type {FleetView} from './fleet-view.js';
 import {ItemLog} from './item-log.js';
@@ -32,6 +32,12 @@
 	/** Name of the small part whose watch is checked for missed changes; undefined when the process follows the whole store. */
 	readonly checkedPart?: string;
 	readonly askPeer?: AskPeer;
+
+	/**
+	Interval of the checks that this process still hears from the store, in milliseconds. A change that no watch delivers comes
+	into force about 0.8 s later than this.
+	*/
+	readonly checkIntervalMs?: number;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Log;
@@ -61,13 +67,15 @@
 	#lastPromptCheckAt: number | undefined;
 
 	constructor(options: StoreFollowerOptions) {
-		const {clock, source, random, metrics} = options;
+		const {
+			clock, source, random, metrics, checkIntervalMs = CHECK_INTERVAL_MS,
+		} = options;
 		this.#options = options;
 		this.#log = options.log.part('store');
 		this.items = new ItemLog({clock});
 		this.#reachability = new StoreReachability({clock, log: this.#log, metrics});
 		this.#check = new StoreCheck({
-			source, clock, prefix: options.parts.find(({name}) => name === options.checkedPart)?.prefix,
+			source, clock, intervalMs: checkIntervalMs, prefix: options.parts.find(({name}) => name === options.checkedPart)?.prefix,
 			onAnswer: result => {
 				this.#applyCheck(result);
 			},
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -1,6 +1,9 @@
 /** Time limit of a call to the platform's store, which usually answers within milliseconds. A lost answer must not delay updates of the observed state. */
 export const STORE_TIMEOUT_MS = 1200;
 
+/** Interval of the checks that an entry still hears from the store, as a fraction of the shortest bound of a change. */
+export const CHECK_INTERVAL_FRACTION = 0.5;
+
 /** Time added to the wait of a watch before the call counts as failed. */
 export const WATCH_SLACK_MS = 1500;
 
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -11,7 +11,9 @@
 	parseNodeSettings, PlatformItemDecoder, SETTINGS_VARIABLE, StoreClient, type NodeSettings,
 } from '@yuccawood/platform';
 import {TargetAgeExchange} from './target-age-exchange.js';
-import {SETTINGS_CHECK_MS, STORE_TIMEOUT_MS, WATCH_SLACK_MS} from './constants.js';
+import {
+	CHECK_INTERVAL_FRACTION, SETTINGS_CHECK_MS, STORE_TIMEOUT_MS, WATCH_SLACK_MS,
+} from './constants.js';
 
 export type NodeContext = {
 	/** Current settings, which are replaced when the settings file changes. */
@@ -111,6 +113,8 @@
 	const peerServer = new PeerServer();
 	const follower = new StoreFollower({
 		source: store, decoder: new PlatformItemDecoder(), view, parts, checkedPart, clock, random, log, metrics,
+		// Processes that follow only the versions, whose bound is longer, check less often.
+		checkIntervalMs: first.val.changeBoundMs * (checkedPart === undefined ? CHECK_INTERVAL_FRACTION : 2 * CHECK_INTERVAL_FRACTION),
 		askPeer: createAskPeer({
 			peers, random, log, addresses: () => peerAddresses(view, settings),
 		}),
