Limit the work that bytes without end cause at all HTTP clients

Cause: undici's parser handles all that it reads at once before anything else runs, and short lines cost it some 5 us each, 50 ms for the 64 KiB that were allowed. The clients of the store, engines, peers and the origin, and the product's own path, counted no framing at all.

Change: ConnectionWatch moves to packages/common, lets the parser read 2 KiB at once in heads and framing and 16 KiB of body data, ends an answer after 500 lines without body data, and lets other connections have a turn where framing takes more than a quarter. GuardedClient puts it under all other HTTP clients.

--- a/packages/common/src/connection-watch.ts
+++ b/packages/common/src/connection-watch.ts
@@ -1,15 +1,18 @@
 /**
-Limits the bytes other than body data that an upstream may send.
+Limits the bytes other than body data that a server may send.
 
-A faulty upstream may send an endless head, endless chunk extensions or trailers, or bytes after a complete answer.
-Undici's parser accepts most of these byte by byte and reports nothing, so they are counted at the socket.
+A faulty server may send an endless head, endless chunk extensions or trailers, or bytes after a complete answer.
+Undici's parser accepts most of these byte by byte and reports nothing, so they are counted at the socket. It handles all that
+it reads at once before anything else runs, and short header lines take it far longer than other bytes, so it reads small
+pieces, and their lines are counted.
 */
 import type {Socket} from 'node:net';
 import {
-	FRAMING_BYTES_PER_BODY_BYTE, MAX_CHUNK_LINE_BYTES, MAX_FRAMING_BYTES, MAX_HEAD_BYTES, MAX_HEAD_MS, MAX_INFORMATIONAL_ANSWERS,
-} from './constants.js';
+	BODY_PIECE_BYTES, FRAMING_BYTES_PER_BODY_BYTE, HEAD_PIECE_BYTES, MAX_CHUNK_LINE_BYTES, MAX_FRAMING_BYTES, MAX_HEAD_BYTES, MAX_HEAD_LINES, MAX_HEAD_MS,
+	MAX_INFORMATIONAL_ANSWERS,
+} from './connection-limits.js';
 
-/** The upstream sent bytes that are not a valid answer, or that exceed a limit. */
+/** The server sent bytes that are not a valid answer, or that exceed a limit. */
 export class MalformedAnswerError extends Error {}
 
 const codeOf = (error: Error): string => (error as {readonly code?: string}).code ?? '';
@@ -20,6 +23,17 @@
 /** Message of undici's error for an answer that no request waits for. */
 const UNSOLICITED_ANSWER_MESSAGE = 'bad response';
 
+const LINE_FEED = 0x0A;
+
+const countLines = (bytes: Uint8Array): number => {
+	let count = 0;
+	for (let index = bytes.indexOf(LINE_FEED); index !== -1; index = bytes.indexOf(LINE_FEED, index + 1)) {
+		count++;
+	}
+
+	return count;
+};
+
 /** What may arrive on the connection next. `over`: nothing is counted, because a send failed and the connection is being closed. */
 type Phase = 'idle' | 'head' | 'body' | 'over';
 
@@ -47,8 +61,17 @@
 	#headTimer: NodeJS.Timeout | undefined;
 	#hasFailed = false;
 
+	/** What the parser has read last, and from which position on, while none of it was body data. */
+	#pieceWithoutBody: {readonly bytes: Uint8Array; readonly position: number} | undefined;
+
+	/** Lines of all such bytes since the last body data. */
+	#lines = 0;
+
+	/** Body data in the piece that was read last. */
+	#pieceBodyBytes = 0;
+
 	/** @param onExtraBytes called when bytes follow a complete answer, with the label of its send; the connection is closed */
-	constructor(onExtraBytes: (label: string) => void) {
+	constructor(onExtraBytes: (label: string) => void = () => undefined) {
 		this.#onExtraBytes = onExtraBytes;
 	}
 
@@ -71,6 +94,7 @@
 		this.#hasFailed = false;
 		this.#watchFailure(socket);
 		this.#enterPhase('idle');
+		this.#readInPieces(socket);
 		// Runs after the parser has read the bytes.
 		socket.on('readable', () => {
 			queueMicrotask(() => {
@@ -108,6 +132,9 @@
 
 	recordBody(bytes: number): void {
 		this.#bodyBytes += bytes;
+		this.#pieceBodyBytes += bytes;
+		this.#pieceWithoutBody = undefined;
+		this.#lines = 0;
 		this.#lastBodyPosition = this.#bytesRead;
 		this.#framingStartedAt = undefined;
 	}
@@ -135,10 +162,64 @@
 		clearTimeout(this.#headTimer);
 		this.#headTimer = undefined;
 		this.#phase = phase;
+		this.#pieceWithoutBody = undefined;
+		this.#lines = 0;
 		this.#phaseStartPosition = this.#bytesRead;
 		this.#headStartPosition = this.#phaseStartPosition;
 	}
 
+	#readInPieces(socket: Socket): void {
+		const read = socket.read.bind(socket) as (size?: number) => Uint8Array | null; // eslint-disable-line @typescript-eslint/no-restricted-types
+		let lastPosition = 0;
+		let isYielding = false;
+		socket.read = requestedSize => {
+			// The stream itself asks for 0 bytes to start another read of the socket.
+			if (requestedSize !== undefined) {
+				return read(requestedSize);
+			}
+
+			this.#checkLines();
+			this.#check(socket);
+			if (socket.destroyed || isYielding) {
+				return null;
+			}
+
+			const position = this.#bytesRead;
+			const isMostlyBody = this.#pieceBodyBytes * 4 > (position - lastPosition) * 3;
+			if (!isMostlyBody && position - lastPosition >= HEAD_PIECE_BYTES) {
+				// Framing is far more work than body data, so other connections get their turn after each piece of it.
+				isYielding = true;
+				lastPosition = position;
+				setImmediate(() => {
+					isYielding = false;
+					socket.emit('readable');
+				});
+				return null;
+			}
+
+			lastPosition = position;
+			this.#pieceBodyBytes = 0;
+			const size = Math.min(socket.readableLength, isMostlyBody ? BODY_PIECE_BYTES : HEAD_PIECE_BYTES);
+			const bytes = size > 0 ? read(size) : read();
+			this.#pieceWithoutBody = bytes ? {bytes, position} : undefined;
+			return bytes;
+		};
+	}
+
+	#checkLines(): void {
+		if (!this.#pieceWithoutBody || this.#phase === 'over') {
+			return;
+		}
+
+		// A paused parser puts back what it has not handled.
+		const {bytes, position} = this.#pieceWithoutBody;
+		this.#lines += countLines(bytes.subarray(0, this.#bytesRead - position));
+		this.#pieceWithoutBody = undefined;
+		if (this.#lines > MAX_HEAD_LINES) {
+			this.#fail(`more than ${MAX_HEAD_LINES} header lines`);
+		}
+	}
+
 	#check(socket: Socket): void {
 		if (socket !== this.#socket || socket.destroyed) {
 			return;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -29,3 +29,10 @@
 export {DroppingOutput} from './bounded-output.js';
 export {PrometheusMetrics} from './prometheus-metrics.js';
 export {signalWithTimeout} from './limited-signal.js';
+export {
+	ConnectionWatch, isMalformed, MalformedAnswerError,
+} from './connection-watch.js';
+export {
+	createGuardedClient, GuardedClient, watchedConnector, type GuardedClientOptions,
+} from './guarded-client.js';
+export * from './connection-limits.js';
--- a/packages/common/src/peer-client.ts
+++ b/packages/common/src/peer-client.ts
@@ -1,6 +1,7 @@
-import {Pool, request, Agent} from 'undici';
+import {Pool, request} from 'undici';
 import {MAX_CONNECTIONS_PER_PEER, DEFAULT_RPC_TIMEOUT_MS, MAX_RPC_RESPONSE_BYTES} from './constants.js';
 import {describeError} from './errors.js';
+import {createGuardedClient} from './guarded-client.js';
 import {readBody} from './http-bodies.js';
 import {RpcError} from './rpc-errors.js';
 
@@ -73,7 +74,7 @@
 	}
 
 	async #post(address: string, body: string, {timeoutMs, useNewConnection: fresh}: Required<CallOptions>): Promise<string> {
-		const dispatcher = fresh ? new Agent({connections: 1, connect: {timeout: this.#connectTimeoutMs}}) : this.#pool(address);
+		const dispatcher = fresh ? new Pool(`http://${address}`, {connections: 1, factory: createGuardedClient, connect: {timeout: this.#connectTimeoutMs}}) : this.#pool(address);
 		try {
 			const response = await request(`http://${address}/rpc`, {
 				dispatcher, method: 'POST', body, headers: {'content-type': 'application/json'}, signal: AbortSignal.timeout(timeoutMs),
@@ -107,7 +108,9 @@
 			return known;
 		}
 
-		const pool = new Pool(`http://${address}`, {connections: MAX_CONNECTIONS_PER_PEER, connect: {timeout: this.#connectTimeoutMs}, keepAliveTimeout: 30_000});
+		const pool = new Pool(`http://${address}`, {
+			connections: MAX_CONNECTIONS_PER_PEER, factory: createGuardedClient, connect: {timeout: this.#connectTimeoutMs}, keepAliveTimeout: 30_000,
+		});
 		this.#pools.set(address, pool);
 		return pool;
 	}
--- a/packages/gateway/src/connection-watch.test.ts
+++ b/packages/gateway/src/connection-watch.test.ts
@@ -1,7 +1,6 @@
 import net, {type AddressInfo} from 'node:net';
-import {delay} from '@yuccawood/common';
+import {delay, MAX_HEAD_MS} from '@yuccawood/common';
 import {expect} from 'chai';
-import {MAX_HEAD_MS} from './constants.js';
 import {UpstreamLink} from './upstream-link.js';
 
 /** Blocks the event loop, as if the process had been paused. */
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -75,20 +75,6 @@
 /** Number of entries assumed to share limits while this entry does not know the others, for example after a restart while the store is unreachable. */
 export const DEFAULT_ENTRY_COUNT = 8;
 
-/** Limits on what an upstream may send before the body of an answer: bytes, and informational (1xx) answers. */
-export const MAX_HEAD_BYTES = 64 * 1024;
-export const MAX_INFORMATIONAL_ANSWERS = 16;
-
-/** Time within which a head must be complete after its first byte, and within which received chunk framing must contain body data. */
-export const MAX_HEAD_MS = 1000;
-
-/** Limit on the framing of a chunked body: a fixed part, and a part per byte of data. A chunk of one byte has five bytes of framing. */
-export const MAX_FRAMING_BYTES = 64 * 1024;
-export const FRAMING_BYTES_PER_BODY_BYTE = 8;
-
-/** Size of a chunk's end and the next chunk's size line, which may arrive long before the data of the next chunk. */
-export const MAX_CHUNK_LINE_BYTES = 32;
-
 /** Bytes of a stream within which a new event must be completed. Large enough for the events that a retried stream repeats from its start. */
 export const MAX_BYTES_WITHOUT_EVENT = 256 * 1024;
 
--- a/packages/gateway/src/refusal-body.ts
+++ b/packages/gateway/src/refusal-body.ts
@@ -1,7 +1,7 @@
 /**
 Limits the body of a refusal. The head is enough to decide; the body is read only to keep the connection reusable.
 */
-import {MalformedAnswerError} from './connection-watch.js';
+import {MalformedAnswerError} from '@yuccawood/common';
 import {MAX_REFUSAL_BYTES, MAX_REFUSAL_MS} from './constants.js';
 
 export class RefusalBody {
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -1,6 +1,6 @@
 /** Sends a request to one upstream once, and forwards the answer to the caller. */
+import {isMalformed, MalformedAnswerError} from '@yuccawood/common';
 import {BufferedAnswer} from './answer-sinks.js';
-import {isMalformed, MalformedAnswerError} from './connection-watch.js';
 import {MAX_UNSIZED_ANSWER_BYTES} from './constants.js';
 import {recordAnnouncement} from './record-announcement.js';
 import {reportExpiredAnswer} from './expired-answer.js';
--- a/packages/gateway/src/upstream-link.ts
+++ b/packages/gateway/src/upstream-link.ts
@@ -6,7 +6,7 @@
 import {
 	buildConnector, Pool, type Client, type Dispatcher,
 } from 'undici';
-import type {ConnectionWatch} from './connection-watch.js';
+import type {ConnectionWatch} from '@yuccawood/common';
 import {CONNECT_TIMEOUT_MS, KEEP_ALIVE_PROBE_MS, UPSTREAM_IDLE_MS} from './constants.js';
 import {OutdatedSendError} from './send-result.js';
 import {WatchedClient, type WatchedOptions} from './watched-client.js';
--- a/packages/gateway/src/watched-client.ts
+++ b/packages/gateway/src/watched-client.ts
@@ -1,6 +1,6 @@
 /** Undici client of one connection, whose received bytes are limited by a {@link ConnectionWatch}. */
 import {Client, type buildConnector, type Dispatcher} from 'undici';
-import {ConnectionWatch} from './connection-watch.js';
+import {ConnectionWatch, watchedConnector} from '@yuccawood/common';
 
 /** Dispatch options for a pool of watched clients. */
 export type WatchedOptions = Dispatcher.DispatchOptions & {
@@ -14,19 +14,7 @@
 	/** @param onExtraBytes called when bytes follow a complete answer, with the label of its send; the connection is closed */
 	constructor(origin: URL, {connect, ...options}: Client.Options & {readonly connect: buildConnector.connector}, onExtraBytes: (label: string) => void) {
 		const watch = new ConnectionWatch(onExtraBytes);
-		super(origin, {
-			...options,
-			connect(target, callback) {
-				connect(target, (...result) => {
-					const [, socket] = result;
-					if (socket) {
-						watch.watch(socket);
-					}
-
-					callback(...result);
-				});
-			},
-		});
+		super(origin, {...options, connect: watchedConnector(connect, watch)});
 		this.#watch = watch;
 	}
 
--- a/packages/interfaces/src/http-client.ts
+++ b/packages/interfaces/src/http-client.ts
@@ -1,7 +1,9 @@
 /** HTTP client for the platform's services. It returns failures as typed errors. */
 import {Buffer} from 'node:buffer';
 import {Pool} from 'undici';
-import {describeError, Err, Ok} from '@yuccawood/common';
+import {
+	createGuardedClient, describeError, Err, Ok,
+} from '@yuccawood/common';
 import {CONNECT_TIMEOUT_MS, MAX_RESPONSE_BYTES, MIN_PROGRESS_BYTES} from './constants.js';
 import {PlatformError, type PlatformErrorKind} from './errors.js';
 import type {Outcome} from './types.js';
@@ -144,7 +146,7 @@
 	#openPool(): Pool {
 		// The timeouts of undici have a granularity of one second, so this class uses timers of its own.
 		const pool = new Pool(`http://${this.#address}`, {
-			connections: this.#connections ?? null, connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0,
+			connections: this.#connections ?? null, factory: createGuardedClient, connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0,
 		});
 		pool.on('connect', () => {
 			this.#openedConnections++;
--- a/packages/requests/src/connection-pools.ts
+++ b/packages/requests/src/connection-pools.ts
@@ -1,9 +1,12 @@
 /** Pools of HTTP connections by address. */
-import {Client, Pool, type Dispatcher} from 'undici';
+import {
+	buildConnector, Pool, type Client, type Dispatcher,
+} from 'undici';
+import {createGuardedClient} from '@yuccawood/common';
 import {CONNECT_TIMEOUT_MS, KEEP_ALIVE_MS} from './constants.js';
 
 const CLIENT_OPTIONS = {
-	connect: {timeout: CONNECT_TIMEOUT_MS, noDelay: true},
+	connect: buildConnector({timeout: CONNECT_TIMEOUT_MS, noDelay: true}),
 	// `Supervisor` checks the progress and deadline of each request, so the timeouts of undici are disabled.
 	headersTimeout: 0,
 	bodyTimeout: 0,
@@ -11,7 +14,7 @@
 	pipelining: 1,
 };
 
-const createPool = (address: string): Pool => new Pool(`http://${address}`, CLIENT_OPTIONS);
+const createPool = (address: string): Pool => new Pool(`http://${address}`, {...CLIENT_OPTIONS, factory: createGuardedClient});
 
 export class ConnectionPools {
 	readonly #pools = new Map<string, Pool>();
@@ -32,7 +35,7 @@
 	because the upstream may close an idle one just as the request is written, which leaves its outcome unknown.
 	*/
 	createSingleUse(address: string): Client {
-		return new Client(`http://${address}`, CLIENT_OPTIONS);
+		return createGuardedClient(`http://${address}`, CLIENT_OPTIONS);
 	}
 
 	/** Directs further requests for the address to new connections. Requests in progress finish on the old ones. */
--- a/packages/weights/src/peer-chunk-client.ts
+++ b/packages/weights/src/peer-chunk-client.ts
@@ -1,6 +1,8 @@
 /** Fetches chunks and manifests from peers. */
-import {Agent, request} from 'undici';
-import {describeError, readBody, signalWithTimeout} from '@yuccawood/common';
+import {Agent, Pool, request} from 'undici';
+import {
+	createGuardedClient, describeError, readBody, signalWithTimeout,
+} from '@yuccawood/common';
 import {
 	HELD_WAIT_MS, MAX_MANIFEST_BYTES, STALL_WINDOW_MS,
 } from './constants.js';
@@ -47,7 +49,10 @@
 		this.#selfId = selfId;
 		this.#heldWaitMs = heldWaitMs;
 		this.#stallWindowMs = stallWindowMs;
-		this.#agent = new Agent({connect: {timeout: connectTimeoutMs}, keepAliveTimeout: 10_000, pipelining: 1});
+		this.#agent = new Agent({
+			factory: (origin, options) => new Pool(origin, {...options as Pool.Options, factory: createGuardedClient}),
+			connect: {timeout: connectTimeoutMs}, keepAliveTimeout: 10_000, pipelining: 1,
+		});
 	}
 
 	/** Requests a chunk from a peer. The peer holds the request until it has the chunk or the hold time ends. Never rejects. */
