Let connections to the store go silent in the platform soak

The soak silenced connections of one process for less than two seconds and then reset them, which counts as a fault of a link, so no bound of a change ran out. Storms of silences end the data on all open connections to the store for good, at times twice in a row, while versions are named, upstreams drain and processes restart; for the bounds this counts as a reset.

--- a/packages/bench/src/platform-soak.ts
+++ b/packages/bench/src/platform-soak.ts
@@ -10,6 +10,7 @@
 	readonly logs?: string;
 	readonly deadlyPart?: boolean;
 	readonly restarts?: boolean;
+	readonly silences?: boolean;
 };
 
 const program = new Command('platform-soak')
@@ -21,12 +22,13 @@
 	.option('--plain <number>', 'plain upstreams', String(USUAL_SIZE.plain))
 	.option('--deadly-part', 'lets a part of prompts crash engines')
 	.option('--restarts', 'restarts entries under full load instead of the usual faults')
+	.option('--silences', 'lets open connections to the store go silent instead of the usual faults')
 	.option('--logs <directory>', 'existing directory to which the output of each process is appended')
-	.action(async ({seed, seconds, entries, engines, plain, logs, deadlyPart, restarts}: Options) => {
+	.action(async ({seed, seconds, entries, engines, plain, logs, deadlyPart, restarts, silences}: Options) => {
 		const startedAt = performance.now();
 		process.stderr.write(`Seed ${seed}.\n`);
 		const {breaches, ...counts} = await runPlatformSoak({
-			seed, hasDeadlyPart: deadlyPart, hasRestarts: restarts, seconds: Number(seconds), size: {entries: Number(entries), engines: Number(engines), plain: Number(plain)},
+			seed, hasDeadlyPart: deadlyPart, hasRestarts: restarts, hasSilences: silences, seconds: Number(seconds), size: {entries: Number(entries), engines: Number(engines), plain: Number(plain)},
 			onOutput: logs === undefined
 				? undefined
 				: (vm, text) => {
--- a/packages/bench/src/platform-soak/run-platform-soak.test.ts
+++ b/packages/bench/src/platform-soak/run-platform-soak.test.ts
@@ -37,6 +37,14 @@
 		expect(judgedRuns).to.be.greaterThan(100);
 	});
 
+	it('breaks no promise while connections to the store go silent, so that no process takes what it holds for current', async () => {
+		const {judgedRuns, breaches} = await runPlatformSoak({
+			seed: 'silences', seconds: 14, progress: quiet, hasSilences: true,
+		});
+		expect(breaches).to.deep.equal([]);
+		expect(judgedRuns).to.be.greaterThan(100);
+	});
+
 	for (const {seed, seconds, cause} of REGRESSIONS) {
 		it(`passes seed ${seed}, which failed because ${cause}`, async () => {
 			const {breaches} = await runPlatformSoak({seed, seconds, progress: quiet});
--- a/packages/bench/src/platform-soak/run-platform-soak.ts
+++ b/packages/bench/src/platform-soak/run-platform-soak.ts
@@ -8,6 +8,7 @@
 import {Restarts} from './restarts.js';
 import {PauseWatch} from './pause-watch.js';
 import {checkServed, checkWorking} from './recovery.js';
+import {Silences} from './silences.js';
 import {SoakFleet, USUAL_SIZE, type FleetSize} from './soak-fleet.js';
 import {runStorm} from './storm.js';
 import type {Breach, Exchange} from './types.js';
@@ -49,12 +50,16 @@
 	readonly breaches: readonly Breach[];
 };
 
-const boundsOf = (random: Random, hasRestarts: boolean): FleetBounds => {
+const boundsOf = (random: Random, {hasRestarts, hasSilences}: {readonly hasRestarts: boolean; readonly hasSilences: boolean}): FleetBounds => {
 	const bounds = {...DEFAULT_FLEET_BOUNDS, versionMs: 3000 + Math.round(random.next() * 2000), stableMs: 1000};
+	if (hasSilences) {
+		return {...bounds, versionMs: bounds.versionMs + 2000, stableMs: 3000};
+	}
+
 	return hasRestarts ? {...bounds, stableMs: 3000, stopGraceMs: 4000 + Math.round(random.next() * 2000)} : bounds;
 };
 
-export const runPlatformSoak = async ({seed, seconds, progress, onOutput, size = USUAL_SIZE, hasDeadlyPart = false, hasRestarts = false}: {
+export const runPlatformSoak = async ({seed, seconds, progress, onOutput, size = USUAL_SIZE, hasDeadlyPart = false, hasRestarts = false, hasSilences = false}: {
 	readonly seed: string;
 	readonly seconds: number;
 	readonly progress: (line: string) => void;
@@ -66,12 +71,15 @@
 	/** Whether the storms are restarts of entries under full load. */
 	readonly hasRestarts?: boolean;
 
+	/** Whether the storms are silent connections to the store, beside changes and restarts. */
+	readonly hasSilences?: boolean;
+
 	/** Told all that the processes write. */
 	readonly onOutput?: (vm: string, text: string) => void;
 }): Promise<PlatformSoakResult> => {
 	const startedAt = performance.now();
 	const now = (): number => performance.now();
-	const bounds = boundsOf(seededRandom(`${seed} bounds`), hasRestarts);
+	const bounds = boundsOf(seededRandom(`${seed} bounds`), {hasRestarts, hasSilences});
 	const streamTimeoutMs = hasRestarts ? LONG_STREAM_MS : ROUTE_TIMEOUT_MS;
 	const fleet = new SoakFleet({
 		random: seededRandom(`${seed} upstreams`), deadlyRandom: seededRandom(`${seed} deadly`), now, size, bounds, streamTimeoutMs, onOutput,
@@ -95,6 +103,21 @@
 	const restarts = new Restarts({
 		fleet, faults, random: seededRandom(`${seed} restarts`), report,
 	});
+	const silences = new Silences({
+		fleet, faults, random: seededRandom(`${seed} silences`), report,
+	});
+	const runNextStorm = async (milliseconds: number): Promise<void> => {
+		if (hasSilences) {
+			return silences.run(milliseconds);
+		}
+
+		return hasRestarts
+			? restarts.run(milliseconds)
+			: runStorm({
+				faults, random: faultRandom, milliseconds, report,
+			});
+	};
+
 	const stopping = new AbortController();
 	const pauses = new PauseWatch({now});
 	const memory = new MemoryWatch(() => fleet.processes);
@@ -118,11 +141,7 @@
 			fleet.deadlyPrompts.isActive = hasDeadlyPart;
 			const milliseconds = Math.min(leftMs, STORM_MS * (1 + faultRandom.next()));
 			leftMs -= milliseconds;
-			await (hasRestarts
-				? restarts.run(milliseconds)
-				: runStorm({
-					faults, random: faultRandom, milliseconds, report,
-				}));
+			await runNextStorm(milliseconds);
 			fleet.deadlyPrompts.isActive = false;
 			calmFrom = now();
 			progress('calm');
