Tell of a crash again when the connection carried no answer

An entry told the others of a crash once.

It is now told a second time, on a new connection.

Measured: the new test of crash-exchange fails without the second attempt (one report instead of two).

--- a/packages/crashes/src/constants.ts
+++ b/packages/crashes/src/constants.ts
@@ -25,6 +25,9 @@
 /** Time limit of a call to another entry about a crash. Requests go on to reach upstreams meanwhile. */
 export const PEER_TIMEOUT_MS = 400;
 
+/** Number of times that another entry is told of a crash or a success until it answers. */
+export const MAX_TELL_ATTEMPTS = 2;
+
 /** Bounds of memory. */
 export const MAX_CRASHES = 200;
 export const MAX_SUSPECTS_PER_CRASH = 256;
--- a/packages/crashes/src/crash-exchange.test.ts
+++ b/packages/crashes/src/crash-exchange.test.ts
@@ -2,7 +2,7 @@
 	PeerClient, PeerServer, SILENT_LOG, SystemClock,
 } from '@yuccawood/common';
 import {expect} from 'chai';
-import {MIN_CRASHES} from './constants.js';
+import {MIN_CRASHES, PEER_TIMEOUT_MS} from './constants.js';
 import {CrashExchange} from './crash-exchange.js';
 import {CrashReview} from './crash-review.js';
 
@@ -41,6 +41,23 @@
 		return review;
 	};
 
+	it('tells of a crash again if the connection carried no answer, since it may have gone silent', async () => {
+		const ages: number[] = [];
+		const other = new PeerServer();
+		other.method('crashes.report', async ({ageMs}: {readonly ageMs: number}) => {
+			ages.push(ageMs);
+			await (ages.length === 1 ? clock.sleep(PEER_TIMEOUT_MS * 2) : undefined);
+			return {};
+		});
+		await other.listen('127.0.74.3', PORT);
+		closers.push(async () => other.close());
+		const review = await start('127.0.74.1', ['127.0.74.3']);
+		review.recordCrash('u', suspects, clock.monotonic());
+		await clock.sleep(PEER_TIMEOUT_MS * 2);
+		expect(ages.length).to.equal(2);
+		expect(ages[1] - ages[0]).to.be.within(PEER_TIMEOUT_MS - 50, PEER_TIMEOUT_MS + 300);
+	});
+
 	it('adds up what entries see, although one of them does not answer, and ends a block at all of them', async () => {
 		const reviews = [
 			await start('127.0.74.1', ['127.0.74.2', '127.0.74.9']),
--- a/packages/crashes/src/crash-exchange.ts
+++ b/packages/crashes/src/crash-exchange.ts
@@ -2,7 +2,7 @@
 import {
 	describeError, type Log, type PeerClient, type PeerServer,
 } from '@yuccawood/common';
-import {PEER_TIMEOUT_MS} from './constants.js';
+import {MAX_TELL_ATTEMPTS, PEER_TIMEOUT_MS} from './constants.js';
 import {
 	isCrashReport, isEnquiry, isSuccessNotice, isTestimony,
 } from './crash-messages.js';
@@ -55,11 +55,12 @@
 	}
 
 	readonly report = (report: CrashReport): void => {
-		this.#tellAll(REPORT_METHOD, report);
+		const startedAt = performance.now();
+		this.#tellAll(REPORT_METHOD, () => ({...report, ageMs: report.ageMs + performance.now() - startedAt}));
 	};
 
 	readonly reportSuccess = (id: string): void => {
-		this.#tellAll(SUCCESS_METHOD, {id});
+		this.#tellAll(SUCCESS_METHOD, () => ({id}));
 	};
 
 	readonly enquire = async (enquiry: Enquiry): Promise<EnquiryResult> => {
@@ -68,9 +69,20 @@
 		return {asked: addresses.length, testimonies: answers.filter(answer => isTestimony(answer))};
 	};
 
-	#tellAll(method: string, parameters: unknown): void {
+	/** @param parameters creates them for each attempt */
+	#tellAll(method: string, parameters: () => unknown): void {
 		for (const address of this.#options.addresses()) {
-			void this.#call(address, method, parameters);
+			void this.#tell(address, method, parameters);
+		}
+	}
+
+	async #tell(address: string, method: string, parameters: () => unknown): Promise<void> {
+		for (let attempt = 0; attempt < MAX_TELL_ATTEMPTS; attempt++) {
+			// The connection may have died without being closed. The call after a failed one opens another.
+			const answer = await this.#call(address, method, parameters());
+			if (answer !== undefined) {
+				return;
+			}
 		}
 	}
 
