Keep the checks going when a listener throws

A listener of a check that threw would have ended the loop of checks, as the loop of the former revision check was guarded against.

--- a/packages/fleet/src/part-follower.ts
+++ b/packages/fleet/src/part-follower.ts
@@ -159,12 +159,8 @@
 	}
 
 	async #rest(milliseconds: number, signal: AbortSignal): Promise<void> {
-		if (signal.aborted) {
-			return;
-		}
-
 		this.#pause = new AbortController();
-		await delay(milliseconds, this.#pause.signal);
+		await delay(signal.aborted ? 0 : milliseconds, this.#pause.signal);
 	}
 
 	get #timeoutMs(): number | undefined {
@@ -196,7 +192,6 @@
 		this.#lastDataAt = this.#options.clock.monotonic();
 	};
 
-	/** Finds out why a call failed. */
 	async #outcomeOfFailure(error: PlatformError, signal: AbortSignal): Promise<'failed' | 'interrupted'> {
 		if (signal.aborted) {
 			return 'interrupted';
--- a/packages/fleet/src/store-check.ts
+++ b/packages/fleet/src/store-check.ts
@@ -32,6 +32,9 @@
 
 	/** Called when the store refuses the check or cannot be reached. */
 	readonly onUnreachable: (error: PlatformError) => void;
+
+	/** Called when a listener throws. The checks go on. */
+	readonly onError: (error: unknown) => void;
 	readonly clock: Clock;
 };
 
@@ -46,10 +49,16 @@
 
 	/** Runs until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, intervalMs} = this.#options;
+		const {clock, intervalMs, onError} = this.#options;
 		while (!signal.aborted) {
 			const startedAt = clock.monotonic();
-			const isAnswered = await this.check();
+			let isAnswered = false;
+			try {
+				isAnswered = await this.check();
+			} catch (error) {
+				onError(error);
+			}
+
 			await delay(Math.max(isAnswered ? 0 : CHECK_RETRY_MS, intervalMs - (clock.monotonic() - startedAt)), signal);
 		}
 	}
--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -82,6 +82,9 @@
 			onUnreachable: error => {
 				this.#reachability.recordFailure(error);
 			},
+			onError: error => {
+				this.#recordFailedRound('check', error);
+			},
 		});
 		this.#parts = options.parts.map(part => new PartFollower({
 			part, source, items: this.items, times: this.#times, clock, random, log: this.#log, metrics,
@@ -229,15 +232,10 @@
 		}
 	}
 
-	/** Runs one round of a loop. An error must not end the loop. */
-	async #attempt(round: string, run: () => Promise<void>): Promise<void> {
-		const {metrics} = this.#options;
-		try {
-			await run();
-		} catch (error) {
-			metrics.count('fleet.follow_failures', {round});
-			this.#log.error('A round failed; the next one follows.', {round, error: error instanceof Error ? error.stack : describeError(error)});
-		}
+	/** An error of one round must not end its loop. */
+	#recordFailedRound(round: string, error: unknown): void {
+		this.#options.metrics.count('fleet.follow_failures', {round});
+		this.#log.error('A round failed; the next one follows.', {round, error: error instanceof Error ? error.stack : describeError(error)});
 	}
 
 	get #checkedPart(): PartFollower | undefined {
@@ -273,10 +271,12 @@
 				continue;
 			}
 
-			await this.#attempt('peer poll', async () => {
+			try {
 				const states = unreachable.map(({state}) => state);
 				this.#takeFromPeer(await askPeer(states, isBulky), states);
-			});
+			} catch (error) {
+				this.#recordFailedRound('peer poll', error);
+			}
 		}
 	}
 
