Take a version that a waiting watch delivered as learned at once

Engines switched up to 0.5 s earlier than needed, since the bound of a version counted from the latest proof of a peer that it was not set, which is as old as its last check.

A connection that went silent delivers nothing. So a process to which a waiting watch delivered the version has learned of it at once, and counts as a witness of the time; one that read it afterwards, as after a replaced or cut watch, does not. The first call after a failed one only looks, so that it counts as a read. Checks of the processes are spread over a fifth of their interval.

--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -23,6 +23,9 @@
 /** Interval of the checks that this process still hears from the store, unless another one is given. */
 export const CHECK_INTERVAL_MS = 1000;
 
+/** Shortest interval between two checks, as a fraction of the longest. */
+export const MIN_INTERVAL_FRACTION = 0.8;
+
 /**
 Time limits of the attempts of one check. The first uses the kept connection, the others a new one each. Two new connections
 in a row may die, too, without the store being unreachable.
@@ -69,7 +72,7 @@
 /** Time after the store becomes reachable again until which a live upstream is listed again, with a margin. */
 export const LEASE_EXPIRY_WINDOW_MS = 3000;
 
-/** Longest unexplained delay of an update with which a process still counts as a witness of the time at which a version was set. */
+/** Longest time since the last prompt check, or since an outage, with which a process counts as a witness of the time at which a version was set. */
 export const MAX_WITNESS_DELAY_MS = 1500;
 
 /** Difference between two ages of a version that the duration of calls between peers can explain. */
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -229,23 +229,23 @@
 		this.#changes.publish('configuration');
 	}
 
-	#applyTarget(model: string, version: number, {revision, ageBoundMs, ageMs, sinceUnreachableMs = Number.POSITIVE_INFINITY}: AnnouncementContext): void {
+	#applyTarget(model: string, version: number, {revision, ageBoundMs, ageMs = Number.POSITIVE_INFINITY, isDelivered = false, sinceUnreachableMs = Number.POSITIVE_INFINITY}: AnnouncementContext): void {
 		const known = this.targetOf(model);
 		if (known && known.version >= version) {
 			return;
 		}
 
 		// A starting process does not know when the version was set as the target.
-		const countedMs = ageMs ?? this.#initialTargetAgeMs();
+		const countedMs = ageMs === Number.POSITIVE_INFINITY ? this.#initialTargetAgeMs() : ageMs;
 		const now = this.#clock.monotonic();
-		const unexplainedMs = Math.min(ageMs ?? Number.POSITIVE_INFINITY, sinceUnreachableMs);
+		const unexplainedMs = isDelivered && ageMs <= MAX_WITNESS_DELAY_MS ? 0 : sinceUnreachableMs;
 		const targets = [...this.targetsOf(model), {
 			model,
 			version,
 			learnedAt: now - countedMs,
 			knownAt: now,
 			absentAt: ageBoundMs === undefined ? undefined : now - ageBoundMs,
-			witnessedAt: ageMs !== undefined && unexplainedMs <= MAX_WITNESS_DELAY_MS ? now - unexplainedMs : undefined,
+			witnessedAt: ageMs !== Number.POSITIVE_INFINITY && unexplainedMs <= MAX_WITNESS_DELAY_MS ? now - unexplainedMs : undefined,
 		}];
 		this.#targets.set(model, targets.slice(-MAX_TARGETS_PER_MODEL));
 		this.#log.info('New target version.', {
--- a/packages/fleet/src/part-follower.ts
+++ b/packages/fleet/src/part-follower.ts
@@ -198,7 +198,9 @@
 		}
 
 		this.#isAnswering = await this.#options.onCallFailed(error);
-		return this.#mustLook && this.#isAnswering ? 'interrupted' : 'failed';
+		const wasRestarted = this.#mustLook;
+		this.#mustLook = true;
+		return wasRestarted && this.#isAnswering ? 'interrupted' : 'failed';
 	}
 
 	/** Reads the newest value if the store has changed since the last response, because a watch would deliver all intermediate values, too. */
--- a/packages/fleet/src/store-check.ts
+++ b/packages/fleet/src/store-check.ts
@@ -6,9 +6,9 @@
 connections of the watches may be dead, too. The store counts as unreachable only when it refuses a check, or when new
 connections carry no answer either.
 */
-import {delay, type Clock} from '@yuccawood/common';
+import {delay, type Clock, type Random} from '@yuccawood/common';
 import type {PlatformError} from '@yuccawood/interfaces';
-import {CHECK_RETRY_MS, CHECK_TIMEOUTS_MS} from './constants.js';
+import {CHECK_RETRY_MS, CHECK_TIMEOUTS_MS, MIN_INTERVAL_FRACTION} from './constants.js';
 import type {ItemSource} from './item-source.js';
 
 export type CheckResult = {
@@ -27,6 +27,8 @@
 
 	/** Checks the newest revision under this prefix by cheap reads; the current revision of the store if undefined. */
 	readonly prefix?: string;
+
+	/** Longest interval between two checks, in milliseconds. Shorter ones spread the checks of all processes. */
 	readonly intervalMs: number;
 	readonly onAnswer: (result: CheckResult) => void;
 
@@ -36,6 +38,7 @@
 	/** Called when a listener throws. The checks go on. */
 	readonly onError: (error: unknown) => void;
 	readonly clock: Clock;
+	readonly random: Random;
 };
 
 export class StoreCheck {
@@ -49,7 +52,7 @@
 
 	/** Runs until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, intervalMs, onError} = this.#options;
+		const {clock, random, intervalMs, onError} = this.#options;
 		while (!signal.aborted) {
 			const startedAt = clock.monotonic();
 			let isAnswered = false;
@@ -59,7 +62,7 @@
 				onError(error);
 			}
 
-			await delay(Math.max(isAnswered ? 0 : CHECK_RETRY_MS, intervalMs - (clock.monotonic() - startedAt)), signal);
+			await delay(Math.max(isAnswered ? 0 : CHECK_RETRY_MS, (intervalMs * (MIN_INTERVAL_FRACTION + ((1 - MIN_INTERVAL_FRACTION) * random.next()))) - (clock.monotonic() - startedAt)), signal);
 		}
 	}
 
--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -75,7 +75,7 @@
 		this.items = new ItemLog({clock});
 		this.#reachability = new StoreReachability({clock, log: this.#log, metrics});
 		this.#check = new StoreCheck({
-			source, clock, intervalMs: checkIntervalMs, prefix: options.parts.find(({name}) => name === options.checkedPart)?.prefix,
+			source, clock, random, intervalMs: checkIntervalMs, prefix: options.parts.find(({name}) => name === options.checkedPart)?.prefix,
 			onAnswer: result => {
 				this.#applyCheck(result);
 			},
@@ -142,7 +142,7 @@
 				// A lease that expires removes its items.
 				const leaseGraceMs = item.value === undefined ? this.#reachability.leaseGraceMs : 0;
 				view.apply(announcement, {
-					revision: item.revision, mayBeLeaseExpiry: leaseGraceMs > 0, leaseGraceMs, sinceUnreachableMs: this.#reachability.sinceUnreachableMs,
+					revision: item.revision, mayBeLeaseExpiry: leaseGraceMs > 0, leaseGraceMs, isDelivered: learnedBy === 'delivered', sinceUnreachableMs: this.#reachability.sinceUnreachableMs,
 					...this.#estimateAges(item, {part, learnedBy}),
 				});
 			}
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -184,7 +184,7 @@
 	readonly absentAt?: number;
 
 	/**
-	Latest monotonic time in milliseconds at which the version was not set yet, or at which the store was unreachable. Undefined
+	Monotonic milliseconds at which a waiting watch delivered the version, or until which the store was unreachable before. Undefined
 	if this process may have learned of the version late for another reason.
 	*/
 	readonly witnessedAt?: number;
@@ -202,7 +202,7 @@
 	/** Time since the version was provably not set yet. */
 	readonly absentMs?: number;
 
-	/** Time since the version was not set yet or the store was unreachable; absent if that process may have learned of it late. */
+	/** Time since a waiting watch delivered the version, or since the end of the outage before; absent if that process may have learned of it late. */
 	readonly witnessedMs?: number;
 };
 
@@ -257,6 +257,9 @@
 	/** Assumed time for which the item has been in the store; undefined until the part was first read, when nothing is known of it. */
 	readonly ageMs?: number;
 
+	/** Whether a watch that was waiting delivered the item. A connection that went silent delivers nothing. */
+	readonly isDelivered?: boolean;
+
 	/** Time since the store was last found unreachable, in milliseconds; undefined if it never was. */
 	readonly sinceUnreachableMs?: number;
 };
--- a/packages/node/src/superseded-targets.ts
+++ b/packages/node/src/superseded-targets.ts
@@ -20,7 +20,7 @@
 	const versions = new Map(unknown.map(({age}) => [`${age.model}@${age.version}`, age]));
 	return [...versions.values()].map(({model, version}) => {
 		const group = unknown.filter(({age}) => age.model === model && age.version === version);
-		const witnessed = group.filter(({age}) => age.witnessedMs !== undefined);
+		const witnessed = group.filter(({age}) => age.witnessedMs !== undefined || age.absentMs !== undefined);
 		const knownAt = Math.min(...group.map(({age, receivedAt}) => receivedAt - age.ageMs));
 		const learnedAt = Math.min(...(witnessed.length > 0 ? witnessed : group).map(({age, receivedAt}) => receivedAt - age.countedMs));
 		return {
--- a/packages/node/src/target-age-exchange.test.ts
+++ b/packages/node/src/target-age-exchange.test.ts
@@ -121,6 +121,19 @@
 		expect(late.targetOf('m')!.learnedAt).to.be.below(learnedAt - 2900);
 	});
 
+	it('drops the cautious assumption if waiting watches delivered the version to peers in all regions', async () => {
+		const others = await Promise.all([1, 2, 3].map(async index => start(`127.0.73.${index}`, [], {region: index === 3 ? 'south' : 'north'})));
+		const late = await start('127.0.73.8', [1, 2, 3].map(index => `127.0.73.${index}:${PORT}`));
+		const deliveredAt = clock.monotonic();
+		for (const view of others) {
+			setTarget(view, 2, 900, {isDelivered: true});
+		}
+
+		setTarget(late, 2, 3000);
+		await clock.sleep(150);
+		expect(late.targetOf('m')!.learnedAt).to.be.at.least(deliveredAt);
+	});
+
 	it('counts from when one peer knew for certain that the version was not set yet', async () => {
 		const follower = await start('127.0.73.1', []);
 		const late = await start('127.0.73.2', [`127.0.73.1:${PORT}`]);
--- a/packages/node/src/testing/age-exchange-fixture.ts
+++ b/packages/node/src/testing/age-exchange-fixture.ts
@@ -65,7 +65,7 @@
 }
 
 /** Tells a process of a target version, as its store would. */
-export const setTarget = (view: FleetView, version: number, ageMs = 0, context: {readonly ageBoundMs?: number; readonly sinceUnreachableMs?: number} = {}): void => {
+export const setTarget = (view: FleetView, version: number, ageMs = 0, context: {readonly ageBoundMs?: number; readonly sinceUnreachableMs?: number; readonly isDelivered?: boolean} = {}): void => {
 	view.apply({kind: 'target', model: 'm', version}, {
 		revision: version, mayBeLeaseExpiry: false, ageMs, ...context,
 	});
