Count each delivery by a waiting watch as a witness

The time since the last prompt check says nothing about a watch that delivers; agents check less often than entries, and would rarely count.

--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -72,7 +72,7 @@
 /** Time after the store becomes reachable again until which a live upstream is listed again, with a margin. */
 export const LEASE_EXPIRY_WINDOW_MS = 3000;
 
-/** Longest time since the last prompt check, or since an outage, with which a process counts as a witness of the time at which a version was set. */
+/** Longest time since an outage of the store with which a process counts as a witness that no version could be learned of before. */
 export const MAX_WITNESS_DELAY_MS = 1500;
 
 /** Difference between two ages of a version that the duration of calls between peers can explain. */
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -238,7 +238,7 @@
 		// A starting process does not know when the version was set as the target.
 		const countedMs = ageMs === Number.POSITIVE_INFINITY ? this.#initialTargetAgeMs() : ageMs;
 		const now = this.#clock.monotonic();
-		const unexplainedMs = isDelivered && ageMs <= MAX_WITNESS_DELAY_MS ? 0 : sinceUnreachableMs;
+		const unexplainedMs = isDelivered ? 0 : sinceUnreachableMs;
 		const targets = [...this.targetsOf(model), {
 			model,
 			version,
