Read chunk framing one piece a turn for all connections together

With 40 endless answers of tiny chunks at once, other callers were refused: each connection parsed a piece of 2 KiB in each turn of the event loop, 20 to 90 ms a turn, while Node.js accepts one connection a turn.

TurnQueue lets all connections of a process read one such piece a turn. The first piece of an answer, and answers of mostly body data, don't wait.

--- a/packages/common/src/connection-limits.ts
+++ b/packages/common/src/connection-limits.ts
@@ -9,6 +9,9 @@
 export const HEAD_PIECE_BYTES = 2 * 1024;
 export const BODY_PIECE_BYTES = 16 * 1024;
 
+/** Most pieces of framing that all connections of a process read in one turn of the event loop, after the first of each answer. */
+export const FRAMING_PIECES_PER_TURN = 1;
+
 /** Time within which a head must be complete after its first byte, and within which received chunk framing must contain body data. */
 export const MAX_HEAD_MS = 1000;
 
--- a/packages/common/src/connection-watch.ts
+++ b/packages/common/src/connection-watch.ts
@@ -8,9 +8,10 @@
 */
 import type {Socket} from 'node:net';
 import {
-	BODY_PIECE_BYTES, FRAMING_BYTES_PER_BODY_BYTE, HEAD_PIECE_BYTES, MAX_CHUNK_LINE_BYTES, MAX_FRAMING_BYTES, MAX_HEAD_BYTES, MAX_HEAD_LINES, MAX_HEAD_MS,
+	BODY_PIECE_BYTES, FRAMING_PIECES_PER_TURN, FRAMING_BYTES_PER_BODY_BYTE, HEAD_PIECE_BYTES, MAX_CHUNK_LINE_BYTES, MAX_FRAMING_BYTES, MAX_HEAD_BYTES, MAX_HEAD_LINES, MAX_HEAD_MS,
 	MAX_INFORMATIONAL_ANSWERS,
 } from './connection-limits.js';
+import {TurnQueue} from './turn-queue.js';
 
 /** The server sent bytes that are not a valid answer, or that exceed a limit. */
 export class MalformedAnswerError extends Error {}
@@ -23,6 +24,9 @@
 /** Message of undici's error for an answer that no request waits for. */
 const UNSOLICITED_ANSWER_MESSAGE = 'bad response';
 
+/** Reads of framing by all connections of this process. */
+const framingTurns = new TurnQueue({perTurn: FRAMING_PIECES_PER_TURN});
+
 const LINE_FEED = 0x0A;
 
 const countLines = (bytes: Uint8Array): number => {
@@ -190,7 +194,7 @@
 				// Framing is far more work than body data, so other connections get their turn after each piece of it.
 				isYielding = true;
 				lastPosition = position;
-				setImmediate(() => {
+				framingTurns.add(() => {
 					isYielding = false;
 					socket.emit('readable');
 				});
