--- a/packages/weights/src/staged/staged-weight-manager.ts
+++ b/packages/weights/src/staged/staged-weight-manager.ts
@@ -8,12 +8,14 @@
 import {StarPlanner} from '../star-plan.js';
 import type {WeightSettings} from '../types.js';
 import {
-	ORIGIN_DIGEST_DELAY_MS, ORIGIN_DIGEST_READER_COUNT, FIRST_WAVE_DELAY_SHARE, MAX_IDLE_TRANSFER_SHARE, MAX_ORIGIN_RETRY_MS, KEPT_DIGEST_VERSIONS, ENGINE_STATE_POLL_MS,
+	ORIGIN_DIGEST_DELAY_MS, ORIGIN_DIGEST_READER_COUNT, FIRST_WAVE_DELAY_SHARE, MAX_IDLE_TRANSFER_SHARE, MAX_ORIGIN_RETRY_MS, ENGINE_STATE_POLL_MS,
 	MAX_SERVING_TRANSFER_SHARE, TRANSFER_BALANCE, TRANSFER_DUE_MARGIN_MS, MAX_UPLOAD_SHARE,
 } from './constants.js';
-import {chooseDigestPeers, firstDefined} from './digest-peers.js';
+import type {ActiveRollout} from './active-rollout.js';
+import {DigestExchange} from './digest-exchange.js';
 import {IndexedOrigin} from './indexed-origin.js';
 import {StagingArea} from './staging-area.js';
+import type {StagedEngineStatus, StagedTargetVersion, StagedWeightManagerOptions} from './staged-weight-manager-options.js';
 import type {StagedManifest} from './staged-manifest.js';
 import {rollOutStaged} from './staged-rollout.js';
 import {SupersededTransferCanceller} from './superseded-transfers.js';
@@ -23,80 +25,6 @@
 	ModelVersion, StagedEngine, StagedEngineState, VersionedOrigin, VersionDigests,
 } from './types.js';
 
-/** A version that was set as the target, and when this agent learned of it. */
-export type StagedTargetVersion = ModelVersion & {
-	/** Monotonic milliseconds. */
-	readonly learnedAt: number;
-};
-
-const DIGESTS_METHOD = 'weights.digests';
-
-export type StagedEngineStatus = {
-	/** Last state of the engine; undefined while it does not answer. */
-	readonly state: StagedEngineState | undefined;
-
-	/** Whether the engine is about to load a version or loads one; entries send it no requests meanwhile. */
-	readonly isSwitching: boolean;
-};
-
-export type StagedWeightManagerOptions = {
-	readonly selfId: string;
-	readonly service: string;
-	readonly members: MemberTable;
-
-	/** Waits until other members are known: an agent that knows none reads the digests from the origin itself. */
-	readonly waitForMembers?: () => Promise<void>;
-
-	/** Updates the member table; when that fails, the last one is used. */
-	readonly refreshMembers: () => Promise<void>;
-
-	/** Versions that were set as the target, oldest first; the last one is the current target. */
-	readonly targets: () => readonly StagedTargetVersion[];
-
-	/** Whether all requests to the engine may be interrupted, since other engines can continue or retry them. */
-	readonly canInterruptRequests: () => boolean;
-
-	/** Updates whether requests may be interrupted, before any are; when that fails, the last answer is used. */
-	readonly refreshCanInterruptRequests?: () => Promise<void>;
-	readonly engine: StagedEngine;
-	readonly origin: () => VersionedOrigin | undefined;
-
-	/** Calls a method of a peer; undefined when the peer does not answer. */
-	readonly askPeer: <Answer>(address: string, method: string, parameters: unknown) => Promise<Answer | undefined>;
-
-	/** Handlers are registered by the constructor, so create the manager before the server listens. */
-	readonly peerServer: PeerServer;
-	readonly settings: WeightSettings;
-
-	/** Staleness bound: time from when a version is set as the target until every request must begin on it, in milliseconds. */
-	readonly versionBoundMs: number;
-
-	/** Time before the end of the staleness bound from which entries send no requests to an engine with an older version, in milliseconds. */
-	readonly boundMarginMs: number;
-	readonly clock?: Clock;
-	readonly random?: Random;
-	readonly log: Log;
-	readonly metrics: Metrics;
-};
-
-/** A rollout in progress. A newer one runs beside it and may cancel it, but the two versions are loaded one after the other. */
-type ActiveRollout = {
-	readonly target: StagedTargetVersion;
-	readonly controller: AbortController;
-
-	/** Whether all pieces are held. */
-	hasPieces: boolean;
-
-	/** Hash of the manifest; undefined while the digests are not known. */
-	manifest: string | undefined;
-
-	/** Resolves when all pieces are held, or when the rollout ends without them. */
-	readonly piecesDone: Promise<void>;
-
-	/** Resolves when the rollout ends. */
-	readonly done: Promise<void>;
-};
-
 export class StagedWeightManager {
 	readonly #options: StagedWeightManagerOptions;
 	readonly #clock: Clock;
@@ -105,14 +33,8 @@
 	readonly #indexedOrigin: IndexedOrigin;
 	readonly #stagingArea: StagingArea;
 	readonly #supersededTransfers: SupersededTransferCanceller;
+	readonly #digests: DigestExchange;
 	readonly #statusPublisher = new Publisher<StagedEngineStatus>();
-
-	/** Hashes of manifests by version. */
-	readonly #manifestHashes = new Map<number, string>();
-
-	/** Digests of pieces by version, for peers that ask for them. */
-	readonly #pieceDigests = new Map<number, readonly string[]>();
-	#pieceBytes = 0;
 	#state: StagedEngineState | undefined;
 	#isEngineDown = false;
 	#isSwitching = false;
@@ -133,14 +55,7 @@
 			},
 			origin: this.#indexedOrigin, clock, random, log: this.#log, balance: () => TRANSFER_BALANCE, planner: new StarPlanner(),
 		});
-		options.peerServer.method(DIGESTS_METHOD, ({model, version}: {readonly model: string; readonly version: number}) => {
-			const digests = this.#pieceDigests.get(version);
-			return digests
-				? {
-					model, version, pieceBytes: this.#pieceBytes, digests,
-				}
-				: null;
-		});
+		this.#digests = new DigestExchange({...options, random});
 		this.#stagingArea = new StagingArea({
 			engine, store: this.#exchange.store, log: this.#log, metrics,
 		});
@@ -153,8 +68,8 @@
 					controller.abort();
 				},
 			})),
-			missingBytesOf: version => this.#sizeOfPieces(this.#pieceDigests.get(version)?.filter(hash => !this.#exchange.store.has(hash))),
-			sizeBytesOf: version => this.#sizeOfPieces(this.#pieceDigests.get(version)) ?? 0,
+			missingBytesOf: version => this.#digests.bytesOf(version, hash => !this.#exchange.store.has(hash)),
+			sizeBytesOf: version => this.#digests.bytesOf(version) ?? 0,
 			clock: this.#clock, log: this.#log,
 		});
 	}
@@ -170,7 +85,7 @@
 
 	/** @returns the hash of the manifest of a version, or undefined before this agent has read its digests */
 	manifestHash(version: number): string | undefined {
-		return this.#manifestHashes.get(version);
+		return this.#digests.manifestHash(version);
 	}
 
 	/** Calls the listener with each status. @returns a function that unsubscribes it */
@@ -193,23 +108,6 @@
 		await this.#exchange.close();
 	}
 
-	#sizeOfPieces(hashes: readonly string[] | undefined): number | undefined {
-		return hashes && hashes.length * this.#pieceBytes;
-	}
-
-	/** Keeps the digests of the newest versions, for peers that ask for them. */
-	#keepDigests({hash, version, manifest}: StagedManifest): void {
-		this.#manifestHashes.set(version, hash);
-		this.#pieceDigests.set(version, manifest.chunks);
-		this.#pieceBytes = manifest.chunkBytes;
-		for (const known of this.#manifestHashes.keys()) {
-			if (known < version - KEPT_DIGEST_VERSIONS) {
-				this.#manifestHashes.delete(known);
-				this.#pieceDigests.delete(known);
-			}
-		}
-	}
-
 	async #refreshState(): Promise<StagedEngineState | undefined> {
 		const result = await this.#options.engine.state();
 		if (result.ok) {
@@ -246,7 +144,7 @@
 		}
 
 		const isHeld = this.#state?.model?.name === target.name && this.#state.model.version === target.version;
-		const isKnown = isHeld && this.#manifestHashes.has(target.version);
+		const isKnown = isHeld && this.#digests.manifestHash(target.version) !== undefined;
 		const isRollingOut = this.#activeRollouts.some(({target: other, controller}) => other.version === target.version && !controller.signal.aborted);
 		if (!isKnown && this.#state && !isRollingOut) {
 			this.#startRollout(target, signal);
@@ -279,7 +177,7 @@
 					},
 					onManifest: staged => {
 						rollout.manifest = staged.hash;
-						this.#keepDigests(staged);
+						this.#digests.keep(staged);
 						void this.#supersededTransfers.cancelUseless(target, combined);
 						this.#log.info('Transfer begins.', {manifest: staged.hash, version: staged.version, origin: this.#options.origin() !== undefined});
 					},
@@ -334,31 +232,14 @@
 				this.#isSwitching = isSwitching;
 				this.#statusPublisher.publish(this.status);
 			},
-			originDigestDelayMs: version => this.#digestReaders(version).includes(selfId) ? 0 : ORIGIN_DIGEST_DELAY_MS,
-			readPeerDigests: async (model, version) => this.#readPeerDigests(model, version),
+			originDigestDelayMs: version => this.#digests.originReaders(version).includes(selfId) ? 0 : ORIGIN_DIGEST_DELAY_MS,
+			readPeerDigests: async (model, version) => this.#digests.readFromPeers(model, version),
 			clock: this.#clock,
 			log: this.#log,
 			metrics,
 		};
 	}
 
-	/** Identifiers of the members that read the digests of a version from the origin; the same for all members with the same table. */
-	#digestReaders(version: number): readonly string[] {
-		return topByWeight(String(version), this.#options.members.members.map(({id}) => id), ORIGIN_DIGEST_READER_COUNT);
-	}
-
-	/** Asks peers for the digests of a version. Wrong digests do no harm, since no piece verifies against them. */
-	async #readPeerDigests(model: string, version: number): Promise<VersionDigests | undefined> {
-		const {members, random = systemRandom(), askPeer} = this.#options;
-		const peers = chooseDigestPeers({
-			members: members.members, self: members.self, readers: this.#digestReaders(version), random,
-		});
-		return firstDefined(peers.map(async ({address}) => {
-			const digests = await askPeer<VersionDigests | null>(address, DIGESTS_METHOD, {model, version}); // eslint-disable-line @typescript-eslint/no-restricted-types
-			return digests ?? undefined;
-		}));
-	}
-
 	/** Whether the group of this engine may switch now. */
 	#isSwitchDue(target: StagedTargetVersion): boolean {
 		return this.#clock.monotonic() - this.#boundStartedAt(target) >= this.#switchDelayMs(target);
