Log what lies on the way to an upstream, and readiness while stopping

No log line told a send that lies in a buffer from one that its upstream works on, or why a stopping entry still counts as ready.

SendsUnderWay holds what was written for an upstream and not shown to have arrived: a response confirms what was written before it, and a send that ends without one counts for as long again as it was out. 'The caller left.' and 'The time limit was reached.' have its totals and the time since any data came. A stopping entry logs each decision on its readiness with what it rests on, and each answer to the load balancer. Nothing is decided by these yet.

--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -90,6 +90,9 @@
 export const UNRESPONSIVE_FACTOR = 4;
 export const MIN_UNRESPONSIVE_MS = 500;
 
+/** Time for which a send counts as under way after it has ended without a response, as a multiple of the time for which it was out. */
+export const ABANDONED_SEND_FACTOR = 1;
+
 /** Multiple of the expected time to the first data after which an engine's load no longer explains its silence. */
 export const SILENCE_START_FACTOR = 2;
 
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,6 +3,7 @@
 export {chooseUpstream, estimateLoad} from './choose-upstream.js';
 export {admitWaiting, retryAfterMs} from './admit-waiting.js';
 export {readingTokensPerMs} from './prompt-reading.js';
+export {SendsUnderWay, type UnconfirmedSends} from './sends-under-way.js';
 export {silenceLimitMs} from './silence-limit.js';
 export {callerTimes, type CallerTimes} from './caller-times.js';
 export {RequestQueue, type QueuedRequest} from './request-queue.js';
--- a/packages/gateway/src/final-answers.ts
+++ b/packages/gateway/src/final-answers.ts
@@ -6,7 +6,7 @@
 import {sendGatewayAnswer} from './own-answer.js';
 import type {PlacementResult} from './placer.js';
 import type {EarlyEnd, SendResult} from './send-result.js';
-import {timeFields} from './time-fields.js';
+import {pathFields, timeFields} from './time-fields.js';
 import type {GatewayAnswer} from './types.js';
 import type {ConnectedUpstream} from './upstream-states.js';
 
@@ -76,7 +76,7 @@
 		const {mayHaveRun, sends, events} = progress();
 		metrics.count('gateway.ended_early', {by});
 		decisions.unusual(requestId, by === 'caller' ? 'The caller left.' : 'The time limit was reached.', () => ({
-			route: route.name, upstream: state?.upstream.id, sends, mayHaveRun, events, ...timeFields(context, request),
+			route: route.name, upstream: state?.upstream.id, sends, mayHaveRun, events, ...timeFields(context, request), ...pathFields(context, state),
 		}));
 		if (by === 'deadline') {
 			this.#answer(mayHaveRun
--- a/packages/gateway/src/time-fields.ts
+++ b/packages/gateway/src/time-fields.ts
@@ -1,7 +1,8 @@
-/** Log fields that tell how late a decision on a request is. */
+/** Log fields that tell how late a decision on a request is, and what is known of the path to its upstream. */
 import type {LogFields} from '@yuccawood/common';
 import type {AcceptedRequest} from './accepted-request.js';
 import type {GatewayContext} from './gateway-context.js';
+import type {UpstreamState} from './upstream-state.js';
 
 export const timeFields = ({clock, lag}: Pick<GatewayContext, 'clock' | 'lag'>, {arrivedAt, deadlineAt}: Pick<AcceptedRequest, 'arrivedAt' | 'deadlineAt'>): LogFields => {
 	const now = clock.monotonic();
@@ -9,3 +10,20 @@
 		sinceArrivalMs: Math.round(now - arrivedAt), remainingMs: Math.round(deadlineAt - now), loopDelayMs: Math.round(lag.loopDelayMs), acceptBacklogMs: Math.round(lag.acceptBacklogMs),
 	};
 };
+
+/**
+Log fields that tell whether requests lie on the way to an upstream: what was written and not confirmed, for how long, and the
+time since any data came from it.
+*/
+export const pathFields = ({clock}: Pick<GatewayContext, 'clock'>, state: UpstreamState | undefined): LogFields => {
+	if (!state) {
+		return {};
+	}
+
+	const now = clock.monotonic();
+	const {sends, bytes, oldestMs} = state.underWay.at(now);
+	const {lastDataAt} = state.signs;
+	return {
+		unconfirmedSends: sends, unconfirmedBytes: bytes, unconfirmedMs: Math.round(oldestMs), silentMs: lastDataAt === undefined ? undefined : Math.round(now - lastDataAt),
+	};
+};
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -13,13 +13,17 @@
 import {SilenceWatch} from './silence-watch.js';
 import type {TransmitOptions} from './transmit-options.js';
 import type {AnswerHeaders} from './types.js';
-import type {AnswerHead, Send} from './upstream-link.js';
+import type {AnswerHead, Send, SendRequest} from './upstream-link.js';
 
 /** Resolves when the attempt succeeded, failed or was ended early. */
 export const transmit = async (options: TransmitOptions): Promise<SendResult> => new Promise(resolve => {
 	new Transmission(options, resolve).start();
 });
 
+/** Approximate size on the wire. */
+const requestBytes = ({path, headers, body}: SendRequest): number =>
+	path.length + headers.reduce((sum, text) => sum + text.length + 2, 0) + (body?.byteLength ?? 0);
+
 class Transmission {
 	readonly #options: TransmitOptions;
 	readonly #resolve: (result: SendResult) => void;
@@ -41,6 +45,9 @@
 	readonly #silence: SilenceWatch;
 	readonly #unanswered: UnansweredSend;
 
+	/** Key of the written request in the state's sends under way; undefined until it is written. */
+	#underWayKey: symbol | undefined;
+
 	/** Time in milliseconds that was left at the send; undefined if no expiry was known then. */
 	#msUntilCancelAtSend: number | undefined;
 
@@ -81,7 +88,7 @@
 		endSignal.addEventListener('abort', this.#onEnded, {once: true});
 		response.on('drain', this.#onDrain);
 		this.#silence.recordProgress();
-		this.#send = state.link.send(upstreamRequest, {
+		this.#send = state.link.send({...upstreamRequest, onSent: this.#onSent}, {
 			head: head => {
 				this.#handleHead(head);
 			},
@@ -107,6 +114,12 @@
 		}
 	}
 
+	readonly #onSent = (): void => {
+		const {state, context: {clock}, upstreamRequest} = this.#options;
+		this.#underWayKey = state.underWay.add(clock.monotonic(), requestBytes(upstreamRequest));
+		upstreamRequest.onSent?.();
+	};
+
 	readonly #onEnded = (): void => {
 		this.#send?.abort(new Error('the request ended early'));
 	};
@@ -122,6 +135,10 @@
 		this.#evidence.close();
 		context.expiryWatch.remove(this.#unanswered);
 		state.removePendingSend(this.#pendingSendKey);
+		if (this.#underWayKey) {
+			state.underWay.abandon(this.#underWayKey, context.clock.monotonic());
+		}
+
 		endSignal.removeEventListener('abort', this.#onEnded);
 		response.off('drain', this.#onDrain);
 		this.#resolve(result.kind === 'failed' && this.#evidence.isSuspect ? {...result, isSuspect: true} : result);
@@ -132,6 +149,10 @@
 		const head = context.codec.readAnswerHeaders(headers, status);
 		this.#head = head;
 		this.#evidence.recordHead(headers);
+		if (this.#underWayKey) {
+			state.underWay.confirm(this.#underWayKey);
+		}
+
 		context.expiryWatch.remove(this.#unanswered);
 		if (head.load) {
 			state.updateLoad(head.load.running + head.load.waiting, context.clock.monotonic());
--- a/packages/gateway/src/upstream-state.ts
+++ b/packages/gateway/src/upstream-state.ts
@@ -1,6 +1,6 @@
 /** Load and health of one upstream, as this entry observes them. Performs no I/O. */
 import {
-	afterFailure, afterSuccess, afterTrialStart, HEALTHY, healthStatus, type UpstreamHealth, type UpstreamView,
+	afterFailure, afterSuccess, afterTrialStart, HEALTHY, healthStatus, SendsUnderWay, type UpstreamHealth, type UpstreamView,
 } from '@yuccawood/dispatch';
 import type {Upstream, UpstreamReport} from '@yuccawood/fleet';
 import type {UpstreamSigns} from './upstream-signs.js';
@@ -17,6 +17,9 @@
 	/** Requests of this entry that the upstream has now. */
 	ownRequests = 0;
 
+	/** What was written for the upstream and may not have arrived there. */
+	readonly underWay = new SendsUnderWay();
+
 	/** Sends that have received no data yet, oldest first. */
 	readonly #pendingSends = new Map<symbol, PendingSend>();
 	/** Requests of all entries at the upstream, by its latest answer or its agent's latest report. */
--- a/packages/node/src/entry-node.ts
+++ b/packages/node/src/entry-node.ts
@@ -53,7 +53,9 @@
 		clock, random, log, metrics,
 	});
 	crashPeers.start(gateway.crashReview);
-	const stop = new PlannedStop({gateway, others, clock});
+	const stop = new PlannedStop({
+		gateway, others, clock, log,
+	});
 	let isListening = false;
 	others.start(() => stop.state(isListening && gateway.canServe));
 	const reportReader = new ReportReader({
@@ -71,7 +73,12 @@
 
 	const readiness = http.createServer((request, response) => {
 		request.resume();
-		response.writeHead(gateway.canServe && stop.isReady ? 200 : 503, {'content-length': 0});
+		const status = gateway.canServe && stop.isReady ? 200 : 503;
+		if (stop.hasBegun) {
+			log.info('Answered the load balancer while stopping.', {status});
+		}
+
+		response.writeHead(status, {'content-length': 0});
 		response.end();
 	});
 	const readinessListen = splitAddress(readinessAddress);
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -2,7 +2,7 @@
 Stops an entry in steps: it counts as ready until another entry is, callers open new connections elsewhere, requests that
 can't be answered in what is left of the grace are refused, and the others are answered before the process is killed.
 */
-import type {Clock} from '@yuccawood/common';
+import type {Clock, Log} from '@yuccawood/common';
 import type {Gateway} from '@yuccawood/gateway';
 import {
 	ACCEPT_AFTER_SIGTERM_MS, FINAL_ANSWERS_MS, IDLE_CHECK_MS, READINESS_ASK_INTERVAL_MS, STOP_MARGIN_MS,
@@ -14,6 +14,7 @@
 	readonly gateway: Pick<Gateway, 'beginDraining' | 'stopListening' | 'closeIdleConnections'> & {readonly exchanges: Pick<Gateway['exchanges'], 'limitAnswers' | 'refuseLate' | 'endAll'>};
 	readonly others: OtherEntries;
 	readonly clock: Clock;
+	readonly log: Log;
 };
 
 export class PlannedStop {
@@ -65,12 +66,15 @@
 
 	/** Resolves when another entry is ready, or when this one may no longer count as ready. */
 	async #handOver(startedAt: number, graceMs: number): Promise<void> {
-		const {others, clock} = this.#options;
+		const {others, clock, log} = this.#options;
 		for (;;) {
 			const observed = await others.ask();
-			if (!staysReady({
+			const situation = {
 				stoppingMs: clock.monotonic() - startedAt, graceMs, isListed: others.isSelfListed(), others: observed,
-			})) {
+			};
+			const stays = staysReady(situation);
+			log.info(stays ? 'Still ready while stopping.' : 'No longer ready.', {...situation, stoppingMs: Math.round(situation.stoppingMs)});
+			if (!stays) {
 				return;
 			}
 
