Enforce the limit on readiness at the answer to the load balancer

What operators saw: machines that still counted as ready seconds after SIGTERM (DRAIN).

Cause: a stopping entry that believes itself alone stays ready for 1.9 s, or 3.5 s if it is sure. The limit was looked at only between a question to the others (300 ms at most) and a pause, and the answer to the balancer rested on a flag, so that the last 200 came up to 2.14 s after SIGTERM, too late for two misses within 4 s. A late handling of the signal came on top. And 'sure' rested on lists and answers, which can differ between entries: two whose lists lack each other both stayed for 3.5 s.

Change: the answer compares the time with the limit, which counts from the earliest moment at which SIGTERM may have come. The question ends with the limit. Beyond 1.9 s only the entry stays that holds a claim in the store, written under the condition that nobody has it, with a lease that outlasts its readiness. The question goes to six others at a time and ends with the first that settles it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -115,6 +115,11 @@
 		});
 	}
 
+	/** Longest time, in milliseconds, for which an event may have waited until this process handled it. */
+	get readDelayMs(): number {
+		return this.#context.readDelay.boundMs;
+	}
+
 	/** Number of requests that have no final answer yet. */
 	get inProgress(): number {
 		return this.#inProgress;
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -42,10 +42,17 @@
 /** Time between two stops below which they count as simultaneous. */
 export const SIMULTANEOUS_STOPS_MS = 500;
 
+/** Lease of the claim to stay ready: until the load balancer has taken the entry out after its last 200. */
+export const HANDOVER_CLAIM_MS = MAX_READY_WHEN_ALONE_MS + 2500;
+
 /** Interval at which a stopping entry asks whether another one is ready, and the time limit of a call. */
 export const READINESS_ASK_INTERVAL_MS = 150;
 export const READINESS_CALL_TIMEOUT_MS = 300;
 
+/** Entries that are asked at once, and the time until the next ones are asked while none has settled the question. */
+export const READINESS_GROUP_SIZE = 6;
+export const READINESS_GROUP_INTERVAL_MS = 50;
+
 /** Time before SIGKILL at which a stopping entry closes the connections of the remaining requests. */
 export const STOP_MARGIN_MS = 400;
 
--- a/packages/node/src/entry-node.ts
+++ b/packages/node/src/entry-node.ts
@@ -9,6 +9,7 @@
 import {STOP_MARGIN_MS} from './constants.js';
 import {CrashCountWriter} from './crash-count-writer.js';
 import {EngineDirectoryPublisher} from './engine-directory-publisher.js';
+import {StoreClaim} from './handover-claim.js';
 import {serveMetrics} from './metrics-endpoint.js';
 import {createNode} from './node-context.js';
 import {EntryRegistration} from './entry-registration.js';
@@ -41,7 +42,7 @@
 		peers: context.peers, peerServer, log, addresses: otherAddresses,
 	});
 	const others = new ReadinessExchange({
-		peers: context.peers, peerServer, log, addresses: otherAddresses, isSelfListed: () => view.entries.has(vm),
+		peers: context.peers, peerServer, random, log, addresses: otherAddresses, isSelfListed: () => view.entries.has(vm),
 	});
 	const crashCounts = new CrashCountWriter({
 		store, view, random, log,
@@ -54,7 +55,7 @@
 	});
 	crashPeers.start(gateway.crashReview);
 	const stop = new PlannedStop({
-		gateway, others, clock, log,
+		gateway, others, claim: new StoreClaim({store, vm, log}), clock, log,
 	});
 	let isListening = false;
 	others.start(() => stop.state(isListening && gateway.canServe));
--- /dev/null
+++ b/packages/node/src/handover-claim.ts
@@ -0,0 +1,32 @@
+/**
+Claim in the store that at most one stopping entry holds. It is not given back, so that for the time of the lease no other entry
+stays ready for longer than all may.
+*/
+import type {Log} from '@yuccawood/common';
+import {HANDOVER_KEY, type StoreClient} from '@yuccawood/platform';
+import {HANDOVER_CLAIM_MS} from './constants.js';
+
+/** Right to stay ready for longer than other stopping entries. */
+export interface HandoverClaim {
+	/** Resolves with whether this process holds the claim. False if the store refuses it or does not answer. */
+	readonly take: () => Promise<boolean>;
+}
+
+export class StoreClaim implements HandoverClaim {
+	readonly #store: Pick<StoreClient, 'grantLease' | 'replace'>;
+	readonly #vm: string;
+	readonly #log: Log;
+
+	constructor({store, vm, log}: {readonly store: Pick<StoreClient, 'grantLease' | 'replace'>; readonly vm: string; readonly log: Log}) {
+		this.#store = store;
+		this.#vm = vm;
+		this.#log = log.part('presence');
+	}
+
+	readonly take = async (): Promise<boolean> => {
+		const lease = await this.#store.grantLease(HANDOVER_CLAIM_MS);
+		const written = lease.ok ? await this.#store.replace({key: HANDOVER_KEY, value: this.#vm, lease: lease.val.id}, 0) : lease;
+		this.#log.info('Claim to stay ready as the last entry.', {isGranted: written.ok, error: written.err ? written.val.message : undefined});
+		return written.ok;
+	};
+}
--- a/packages/node/src/handover.test.ts
+++ b/packages/node/src/handover.test.ts
@@ -2,7 +2,7 @@
 import {staysReady, type HandoverSituation, type ObservedEntry} from './handover.js';
 
 const situation = (others: readonly ObservedEntry[], changes: Partial<HandoverSituation> = {}): HandoverSituation => ({
-	stoppingMs: 1000, graceMs: 8000, isListed: true, others, ...changes,
+	stoppingMs: 1000, graceMs: 8000, isListed: true, hasClaim: true, others, ...changes,
 });
 
 const stopping = (forMs: number): ObservedEntry => ({kind: 'stopping', forMs});
@@ -52,6 +52,11 @@
 			expect(staysReady(situation([SILENT], {stoppingMs: 1900}))).to.equal(false);
 			expect(staysReady(situation([], {stoppingMs: 1900, isListed: false}))).to.equal(false);
 		});
+
+		it('stays no longer without the claim of the store, which only one entry gets', () => {
+			expect(staysReady(situation([], {stoppingMs: 1800, hasClaim: false}))).to.equal(true);
+			expect(staysReady(situation([], {stoppingMs: 1900, hasClaim: false}))).to.equal(false);
+		});
 	});
 
 	it('never lets two entries stay, whenever each was stopped', () => {
--- a/packages/node/src/handover.ts
+++ b/packages/node/src/handover.ts
@@ -3,7 +3,8 @@
 
 While entries are stopped one after the other, the last one may stop before the first one is back. It goes on taking
 connections until another entry does. Entries that stop at the same time can't help each other, and if two of them went on, the
-platform would count a stop as not begun. So at most the one that was stopped last waits.
+platform would count a stop as not begun. So at most the one that was stopped last waits, and
+beyond the time that all may take only the one that has the store's claim.
 */
 import {MAX_READY_WHEN_ALONE_MS, MAX_READY_WHEN_UNSURE_MS, SIMULTANEOUS_STOPS_MS} from './constants.js';
 
@@ -20,16 +21,23 @@
 
 	/** Whether the list of entries contains this one. Otherwise it may lack others, too. */
 	readonly isListed: boolean;
+
+	/** Whether the store has granted this entry, and no other one, to stay on. Lists and answers of peers can differ between entries. */
+	readonly hasClaim: boolean;
 	readonly others: readonly ObservedEntry[];
 };
 
-/** Whether this entry is the only one that can take connections now. */
-const isAlone = ({stoppingMs, others}: HandoverSituation): boolean =>
-	others.every(other => other.kind !== 'ready' && !(other.kind === 'stopping' && other.forMs < stoppingMs + SIMULTANEOUS_STOPS_MS));
+/** Whether another entry takes connections now, or stays on in place of this one. @param stoppingMs time since this one was asked to stop */
+export const isReplacement = (other: ObservedEntry, stoppingMs: number): boolean =>
+	other.kind === 'ready' || (other.kind === 'stopping' && other.forMs < stoppingMs + SIMULTANEOUS_STOPS_MS);
+
+/** Time after SIGTERM, in milliseconds, until which an entry may count as ready. It holds whatever becomes known later, or fails to. */
+export const readinessLimitMs = ({graceMs, isListed, hasClaim, others}: Pick<HandoverSituation, 'graceMs' | 'isListed' | 'hasClaim' | 'others'>): number => {
+	const isSure = hasClaim && isListed && others.every(({kind}) => kind !== 'silent');
+	return Math.min(isSure ? MAX_READY_WHEN_ALONE_MS : MAX_READY_WHEN_UNSURE_MS, graceMs / 2);
+};
 
 export const staysReady = (situation: HandoverSituation): boolean => {
-	const {stoppingMs, graceMs, isListed, others} = situation;
-	const isSure = isListed && others.every(({kind}) => kind !== 'silent');
-	const limitMs = Math.min(isSure ? MAX_READY_WHEN_ALONE_MS : MAX_READY_WHEN_UNSURE_MS, graceMs / 2);
-	return stoppingMs < limitMs && isAlone(situation);
+	const {stoppingMs, others} = situation;
+	return stoppingMs < readinessLimitMs(situation) && !others.some(other => isReplacement(other, stoppingMs));
 };
--- /dev/null
+++ b/packages/node/src/planned-stop.test.ts
@@ -0,0 +1,93 @@
+import {SILENT_LOG, SystemClock} from '@yuccawood/common';
+import {expect} from 'chai';
+import type {HandoverClaim} from './handover-claim.js';
+import type {ObservedEntry} from './handover.js';
+import {PlannedStop} from './planned-stop.js';
+
+const GRACE_MS = 8000;
+
+/** Time after SIGTERM from which at most one entry may count as ready. */
+const LAST_READY_MS = 2000;
+
+const clock = new SystemClock();
+
+const gateway = {
+	readDelayMs: 0,
+	beginDraining: () => undefined,
+	stopListening: async () => undefined,
+	closeIdleConnections: async () => 0,
+	exchanges: {limitAnswers: () => undefined, refuseLate: () => undefined, endAll: () => undefined},
+};
+
+/** Claim of the store, which the first one gets that asks. */
+class OneClaim implements HandoverClaim {
+	#isTaken = false;
+
+	readonly take = async (): Promise<boolean> => {
+		const isGranted = !this.#isTaken;
+		this.#isTaken = true;
+		return isGranted;
+	};
+}
+
+/** Call that gets no answer. */
+const unanswered = async <Answer>(): Promise<Answer> => new Promise<Answer>(() => {
+	// Never resolves.
+});
+
+const NEVER: HandoverClaim = {take: unanswered};
+
+describe('PlannedStop', () => {
+	const stopOf = ({claim, ask, readDelayMs = 0}: {
+		readonly claim: HandoverClaim;
+		readonly ask: () => Promise<readonly ObservedEntry[]>;
+		readonly readDelayMs?: number;
+	}): PlannedStop => new PlannedStop({
+		gateway: {...gateway, readDelayMs}, claim, clock, log: SILENT_LOG, others: {isSelfListed: () => true, ask},
+	});
+
+	/** Milliseconds from the stop to the last moment at which it counts as ready. */
+	const lastReadyTime = async (stop: PlannedStop): Promise<number> => {
+		const startedAt = clock.monotonic();
+		const running = stop.run(GRACE_MS);
+		let lastReadyMs = 0;
+		while (clock.monotonic() - startedAt < 4000) {
+			if (stop.isReady) {
+				lastReadyMs = clock.monotonic() - startedAt;
+			}
+
+			await clock.sleep(5);
+		}
+
+		await running;
+		return lastReadyMs;
+	};
+
+	describe('of entries whose lists lack each other', () => {
+		it('lets only one of them stay ready for longer than all may', async () => {
+			const claim = new OneClaim();
+			const times = await Promise.all(Array.from({length: 3}, async () => lastReadyTime(stopOf({claim, ask: async () => []}))));
+			expect(times.filter(time => time >= LAST_READY_MS).length).to.equal(1);
+		}).timeout(15_000);
+	});
+
+	describe('while the store does not answer', () => {
+		it('does not stay ready for longer than all may', async () => {
+			expect(await lastReadyTime(stopOf({claim: NEVER, ask: async () => []}))).to.be.lessThan(LAST_READY_MS);
+		}).timeout(15_000);
+	});
+
+	describe('while a question to the others gets no answer at all', () => {
+		it('does not stay ready for longer than all may', async () => {
+			expect(await lastReadyTime(stopOf({claim: new OneClaim(), ask: unanswered}))).to.be.lessThan(LAST_READY_MS);
+		}).timeout(15_000);
+	});
+
+	describe('in a process that handles SIGTERM late', () => {
+		it('counts the time from when it may have come', async () => {
+			const readDelayMs = 400;
+			const lastReadyMs = await lastReadyTime(stopOf({claim: NEVER, ask: async () => [], readDelayMs}));
+			expect(lastReadyMs + readDelayMs).to.be.lessThan(LAST_READY_MS);
+		}).timeout(15_000);
+	});
+});
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -7,20 +7,28 @@
 import {
 	ACCEPT_AFTER_SIGTERM_MS, FINAL_ANSWERS_MS, IDLE_CHECK_MS, READINESS_ASK_INTERVAL_MS, STOP_MARGIN_MS,
 } from './constants.js';
-import {staysReady, type EntryState} from './handover.js';
+import type {HandoverClaim} from './handover-claim.js';
+import {
+	isReplacement, readinessLimitMs, staysReady, type EntryState, type ObservedEntry,
+} from './handover.js';
 import type {OtherEntries} from './readiness-exchange.js';
 
 export type PlannedStopOptions = {
-	readonly gateway: Pick<Gateway, 'beginDraining' | 'stopListening' | 'closeIdleConnections'> & {readonly exchanges: Pick<Gateway['exchanges'], 'limitAnswers' | 'refuseLate' | 'endAll'>};
+	readonly gateway: Pick<Gateway, 'readDelayMs' | 'beginDraining' | 'stopListening' | 'closeIdleConnections'> & {readonly exchanges: Pick<Gateway['exchanges'], 'limitAnswers' | 'refuseLate' | 'endAll'>};
 	readonly others: OtherEntries;
+	readonly claim: HandoverClaim;
 	readonly clock: Clock;
 	readonly log: Log;
 };
 
 export class PlannedStop {
 	readonly #options: PlannedStopOptions;
+	/** Earliest monotonic time in milliseconds at which SIGTERM may have come. */
 	#startedAt: number | undefined;
-	#hasLeft = false;
+
+	/** Time after that until which this entry counts as ready, in milliseconds, as far as is known now. */
+	#readyForMs = 0;
+	#hasClaim = false;
 
 	constructor(options: PlannedStopOptions) {
 		this.#options = options;
@@ -30,15 +38,15 @@
 		return this.#startedAt !== undefined;
 	}
 
-	/** Whether the load balancer may send connections to this entry. */
+	/** Whether the load balancer may send connections to this entry. Holds at the moment of the question, however late a decision comes. */
 	get isReady(): boolean {
-		return !this.#hasLeft;
+		return this.#startedAt === undefined || this.#stoppingMs < this.#readyForMs;
 	}
 
 	/** What the other entries are told. A stopping entry is no help to others that stop. */
 	state(canServe: boolean): EntryState {
 		if (this.#startedAt !== undefined) {
-			return {kind: 'stopping', forMs: this.#options.clock.monotonic() - this.#startedAt};
+			return {kind: 'stopping', forMs: this.#stoppingMs};
 		}
 
 		return {kind: canServe ? 'ready' : 'starting'};
@@ -47,13 +55,14 @@
 	/** Resolves when all connections are closed, or when the process has to end. @param graceMs time until the process is killed */
 	async run(graceMs: number): Promise<void> {
 		const {gateway, clock} = this.#options;
-		this.#startedAt = clock.monotonic();
+		this.#startedAt = clock.monotonic() - gateway.readDelayMs;
 		const closeAt = this.#startedAt + graceMs - STOP_MARGIN_MS;
-		gateway.exchanges.limitAnswers(closeAt - FINAL_ANSWERS_MS);
+		const answerBy = closeAt - FINAL_ANSWERS_MS;
+		gateway.exchanges.limitAnswers(answerBy);
 		const ended = new AbortController();
-		void this.#reviewRequests(closeAt - FINAL_ANSWERS_MS, ended.signal);
-		await this.#handOver(this.#startedAt, graceMs);
-		this.#hasLeft = true;
+		void this.#reviewRequests(answerBy, ended.signal);
+		await this.#handOver(graceMs);
+		this.#readyForMs = 0;
 		gateway.beginDraining();
 		await clock.sleep(Math.min(ACCEPT_AFTER_SIGTERM_MS, graceMs / 3));
 		await gateway.stopListening();
@@ -64,21 +73,58 @@
 		ended.abort();
 	}
 
+	get #stoppingMs(): number {
+		return this.#options.clock.monotonic() - this.#startedAt!;
+	}
+
+	readonly #isReplacement = (other: ObservedEntry): boolean => isReplacement(other, this.#stoppingMs);
+
 	/** Resolves when another entry is ready, or when this one may no longer count as ready. */
-	async #handOver(startedAt: number, graceMs: number): Promise<void> {
+	async #handOver(graceMs: number): Promise<void> {
 		const {others, clock, log} = this.#options;
+		let isClaimed = false;
+		const situationWith = (observed: readonly ObservedEntry[]): Parameters<typeof staysReady>[0] => ({
+			stoppingMs: this.#stoppingMs, graceMs, isListed: others.isSelfListed(), hasClaim: this.#hasClaim, others: observed,
+		});
+		this.#readyForMs = readinessLimitMs(situationWith([{kind: 'silent'}]));
 		for (;;) {
-			const observed = await others.ask();
-			const situation = {
-				stoppingMs: clock.monotonic() - startedAt, graceMs, isListed: others.isSelfListed(), others: observed,
-			};
+			const observed = await this.#whileReady(others.ask(this.#isReplacement));
+			if (observed === undefined) {
+				log.info('No longer ready: the time limit was reached.', {stoppingMs: Math.round(this.#stoppingMs)});
+				return;
+			}
+
+			const situation = situationWith(observed);
 			const stays = staysReady(situation);
 			log.info(stays ? 'Still ready while stopping.' : 'No longer ready.', {...situation, stoppingMs: Math.round(situation.stoppingMs)});
 			if (!stays) {
 				return;
 			}
 
-			await clock.sleep(READINESS_ASK_INTERVAL_MS);
+			this.#readyForMs = readinessLimitMs(situation);
+			if (!isClaimed) {
+				isClaimed = true;
+				void this.#takeClaim();
+			}
+
+			await this.#whileReady(clock.sleep(READINESS_ASK_INTERVAL_MS));
+		}
+	}
+
+	async #takeClaim(): Promise<void> {
+		this.#hasClaim = await this.#options.claim.take();
+	}
+
+	/** @returns the result, or undefined as soon as this entry no longer counts as ready */
+	async #whileReady<Result>(work: Promise<Result>): Promise<Result | undefined> {
+		const limit = new AbortController();
+		try {
+			return await Promise.race([work, (async () => {
+				await this.#options.clock.sleep(Math.max(0, this.#readyForMs - this.#stoppingMs), limit.signal);
+				return undefined;
+			})()]);
+		} finally {
+			limit.abort();
 		}
 	}
 
--- a/packages/node/src/readiness-exchange.ts
+++ b/packages/node/src/readiness-exchange.ts
@@ -1,8 +1,8 @@
 /** Tells the other entries whether this one takes connections, and asks them. */
 import {
-	describeError, type Log, type PeerClient, type PeerServer,
+	delay, describeError, type Log, type PeerClient, type PeerServer, type Random,
 } from '@yuccawood/common';
-import {READINESS_CALL_TIMEOUT_MS} from './constants.js';
+import {READINESS_CALL_TIMEOUT_MS, READINESS_GROUP_INTERVAL_MS, READINESS_GROUP_SIZE} from './constants.js';
 import type {EntryState, ObservedEntry} from './handover.js';
 
 const STATE_METHOD = 'entries.state';
@@ -12,13 +12,14 @@
 	/** Whether the list of entries contains this one. */
 	readonly isSelfListed: () => boolean;
 
-	/** Resolves with the states of all others, or as soon as one of them is ready. */
-	readonly ask: () => Promise<readonly ObservedEntry[]>;
+	/** Resolves with the states of all others, or as soon as one of them is enough, with that one. */
+	readonly ask: (isEnough: (state: ObservedEntry) => boolean) => Promise<readonly ObservedEntry[]>;
 }
 
 export type ReadinessExchangeOptions = {
 	readonly peers: PeerClient;
 	readonly peerServer: PeerServer;
+	readonly random: Random;
 	readonly log: Log;
 
 	/** Peer addresses of the other entries, `IP:port`. */
@@ -40,19 +41,35 @@
 
 	readonly isSelfListed = (): boolean => this.#options.isSelfListed();
 
-	readonly ask = async (): Promise<readonly ObservedEntry[]> => new Promise(resolve => {
-		const calls = this.#options.addresses().map(async address => {
-			const state = await this.#askOne(address);
-			if (state.kind === 'ready') {
-				resolve([state]);
-			}
+	readonly ask = async (isEnough: (state: ObservedEntry) => boolean): Promise<readonly ObservedEntry[]> => {
+		const {addresses, random} = this.#options;
+		const listed = addresses();
+		const inOrder = random.sample(listed, listed.length);
+		const states: ObservedEntry[] = [];
+		return new Promise(resolve => {
+			const askGroup = async (group: readonly string[]): Promise<void> => {
+				await Promise.all(group.map(async address => {
+					const state = await this.#askOne(address);
+					states.push(state);
+					if (isEnough(state)) {
+						resolve([state]);
+					}
+				}));
+			};
 
-			return state;
+			void (async () => {
+				const groups: Array<Promise<void>> = [];
+				for (let start = 0; start < inOrder.length && !states.some(state => isEnough(state)); start += READINESS_GROUP_SIZE) {
+					const group = askGroup(inOrder.slice(start, start + READINESS_GROUP_SIZE));
+					groups.push(group);
+					await Promise.race([group, delay(READINESS_GROUP_INTERVAL_MS)]);
+				}
+
+				await Promise.all(groups);
+				resolve(states);
+			})();
 		});
-		void (async () => {
-			resolve(await Promise.all(calls));
-		})();
-	});
+	};
 
 	async #askOne(address: string): Promise<ObservedEntry> {
 		const {peers, log} = this.#options;
--- a/packages/node/src/testing/entry-fleet.ts
+++ b/packages/node/src/testing/entry-fleet.ts
@@ -75,7 +75,7 @@
 		}));
 		await Promise.all(this.#ips.map(async ip => this.startEntry(ip)));
 		const end = clock.monotonic() + START_LIMIT_MS;
-		while ((await this.sample(0)).ready < this.#ips.length || !this.#areListed) {
+		while (!this.#areListed || !await this.#areReady()) {
 			if (clock.monotonic() > end) {
 				throw new Error('The entries did not become ready in time.');
 			}
@@ -91,7 +91,9 @@
 		await writeFile(settings, settingsText({
 			vm: ip, ip, storeAddress: this.store.address, entryIps: this.#ips.filter(other => other !== ip), bounds: {...DEFAULT_FLEET_BOUNDS, stopGraceMs: STOP_GRACE_MS},
 		}));
-		this.#entries.set(ip, spawn(process.execPath, [fileURLToPath(new URL('../main.js', import.meta.url)), 'entry'], {env: {...process.env, ...settingsEnvironment(settings)}, stdio: ['ignore', 'ignore', 'inherit']}));
+		this.#entries.set(ip, spawn(process.execPath, [fileURLToPath(new URL('../main.js', import.meta.url)), 'entry'], {
+			env: {...process.env, ...settingsEnvironment(settings)}, stdio: ['ignore', 'ignore', 'inherit'],
+		}));
 	}
 
 	/** Sends SIGTERM. */
@@ -130,6 +132,11 @@
 		await rm(this.#directory, {recursive: true});
 	}
 
+	async #areReady(): Promise<boolean> {
+		const {ready} = await this.sample(0);
+		return ready === this.#ips.length;
+	}
+
 	get #areListed(): boolean {
 		return this.#ips.every(ip => this.store.read(`yuccawood/entries/${ip}`) !== undefined);
 	}
