Take connections until another entry is ready when all stop

What callers saw: when all entries of a deployment stop at once, each closed its listener 2.6 s after SIGTERM, though it lived on for 5 s to answer streams.

Change: an entry answers 503 to the balancer as before, but goes on taking connections while no other entry is ready and its grace leaves time for answers. Requests that it can't answer are refused at once, as before. It stops listening after a second in which nobody used it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,9 @@
 	#isDraining = false;
 	#inProgress = 0;
 
+	/** Monotonic time in milliseconds at which a connection was accepted or a request was read last. */
+	#usedAt = 0;
+
 	constructor(options: GatewayOptions) {
 		const {view, clock, random, metrics, log} = options;
 		this.#options = options;
@@ -125,6 +128,11 @@
 		return this.#inProgress;
 	}
 
+	/** Time in milliseconds for which no caller has used this entry. */
+	get unusedMs(): number {
+		return this.#inProgress > 0 ? 0 : this.#context.clock.monotonic() - this.#usedAt;
+	}
+
 	/** Number of queued requests by service. */
 	get queueLengths(): ReadonlyMap<string, number> {
 		return this.#context.placer.queueLengths;
@@ -163,6 +171,7 @@
 		});
 		server.requestTimeout = 0;
 		server.on('connection', socket => {
+			this.#usedAt = this.#context.clock.monotonic();
 			this.#connections.add(socket, this.#backlog.recordAccept(this.#context.readDelay.boundMs));
 		});
 		this.#server = server;
@@ -231,6 +240,7 @@
 
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const readAt = this.#context.clock.monotonic();
+		this.#usedAt = readAt;
 		const arrivedAt = this.#connections.arrivalOf(request.socket, this.#context.readDelay.boundMs);
 		const departure = this.#connections.departureDuring(response, request.socket);
 		this.#inProgress++;
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -53,6 +53,9 @@
 export const READINESS_GROUP_SIZE = 6;
 export const READINESS_GROUP_INTERVAL_MS = 50;
 
+/** Time without a connection after which a stopping entry that no other has replaced stops listening. */
+export const UNUSED_STOP_MS = 1000;
+
 /** Time before SIGKILL at which a stopping entry closes the connections of the remaining requests. */
 export const STOP_MARGIN_MS = 400;
 
--- a/packages/node/src/planned-stop.test.ts
+++ b/packages/node/src/planned-stop.test.ts
@@ -13,6 +13,7 @@
 
 const gateway = {
 	readDelayMs: 0,
+	unusedMs: Number.POSITIVE_INFINITY,
 	beginDraining: () => undefined,
 	stopListening: async () => undefined,
 	closeIdleConnections: async () => 0,
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -5,7 +5,7 @@
 import type {Clock, Log} from '@yuccawood/common';
 import type {Gateway} from '@yuccawood/gateway';
 import {
-	ACCEPT_AFTER_SIGTERM_MS, FINAL_ANSWERS_MS, IDLE_CHECK_MS, READINESS_ASK_INTERVAL_MS, STOP_MARGIN_MS,
+	ACCEPT_AFTER_SIGTERM_MS, FINAL_ANSWERS_MS, IDLE_CHECK_MS, READINESS_ASK_INTERVAL_MS, STOP_MARGIN_MS, UNUSED_STOP_MS,
 } from './constants.js';
 import type {HandoverClaim} from './handover-claim.js';
 import {
@@ -14,7 +14,7 @@
 import type {OtherEntries} from './readiness-exchange.js';
 
 export type PlannedStopOptions = {
-	readonly gateway: Pick<Gateway, 'readDelayMs' | 'beginDraining' | 'stopListening' | 'closeIdleConnections'> & {readonly exchanges: Pick<Gateway['exchanges'], 'limitAnswers' | 'refuseLate' | 'endAll'>};
+	readonly gateway: Pick<Gateway, 'readDelayMs' | 'unusedMs' | 'beginDraining' | 'stopListening' | 'closeIdleConnections'> & {readonly exchanges: Pick<Gateway['exchanges'], 'limitAnswers' | 'refuseLate' | 'endAll'>};
 	readonly others: OtherEntries;
 	readonly claim: HandoverClaim;
 	readonly clock: Clock;
@@ -65,6 +65,7 @@
 		this.#readyForMs = 0;
 		gateway.beginDraining();
 		await clock.sleep(Math.min(ACCEPT_AFTER_SIGTERM_MS, graceMs / 3));
+		await this.#acceptUntilReplaced(answerBy);
 		await gateway.stopListening();
 		while (await gateway.closeIdleConnections() > 0 && clock.monotonic() < closeAt) {
 			await clock.sleep(IDLE_CHECK_MS);
@@ -128,6 +129,22 @@
 		}
 	}
 
+	/**
+	While no other entry is ready, the load balancer uses all of them. This one takes connections as long as it can answer, and
+	stops when nobody has used it for {@link UNUSED_STOP_MS}.
+	*/
+	async #acceptUntilReplaced(answerBy: number): Promise<void> {
+		const {others, gateway, clock} = this.#options;
+		while (clock.monotonic() < answerBy && gateway.unusedMs < UNUSED_STOP_MS) {
+			const observed = await Promise.race([others.ask(({kind}) => kind === 'ready'), clock.sleep(Math.max(0, answerBy - clock.monotonic()))]);
+			if (observed?.some(({kind}) => kind === 'ready')) {
+				return;
+			}
+
+			await clock.sleep(READINESS_ASK_INTERVAL_MS);
+		}
+	}
+
 	async #reviewRequests(answerBy: number, signal: AbortSignal): Promise<void> {
 		const {gateway: {exchanges}, clock} = this.#options;
 		while (!signal.aborted && clock.monotonic() < answerBy) {
