Limit what is under way on a path, and probe paths that show nothing

What upstreams saw: requests that began seconds after their callers had left (GONE), or after the bound of a version (VERSION). What callers saw: requests that were sent into a queue of seconds in place of a refusal.

Cause: a send counted as done when it was written. 100 and more requests went to a path that stood still before it was suspected, and the usual time to the first data, which grows with all paths, explained ever longer silences. What lies in the queue of a link can't be taken back.

Change: SendsUnderWay has a window for each upstream. It starts at 24 KiB, grows while answers come in time and most of it is used, and shrinks with a late one. A path that has shown nothing for 0.25 to 0.5 s (a plain service: for the goal of the route) gets nothing more: while requests are out, an entry calls the agent on the VM of the engine. An answer shows that what was written before has arrived, also if the engine is slow; without one the path stays closed until a later call comes back in time. Paths without an agent get single requests at growing intervals. A request that was assigned but not written yet counts. On a path that was slow in the last 5 s, engines whose version expires within 3.5 s get nothing. Requests that may be repeated leave a path to a leaving upstream that has not shown them. Without another path they are refused at once ('silent-path').

--- a/packages/bench/src/overload/entry-model.ts
+++ b/packages/bench/src/overload/entry-model.ts
@@ -193,7 +193,7 @@
 		});
 		cancel();
 		state.removePendingSend(key);
-		state.endRequest();
+		state.endRequest({wasWritten: false});
 		if (sent === 'answered') {
 			state.recordSuccess();
 		} else if (sent === 'silent' || sent === 'broken') {
--- a/packages/dispatch/src/choose-upstream.test.ts
+++ b/packages/dispatch/src/choose-upstream.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {chooseUpstream, estimateLoad} from './choose-upstream.js';
+import {NOTHING_UNDER_WAY} from './sends-under-way.js';
 import type {PlacementRequirements, PromptReading, UpstreamView} from './types.js';
 
 const view = (key: string, changes: Partial<UpstreamView> = {}): UpstreamView => ({
@@ -21,6 +22,7 @@
 	startMs: 100,
 	unansweredMs: 0,
 	unreadTokens: 0,
+	underWay: NOTHING_UNDER_WAY,
 	isSuspended: false,
 	isDueForTrial: false,
 	...changes,
--- a/packages/dispatch/src/choose-upstream.ts
+++ b/packages/dispatch/src/choose-upstream.ts
@@ -9,6 +9,7 @@
 	EXPIRING_VERSION_SLOT_FRACTION, FAILURE_DOMAIN_PENALTY, LATE_SLOT_FRACTION, MAX_REPORT_AGE_MS, MIN_UNRESPONSIVE_MS, NORMAL_START_FACTOR, OUTSIDE_SUBSET_PENALTY,
 	SCORE_TOLERANCE, UNREAD_TOKENS_PER_FULL_LOAD, UNRESPONSIVE_FACTOR,
 } from './constants.js';
+import {hasPathRoom, isPathSilent} from './path-room.js';
 import {canReadInTime} from './prompt-reading.js';
 import type {Placement, PlacementRequirements, UpstreamView} from './types.js';
 
@@ -53,6 +54,10 @@
 		needsWeights && heldVersion !== undefined && heldVersion < (oldestVersionSoon ?? 0) ? EXPIRING_VERSION_SLOT_FRACTION : 1,
 	);
 
+/** Whether a request arrives before the version of its upstream expires, also on a path that delays it. */
+const arrivesInTime = (view: UpstreamView, {needsWeights, oldestVersionOnSlowPath = 0}: PlacementRequirements): boolean =>
+	!needsWeights || !view.underWay.isSlow || (view.heldVersion ?? 0) >= oldestVersionOnSlowPath;
+
 /** Without a free connection, a request would wait where no other upstream can be chosen for it any more. */
 const hasFreeConnection = ({ownRequests, maxConnections}: UpstreamView): boolean => ownRequests < maxConnections;
 
@@ -87,7 +92,7 @@
 		};
 	}
 
-	const trial = accepting.find(view => view.isDueForTrial && !view.isSwitching && hasFreeConnection(view));
+	const trial = accepting.find(view => view.isDueForTrial && !view.isSwitching && hasFreeConnection(view) && view.underWay.windowBytes > 0 && arrivesInTime(view, requirements));
 	if (trial) {
 		return {
 			kind: 'send', key: trial.key, load: estimateLoad(trial), reason: 'trial',
@@ -102,10 +107,13 @@
 	const candidates = responsive.length > 0 ? responsive : usable;
 	const averageLoad = averageSubsetLoad(candidates);
 	const {reading} = requirements;
-	const free = candidates.filter(view => !view.isSwitching && hasFreeConnection(view)
+	const withPlace = candidates.filter(view => !view.isSwitching && hasFreeConnection(view)
 		&& loadFraction(view, averageLoad) < usableSlotFraction(view, requirements) && (!reading || canReadInTime(view, reading)));
+	const free = withPlace.filter(view => hasPathRoom(view, requirements) && arrivesInTime(view, requirements));
 	if (free.length === 0) {
-		return {kind: 'busy', usable: usable.length, reason: 'all-places-taken'};
+		return withPlace.length > 0 && withPlace.every(view => isPathSilent(view, requirements) || !arrivesInTime(view, requirements))
+			? {kind: 'unavailable', reason: 'silent-path', isLoading: false}
+			: {kind: 'busy', usable: usable.length, reason: 'all-places-taken'};
 	}
 
 	const scored = free.map(view => ({view, score: placementScore(view, requirements, averageLoad)}));
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -91,7 +91,30 @@
 export const MIN_UNRESPONSIVE_MS = 500;
 
 /** Time for which a send counts as under way after it has ended without a response, as a multiple of the time for which it was out. */
-export const ABANDONED_SEND_FACTOR = 1;
+export const ABANDONED_SEND_FACTOR = 2;
+
+/**
+Time for which a path may show nothing of what was written until it gets no more than single probes: a multiple of the usual
+time to the first byte within these bounds. The usual time grows when all paths are slow, and must not explain their silence.
+*/
+export const PATH_SILENCE_FACTOR = 2;
+export const MIN_PATH_SILENCE_MS = 250;
+export const MAX_PATH_SILENCE_MS = 500;
+
+/** Probes without an answer after which one request is sent all the same, because only what answers probes may be away. */
+export const PROBES_BEFORE_REQUEST = 5;
+
+/** Time for which a path counts as slow after it has delayed something, in milliseconds. */
+export const SLOW_PATH_LIFETIME_MS = 5000;
+
+/** Longest delay, in milliseconds, of a request on a slow path. */
+export const SLOW_PATH_MS = 3500;
+
+/** Weight of the newest send in the moving average of their sizes. */
+export const USUAL_BYTES_WEIGHT = 0.2;
+
+/** Bytes that may be under way on a path that has shown nothing yet. */
+export const INITIAL_WINDOW_BYTES = 24 * 1024;
 
 /** Multiple of the expected time to the first data after which an engine's load no longer explains its silence. */
 export const SILENCE_START_FACTOR = 2;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,7 +3,8 @@
 export {chooseUpstream, estimateLoad} from './choose-upstream.js';
 export {admitWaiting, retryAfterMs} from './admit-waiting.js';
 export {readingTokensPerMs} from './prompt-reading.js';
-export {SendsUnderWay, type UnconfirmedSends} from './sends-under-way.js';
+export {pathSilenceMs} from './path-room.js';
+export {SendsUnderWay, type ProbeOutcome, type UnconfirmedSends} from './sends-under-way.js';
 export {silenceLimitMs} from './silence-limit.js';
 export {callerTimes, type CallerTimes} from './caller-times.js';
 export {RequestQueue, type QueuedRequest} from './request-queue.js';
@@ -19,5 +20,5 @@
 export {pickBackend, RouteTable} from './match-route.js';
 export {cancelAt, expiryOf, requiredVersion} from './required-version.js';
 export {
-	EXPIRING_VERSION_MS, MAX_READING_GOAL_SHARE, VERSION_MARGIN_MS,
+	EXPIRING_VERSION_MS, MAX_READING_GOAL_SHARE, SLOW_PATH_MS, VERSION_MARGIN_MS,
 } from './constants.js';
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -1,5 +1,6 @@
 /** Inputs and results of dispatch decisions. Durations are in milliseconds. */
 import type {RouteKind} from '@yuccawood/fleet';
+import type {UnconfirmedSends} from './sends-under-way.js';
 
 /** State of one upstream as an entry knows it at the moment of a decision. */
 export type UpstreamView = {
@@ -48,6 +49,9 @@
 	/** Prompt tokens of this entry's sends without response data. The engine reads them before the prompt of a new request. */
 	readonly unreadTokens: number;
 
+	/** What was written for it and has not been shown to have arrived. */
+	readonly underWay: UnconfirmedSends;
+
 	/** Excluded because of recent failures. */
 	readonly isSuspended: boolean;
 
@@ -68,6 +72,9 @@
 	/** Oldest version that may answer a short time from now. No queue may build up at upstreams on an older one. */
 	readonly oldestVersionSoon: number | undefined;
 
+	/** Oldest version that may answer when a request may have been delayed on its way for some seconds. */
+	readonly oldestVersionOnSlowPath?: number;
+
 	/** Usual time from a send to the first byte at the upstreams of the service. */
 	readonly usualStartMs: number;
 
@@ -80,6 +87,9 @@
 	/** Whether the latency goal has passed, so that the slot is worth more to another request. */
 	readonly isLate?: boolean;
 
+	/** Time within which a plain service should answer. Absent for engines, whose answers begin long before they end. */
+	readonly answerGoalMs?: number;
+
 	/** Absent for services that read no prompts. */
 	readonly reading?: PromptReading;
 };
@@ -102,7 +112,7 @@
 	| {readonly kind: 'busy'; readonly usable: number; readonly reason: 'all-places-taken'}
 	| {
 		readonly kind: 'unavailable';
-		readonly reason: 'no-upstream' | 'no-version' | 'all-tried' | 'refusing';
+		readonly reason: 'no-upstream' | 'no-version' | 'all-tried' | 'refusing' | 'silent-path';
 
 		/** Whether some upstream is loading weights, so that a short wait may be enough. */
 		readonly isLoading: boolean;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -100,6 +100,9 @@
 */
 export const MAX_LOOK_AGE_MS = 50;
 
+/** Time between the end of a probe of a path and the next one, in milliseconds. */
+export const PATH_PROBE_INTERVAL_MS = 250;
+
 /** Share of the shortest recent time to the first data of an answer that a request must have left to be sent. */
 export const MIN_START_SHARE = 0.75;
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -11,7 +11,7 @@
 import {recordOutcome} from './record-outcome.js';
 import {RequestNeeds} from './request-needs.js';
 import {RequestSender} from './request-sender.js';
-import type {EarlyEnd, SendResult} from './send-result.js';
+import {wasWritten, type EarlyEnd, type SendResult} from './send-result.js';
 import {timeFields} from './time-fields.js';
 import {startTimeLimits} from './time-limits.js';
 import type {ConnectedUpstream} from './upstream-states.js';
@@ -247,7 +247,7 @@
 			this.#mayHaveRun = true;
 		}
 
-		state.endRequest();
+		state.endRequest({wasWritten: wasWritten(result)});
 		recordOutcome(this.#context, {
 			requestId, state, result, hasExpectedVersion: oldestVersion !== undefined,
 		});
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -6,6 +6,7 @@
 import type {DecisionLog} from './decision-log.js';
 import type {ExpiryWatch} from './expiry-watch.js';
 import type {LagWatch} from './lag-watch.js';
+import type {PathProbes} from './path-probes.js';
 import type {Placer} from './placer.js';
 import type {ReadDelay} from './read-delay.js';
 import type {StopLimit} from './stop-limit.js';
@@ -25,6 +26,7 @@
 
 	/** All reads of requests and all sends pass this gate. */
 	readonly gate: WorkGate;
+	readonly pathProbes: PathProbes;
 	readonly readDelay: ReadDelay;
 	readonly retryBudgetOf: (service: string) => RetryBudget;
 
--- a/packages/gateway/src/gateway-options.ts
+++ b/packages/gateway/src/gateway-options.ts
@@ -4,6 +4,7 @@
 } from '@yuccawood/common';
 import type {CrashPeers} from '@yuccawood/crashes';
 import type {FleetView} from '@yuccawood/fleet';
+import type {ProbeOutcome} from '@yuccawood/dispatch';
 import type {HeaderCodec} from './types.js';
 
 export type GatewayOptions = {
@@ -25,6 +26,9 @@
 
 	/** Way to the other entries to learn what they see of crashes. None if absent. */
 	readonly crashPeers?: CrashPeers;
+
+	/** Calls the agent on the VM of an engine's address, `IP:port`, to find out whether the path delivers. No probes if absent. */
+	readonly probePath?: (address: string) => Promise<ProbeOutcome>;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Log;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import type {GatewayOptions} from './gateway-options.js';
 import {LagWatch} from './lag-watch.js';
 import {handlePendingEvents} from './pending-events.js';
+import {PathProbes} from './path-probes.js';
 import {Placer, scheduleTimer} from './placer.js';
 import {eventLoopTimes, ReadDelay} from './read-delay.js';
 import {RequestIntake} from './request-intake.js';
@@ -62,11 +63,20 @@
 		const crashes = createCrashWatch(options, states);
 		const readDelay = new ReadDelay(eventLoopTimes(clock.monotonic));
 		this.exchanges = new RunningExchanges({clock});
+		const placer = new Placer({
+			states, clock: {monotonic: clock.monotonic, schedule: scheduleTimer}, random, metrics,
+		});
 		this.#context = {
 			...options,
 			states,
-			placer: new Placer({
-				states, clock: {monotonic: clock.monotonic, schedule: scheduleTimer}, random, metrics,
+			placer,
+			pathProbes: new PathProbes({
+				probe: options.probePath, clock, log: this.#log, metrics,
+				hasAgent: ({upstream}) => states.isEngine(upstream),
+				isListed: ({upstream}) => states.has(upstream.key),
+				onProven({upstream}) {
+					placer.placeQueued(upstream.service);
+				},
 			}),
 			...crashes,
 			expiryWatch: new ExpiryWatch(),
@@ -223,6 +233,7 @@
 	close(): void {
 		this.#server?.close();
 		this.#connections.closeAll();
+		this.#context.pathProbes.close();
 		this.#context.readDelay.stop();
 		this.#context.lag.stop();
 		this.#versionExpiryLog.close();
--- a/packages/gateway/src/request-needs.ts
+++ b/packages/gateway/src/request-needs.ts
@@ -2,7 +2,7 @@
 What one request needs of an upstream at a moment: version, time for its prompt, and the times after which to give up on it.
 */
 import {
-	cancelAt, EXPIRING_VERSION_MS, expiryOf, isRetryable, MAX_READING_GOAL_SHARE, readingTokensPerMs, requiredVersion, silenceLimitMs, type PlacementRequirements,
+	cancelAt, EXPIRING_VERSION_MS, expiryOf, isRetryable, MAX_READING_GOAL_SHARE, pathSilenceMs, readingTokensPerMs, requiredVersion, silenceLimitMs, SLOW_PATH_MS, type PlacementRequirements,
 } from '@yuccawood/dispatch';
 import type {EngineProfile} from '@yuccawood/fleet';
 import {
@@ -41,6 +41,8 @@
 		const now = clock.monotonic();
 		return {
 			...attempt, failureDomain, needsWeights: engine !== undefined, oldestVersion: requiredVersionAt(now), oldestVersionSoon: requiredVersionAt(now + EXPIRING_VERSION_MS),
+			oldestVersionOnSlowPath: requiredVersionAt(now + SLOW_PATH_MS),
+			answerGoalMs: engine ? undefined : route.goalMs,
 			reading: engine && {promptTokens: promptTokens ?? engine.usualPromptTokens, tokensPerMs: readingTokensPerMs(engine), limitMs: route.goalMs * MAX_READING_GOAL_SHARE},
 		};
 	}
@@ -67,6 +69,12 @@
 			: silenceLimitMs(baseMs, states.viewOf(state, clock.monotonic()), {usualStartMs: placer.usualStartMs(service), engine: this.#engine});
 	}
 
+	/** Time in milliseconds after which an answer that has not begun counts as delayed on its way. */
+	pathSilenceMs(): number {
+		const {route, service} = this.#request;
+		return pathSilenceMs({usualStartMs: this.#context.placer.usualStartMs(service), answerGoalMs: this.#engine ? undefined : route.goalMs});
+	}
+
 	/**
 	Time in milliseconds until a request that waits at the upstream has to be cancelled because the upstream's version
 	expires; undefined if the version does not expire or the request cannot be retried.
--- a/packages/gateway/src/request-sender.ts
+++ b/packages/gateway/src/request-sender.ts
@@ -133,6 +133,7 @@
 			endSignal,
 			endedBy,
 			noDataTimeoutMs: () => needs.noDataTimeoutMs(state, {hasAnswerBegun: timing.firstDataAt !== undefined}),
+			pathSilenceMs: () => needs.pathSilenceMs(),
 			canRetryElsewhere: () => canRetryElsewhere(state),
 			msUntilCancel: () => needs.msUntilCancel(state, versionAtSend),
 			msSinceExpiry: version => needs.msSinceExpiry(version),
--- a/packages/gateway/src/send-result.ts
+++ b/packages/gateway/src/send-result.ts
@@ -19,6 +19,9 @@
 	}
 );
 
+/** Whether a part of the request was written for the upstream. */
+export const wasWritten = (result: SendResult): boolean => result.mayHaveRun || (result.kind === 'failed' && result.failure === 'not-run');
+
 /** Result of an attempt that brought no complete answer, although the upstream may have run the request. */
 export const brokenRun = (detail: string, failure: 'unknown' | 'answered-error' = 'unknown'): SendResult & {readonly kind: 'failed'} => ({
 	kind: 'failed', failure, detail, mayHaveRun: true,
--- a/packages/gateway/src/transmit-options.ts
+++ b/packages/gateway/src/transmit-options.ts
@@ -32,6 +32,9 @@
 	readonly noDataTimeoutMs: () => number | undefined;
 	readonly canRetryElsewhere: () => boolean;
 
+	/** Time in milliseconds after which an answer that has not begun counts as delayed on its way. */
+	readonly pathSilenceMs: () => number;
+
 	/**
 	Time in milliseconds until a request without an answer has to be cancelled because the upstream's version expires;
 	undefined if it does not expire.
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -13,17 +13,14 @@
 import {SilenceWatch} from './silence-watch.js';
 import type {TransmitOptions} from './transmit-options.js';
 import type {AnswerHeaders} from './types.js';
-import type {AnswerHead, Send, SendRequest} from './upstream-link.js';
+import type {AnswerHead, Send} from './upstream-link.js';
+import {WrittenSend} from './written-send.js';
 
 /** Resolves when the attempt succeeded, failed or was ended early. */
 export const transmit = async (options: TransmitOptions): Promise<SendResult> => new Promise(resolve => {
 	new Transmission(options, resolve).start();
 });
 
-/** Approximate size on the wire. */
-const requestBytes = ({path, headers, body}: SendRequest): number =>
-	path.length + headers.reduce((sum, text) => sum + text.length + 2, 0) + (body?.byteLength ?? 0);
-
 class Transmission {
 	readonly #options: TransmitOptions;
 	readonly #resolve: (result: SendResult) => void;
@@ -45,8 +42,8 @@
 	readonly #silence: SilenceWatch;
 	readonly #unanswered: UnansweredSend;
 
-	/** Key of the written request in the state's sends under way; undefined until it is written. */
-	#underWayKey: symbol | undefined;
+	/** Undefined until the request is written. */
+	#written: WrittenSend | undefined;
 
 	/** Time in milliseconds that was left at the send; undefined if no expiry was known then. */
 	#msUntilCancelAtSend: number | undefined;
@@ -59,10 +56,10 @@
 		this.#sentAt = options.context.clock.monotonic();
 		this.#pendingSendKey = options.state.addPendingSend(this.#sentAt, options.request.promptTokens);
 		this.#unanswered = {
-			msUntilCancel: options.msUntilCancel,
+			msUntilCancel: () => this.#msUntilCancel,
 			cancel: () => {
 				options.context.metrics.count('gateway.cancelled', {service: options.request.service});
-				this.#send?.abort(new CancellationError('the version that the upstream holds is about to expire'));
+				this.#send?.abort(new CancellationError('the upstream leaves, or its version is about to expire'));
 			},
 		};
 		this.#evidence = new RunEvidence(options);
@@ -115,8 +112,8 @@
 	}
 
 	readonly #onSent = (): void => {
-		const {state, context: {clock}, upstreamRequest} = this.#options;
-		this.#underWayKey = state.underWay.add(clock.monotonic(), requestBytes(upstreamRequest));
+		const {upstreamRequest} = this.#options;
+		this.#written = new WrittenSend(this.#options, upstreamRequest);
 		upstreamRequest.onSent?.();
 	};
 
@@ -135,10 +132,7 @@
 		this.#evidence.close();
 		context.expiryWatch.remove(this.#unanswered);
 		state.removePendingSend(this.#pendingSendKey);
-		if (this.#underWayKey) {
-			state.underWay.abandon(this.#underWayKey, context.clock.monotonic());
-		}
-
+		this.#written?.end();
 		endSignal.removeEventListener('abort', this.#onEnded);
 		response.off('drain', this.#onDrain);
 		this.#resolve(result.kind === 'failed' && this.#evidence.isSuspect ? {...result, isSuspect: true} : result);
@@ -149,10 +143,7 @@
 		const head = context.codec.readAnswerHeaders(headers, status);
 		this.#head = head;
 		this.#evidence.recordHead(headers);
-		if (this.#underWayKey) {
-			state.underWay.confirm(this.#underWayKey);
-		}
-
+		this.#written?.confirm();
 		context.expiryWatch.remove(this.#unanswered);
 		if (head.load) {
 			state.updateLoad(head.load.running + head.load.waiting, context.clock.monotonic());
@@ -249,6 +240,14 @@
 		return wantsMore;
 	}
 
+	/** Time in milliseconds until the request has to be cancelled; undefined if it may wait. */
+	get #msUntilCancel(): number | undefined {
+		const {msUntilCancel, canRetryElsewhere} = this.#options;
+		const untilExpiry = msUntilCancel();
+		const untilMove = this.#written?.msUntilMove;
+		return untilMove === undefined || !canRetryElsewhere() ? untilExpiry : Math.min(untilMove, untilExpiry ?? untilMove);
+	}
+
 	get #isSilent(): boolean {
 		const {noDataTimeoutMs, context: {clock}} = this.#options;
 		return !this.#hasReceivedData && clock.monotonic() - this.#sentAt >= (noDataTimeoutMs() ?? Number.POSITIVE_INFINITY);
--- a/packages/gateway/src/upstream-state.ts
+++ b/packages/gateway/src/upstream-state.ts
@@ -87,6 +87,7 @@
 	}
 
 	beginRequest(now: number): void {
+		this.underWay.plan();
 		this.ownRequests++;
 		this.#ownSinceReport++;
 		if (healthStatus(this.#health, now) === 'trial') {
@@ -94,7 +95,12 @@
 		}
 	}
 
-	endRequest(): void {
+	/** @param wasWritten whether the request, or a part of it, was written for the upstream */
+	endRequest({wasWritten = true}: {readonly wasWritten?: boolean} = {}): void {
+		if (!wasWritten) {
+			this.underWay.dropPlan();
+		}
+
 		this.ownRequests--;
 		this.#ownSinceReport--;
 	}
@@ -162,6 +168,7 @@
 			startMs: now - this.#firstDataRecordedAt <= UPSTREAM_AVERAGE_LIFETIME_MS ? this.#timeToFirstDataMs : undefined,
 			unansweredMs: pending.length === 0 ? 0 : now - pending[0].sentAt,
 			unreadTokens: pending.reduce((sum, {promptTokens}) => sum + promptTokens, 0),
+			underWay: this.underWay.at(now),
 			isSuspended: status === 'suspended',
 			isDueForTrial: status === 'trial',
 		};
--- a/packages/gateway/src/upstream-states.ts
+++ b/packages/gateway/src/upstream-states.ts
@@ -69,6 +69,11 @@
 		return [...this.#states.values()].map(({upstream}) => upstream).filter(({id, service}) => engines.has(service) && this.#subset.has(id));
 	}
 
+	/** Whether the upstream is a model engine, beside which an agent runs. */
+	isEngine({service}: Upstream): boolean {
+		return this.#configured(service)?.engine !== undefined;
+	}
+
 	find(key: string): ConnectedUpstream | undefined {
 		return this.#states.get(key);
 	}
--- a/packages/node/src/agent-node.ts
+++ b/packages/node/src/agent-node.ts
@@ -17,6 +17,7 @@
 import {MemberFollower} from './member-follower.js';
 import {serveMetrics} from './metrics-endpoint.js';
 import {createNode, type NodeContext} from './node-context.js';
+import {answerEchoes} from './path-echo.js';
 
 /** Target versions of a model, oldest first, with the monotonic time in milliseconds at which each became known. */
 const stagedTargetsOf = ({view}: NodeContext, model: string | undefined, startedAt: number): readonly StagedTargetVersion[] => {
@@ -61,6 +62,7 @@
 			});
 		}
 	});
+	answerEchoes(peerServer);
 	await peerServer.listen(ip, firstPeerPort);
 	const metricsServer = serveMetrics({
 		metrics, host: ip, port: firstPeerPort + 1,
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -42,6 +42,9 @@
 /** Time between two stops below which they count as simultaneous. */
 export const SIMULTANEOUS_STOPS_MS = 500;
 
+/** Time limit of a call that shows whether the path to a VM delivers. */
+export const PATH_ECHO_TIMEOUT_MS = 1000;
+
 /** Lease of the claim to stay ready: until the load balancer has taken the entry out after its last 200. */
 export const HANDOVER_CLAIM_MS = MAX_READY_WHEN_ALONE_MS + 2500;
 
--- a/packages/node/src/entry-node.ts
+++ b/packages/node/src/entry-node.ts
@@ -13,6 +13,7 @@
 import {serveMetrics} from './metrics-endpoint.js';
 import {createNode} from './node-context.js';
 import {EntryRegistration} from './entry-registration.js';
+import {probePath} from './path-echo.js';
 import {PlannedStop} from './planned-stop.js';
 import {ReadinessExchange} from './readiness-exchange.js';
 
@@ -51,6 +52,7 @@
 		view, codec: new PlatformHeaderCodec(), selfId: vm, failureDomain, versionBoundMs: settings().versionBoundMs,
 		retryBudget: {windowMs: resendWindowMs, ratio: resendRatio, slack: resendSlack},
 		shareCrashCount: crashCounts.share, crashPeers,
+		probePath: async address => probePath(context.peers, context.peerAddress(splitAddress(address).host)),
 		clock, random, log, metrics,
 	});
 	crashPeers.start(gateway.crashReview);
