Let paths stand still and entries stop unheard in the platform soak

'--standstills' holds the paths to one or all upstreams for 0.6 to 3.5 s and then lets them deliver, in overlapping series, and stops all entries together while their calls to each other get no answer, beside callers that leave early and clients that use open connections until the process is gone. It checks what it did before, and that no more than one entry, or a quarter, counts as ready over 2 s after SIGTERM.

--- a/packages/bench/src/platform-soak.ts
+++ b/packages/bench/src/platform-soak.ts
@@ -11,6 +11,7 @@
 	readonly deadlyPart?: boolean;
 	readonly restarts?: boolean;
 	readonly silences?: boolean;
+	readonly standstills?: boolean;
 };
 
 const program = new Command('platform-soak')
@@ -23,12 +24,13 @@
 	.option('--deadly-part', 'lets a part of prompts crash engines')
 	.option('--restarts', 'restarts entries under full load instead of the usual faults')
 	.option('--silences', 'lets open connections to the store go silent instead of the usual faults')
+	.option('--standstills', 'lets paths to upstreams stand still, and stops all entries while none hears the others, instead of the usual faults')
 	.option('--logs <directory>', 'existing directory to which the output of each process is appended')
-	.action(async ({seed, seconds, entries, engines, plain, logs, deadlyPart, restarts, silences}: Options) => {
+	.action(async ({seed, seconds, entries, engines, plain, logs, deadlyPart, restarts, silences, standstills}: Options) => {
 		const startedAt = performance.now();
 		process.stderr.write(`Seed ${seed}.\n`);
 		const {breaches, ...counts} = await runPlatformSoak({
-			seed, hasDeadlyPart: deadlyPart, hasRestarts: restarts, hasSilences: silences, seconds: Number(seconds), size: {entries: Number(entries), engines: Number(engines), plain: Number(plain)},
+			seed, hasDeadlyPart: deadlyPart, hasRestarts: restarts, hasSilences: silences, hasStandstills: standstills, seconds: Number(seconds), size: {entries: Number(entries), engines: Number(engines), plain: Number(plain)},
 			onOutput: logs === undefined
 				? undefined
 				: (vm, text) => {
--- a/packages/bench/src/platform-soak/run-platform-soak.test.ts
+++ b/packages/bench/src/platform-soak/run-platform-soak.test.ts
@@ -45,6 +45,15 @@
 		expect(judgedRuns).to.be.greaterThan(100);
 	});
 
+	it('breaks no promise while paths stand still and then deliver, and all entries stop without hearing each other', async () => {
+		const {left, judgedRuns, breaches} = await runPlatformSoak({
+			seed: 'standstills', seconds: 12, progress: quiet, hasStandstills: true,
+		});
+		expect(breaches).to.deep.equal([]);
+		expect(left).to.be.greaterThan(50);
+		expect(judgedRuns).to.be.greaterThan(100);
+	});
+
 	for (const {seed, seconds, cause} of REGRESSIONS) {
 		it(`passes seed ${seed}, which failed because ${cause}`, async () => {
 			const {breaches} = await runPlatformSoak({seed, seconds, progress: quiet});
--- a/packages/bench/src/platform-soak/run-platform-soak.ts
+++ b/packages/bench/src/platform-soak/run-platform-soak.ts
@@ -9,6 +9,7 @@
 import {PauseWatch} from './pause-watch.js';
 import {checkServed, checkWorking} from './recovery.js';
 import {Silences} from './silences.js';
+import {Standstills} from './standstills.js';
 import {SoakFleet, USUAL_SIZE, type FleetSize} from './soak-fleet.js';
 import {runStorm} from './storm.js';
 import type {Breach, Exchange} from './types.js';
@@ -59,7 +60,7 @@
 	return hasRestarts ? {...bounds, stableMs: 3000, stopGraceMs: 4000 + Math.round(random.next() * 2000)} : bounds;
 };
 
-export const runPlatformSoak = async ({seed, seconds, progress, onOutput, size = USUAL_SIZE, hasDeadlyPart = false, hasRestarts = false, hasSilences = false}: {
+export const runPlatformSoak = async ({seed, seconds, progress, onOutput, size = USUAL_SIZE, hasDeadlyPart = false, hasRestarts = false, hasSilences = false, hasStandstills = false}: {
 	readonly seed: string;
 	readonly seconds: number;
 	readonly progress: (line: string) => void;
@@ -74,6 +75,9 @@
 	/** Whether the storms are silent connections to the store, beside changes and restarts. */
 	readonly hasSilences?: boolean;
 
+	/** Whether the storms are paths that stand still and then deliver, beside stops of all entries that can't hear each other. */
+	readonly hasStandstills?: boolean;
+
 	/** Told all that the processes write. */
 	readonly onOutput?: (vm: string, text: string) => void;
 }): Promise<PlatformSoakResult> => {
@@ -106,11 +110,18 @@
 	const silences = new Silences({
 		fleet, faults, random: seededRandom(`${seed} silences`), report,
 	});
+	const standstills = new Standstills({
+		fleet, random: seededRandom(`${seed} standstills`), now, report, note,
+	});
 	const runNextStorm = async (milliseconds: number): Promise<void> => {
 		if (hasSilences) {
 			return silences.run(milliseconds);
 		}
 
+		if (hasStandstills) {
+			return standstills.run(milliseconds);
+		}
+
 		return hasRestarts
 			? restarts.run(milliseconds)
 			: runStorm({
@@ -127,7 +138,7 @@
 		await checkWorking({
 			fleet, version: faults.version, limitMs: START_LIMIT_MS, now, note,
 		});
-		const calling = Array.from({length: CALLERS + (hasRestarts ? HASTY_CALLERS_AT_RESTARTS : HASTY_CALLERS)}, async (_, id) => new Caller({
+		const calling = Array.from({length: CALLERS + (hasRestarts || hasStandstills ? HASTY_CALLERS_AT_RESTARTS : HASTY_CALLERS)}, async (_, id) => new Caller({
 			id, random: seededRandom(`${seed} caller ${id}`), now, promptOf: fleet.deadlyPrompts.promptOf, isHasty: id >= CALLERS, streamTimeoutMs,
 		}).run(stopping.signal, {
 			entryOf: fleet.chooseEntry,
--- a/packages/bench/src/platform-soak/soak-fleet.ts
+++ b/packages/bench/src/platform-soak/soak-fleet.ts
@@ -1,10 +1,12 @@
 /** The system of a soak run: real entries and agents, and stand-ins of all that they speak to. */
 import http from 'node:http';
+import net, {type AddressInfo} from 'node:net';
 import process from 'node:process';
 import {delay, type Random} from '@yuccawood/common';
 import {
 	configurationItem, CONFIGURATION_KEY, EngineStandIn, type FleetBounds, JsonServer, OriginStandIn, readinessAddressOf, StoreStandIn, type RequestRun,
 } from '@yuccawood/platform/testing';
+import {ENTRY_PREFIX} from '@yuccawood/platform';
 import {TcpRelay} from '../soak/tcp-relay.js';
 import {NodeProcess, type NodeProcessOptions} from './node-process.js';
 import type {Change} from './check-bounds.js';
@@ -58,6 +60,15 @@
 	readonly #streamTimeoutMs: number;
 	readonly #onOutput: ((vm: string, text: string) => void) | undefined;
 	readonly #misses: number[] = [];
+
+	/** Times of the latest questions that entries answered with 200. */
+	readonly #readyAt: number[] = [];
+
+	/** Takes connections and never answers. */
+	readonly #silentPeer = net.createServer(socket => {
+		socket.on('error', () => undefined);
+	});
+
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor({random, deadlyRandom, now, size, bounds, streamTimeoutMs, onOutput}: {
@@ -81,6 +92,10 @@
 
 	async start(): Promise<void> {
 		await this.store.listen();
+		await new Promise<void>(resolve => {
+			this.#silentPeer.listen(0, '127.0.0.1', resolve);
+		});
+		this.#silentPeer.unref();
 		await this.origin.listen();
 		this.store.put(CONFIGURATION_KEY, this.configuration(1));
 		const {entries, engines, plain} = this.#size;
@@ -120,6 +135,19 @@
 		return [...this.entries, ...this.agents];
 	}
 
+	/** Lists all entries at an address that answers no calls, until they register again. */
+	hideEntries(): void {
+		const {port} = this.#silentPeer.address() as AddressInfo;
+		for (const {name} of this.entries) {
+			this.store.put(`${ENTRY_PREFIX}${name}`, `127.0.0.1:${port}`);
+		}
+	}
+
+	/** Time of the latest question of the balancer that the entry answered with 200. */
+	lastReadyAt(index: number): number {
+		return this.#readyAt[index] ?? Number.NEGATIVE_INFINITY;
+	}
+
 	notePathFault(milliseconds: number): void {
 		this.pathFaults.push({from: this.#now(), to: this.#now() + milliseconds + PATH_AFTER_MS});
 	}
@@ -143,6 +171,7 @@
 		await Promise.all(this.processes.map(async node => node.close()));
 		await Promise.all(this.upstreams.map(async upstream => upstream.close()));
 		await Promise.all([...this.storePaths.values()].map(async relay => relay.close()));
+		this.#silentPeer.close();
 		await Promise.all([this.store.close(), this.origin.close()]);
 	}
 
@@ -213,6 +242,7 @@
 	}
 
 	async #askReadiness(index: number): Promise<void> {
+		const askedAt = this.#now();
 		const isReady = await new Promise<boolean>(resolve => {
 			const request = http.get(`http://${readinessAddressOf(this.entries[index].ip)}/`, {agent: false, timeout: READINESS_INTERVAL_MS}, answer => {
 				answer.resume();
@@ -225,6 +255,7 @@
 				resolve(false);
 			});
 		});
+		this.#readyAt[index] = isReady ? Math.max(askedAt, this.lastReadyAt(index)) : this.lastReadyAt(index);
 		this.#misses[index] = isReady ? 0 : this.#misses[index] + 1;
 	}
 }
--- a/packages/bench/src/platform-soak/types.ts
+++ b/packages/bench/src/platform-soak/types.ts
@@ -3,7 +3,7 @@
 /** A promise that was broken, with the request or process that shows it. */
 export type Breach = {
 	readonly promise: 'mixed' | 'order' | 'twice' | 'refused-ran' | 'unasked' | 'no-answer' | 'late-answer'
-		| 'whole' | 'recover' | 'exit' | 'fault-line' | 'version' | 'drain' | 'memory' | 'endless' | 'deadly' | 'gone' | 'budget';
+		| 'whole' | 'recover' | 'exit' | 'fault-line' | 'version' | 'drain' | 'memory' | 'endless' | 'deadly' | 'gone' | 'budget' | 'ready';
 	readonly detail: string;
 
 	/** Seconds since the start of the faults. */
