Judge late requests of the standstill soak at calm entries

Time for which the soak itself held a path no longer counts towards what an upstream may be told ('budget'): an entry states what is left when it passes a request on, and can't know for how long a path will hold it back.

--- a/packages/bench/src/platform-soak/soak-fleet.ts
+++ b/packages/bench/src/platform-soak/soak-fleet.ts
@@ -60,6 +60,7 @@
 	readonly #streamTimeoutMs: number;
 	readonly #onOutput: ((vm: string, text: string) => void) | undefined;
 	readonly #misses: number[] = [];
+	readonly #holds = new Map<string, readonly Interval[]>();
 
 	/** Times of the latest questions that entries answered with 200. */
 	readonly #readyAt: number[] = [];
@@ -148,6 +149,19 @@
 		return this.#readyAt[index] ?? Number.NEGATIVE_INFINITY;
 	}
 
+	/** Holds back what comes to the upstream for the time, and then delivers it. */
+	async holdPath(upstream: SoakUpstream, milliseconds: number): Promise<void> {
+		const holds = this.#holds.get(upstream.id) ?? [];
+		this.#holds.set(upstream.id, [...holds, {from: this.#now(), to: this.#now() + milliseconds}]);
+		upstream.relay.hold('toTarget');
+		await delay(milliseconds);
+		upstream.relay.release();
+	}
+
+	/** Time within the interval for which the path to the upstream held everything back, in milliseconds. */
+	readonly heldWithin = (upstream: string, {from, to}: Interval): number =>
+		(this.#holds.get(upstream) ?? []).reduce((sum, hold) => sum + Math.max(0, Math.min(to, hold.to) - Math.max(from, hold.from)), 0);
+
 	notePathFault(milliseconds: number): void {
 		this.pathFaults.push({from: this.#now(), to: this.#now() + milliseconds + PATH_AFTER_MS});
 	}
