Split the transmission and the connection watch

No change of behaviour: 'expiring-version', 'expected-version', the gateway's unit tests and those of answers without end pass.

--- a/packages/common/src/connection-watch.ts
+++ b/packages/common/src/connection-watch.ts
@@ -11,7 +11,7 @@
 	BODY_PIECE_BYTES, FRAMING_PIECES_PER_TURN, FRAMING_BYTES_PER_BODY_BYTE, HEAD_PIECE_BYTES, MAX_CHUNK_LINE_BYTES, MAX_FRAMING_BYTES, MAX_HEAD_BYTES, MAX_HEAD_LINES, MAX_HEAD_MS,
 	MAX_INFORMATIONAL_ANSWERS,
 } from './connection-limits.js';
-import {resetConnection} from './reset-connection.js';
+import {resetWhile} from './reset-connection.js';
 import {TurnQueue} from './turn-queue.js';
 
 /** The server sent bytes that are not a valid answer, or that exceed a limit. */
@@ -98,7 +98,7 @@
 		this.#requests = 0;
 		this.#hasFailed = false;
 		this.#watchFailure(socket);
-		this.#resetWhileBusy(socket);
+		resetWhile(socket, () => this.#phase !== 'idle' && socket === this.#socket);
 		this.#enterPhase('idle');
 		this.#readInPieces(socket);
 		// Runs after the parser has read the bytes.
@@ -242,23 +242,6 @@
 		}
 	}
 
-	/**
-	Whoever closes the connection before an answer is complete has given up on it. After an ordinary close the kernel would
-	still deliver the request, however late, so the connection is reset.
-	*/
-	#resetWhileBusy(socket: Socket): void {
-		const destroy = socket.destroy.bind(socket);
-		socket.destroy = reason => {
-			if (this.#phase === 'idle' || socket !== this.#socket) {
-				return destroy(reason);
-			}
-
-			socket.destroy = destroy;
-			resetConnection(socket, reason);
-			return socket;
-		};
-	}
-
 	#watchFailure(socket: Socket): void {
 		const fail = (): void => {
 			this.#hasFailed ||= socket === this.#socket;
--- a/packages/common/src/reset-connection.ts
+++ b/packages/common/src/reset-connection.ts
@@ -14,3 +14,20 @@
 	socket.destroy = () => destroy(reason);
 	socket.resetAndDestroy();
 };
+
+/**
+Makes whoever closes the connection while it is busy reset it. Who closes it before an answer is complete has given up on the
+request, which the kernel would still deliver after an ordinary close, however late.
+*/
+export const resetWhile = (socket: Socket, isBusy: () => boolean): void => {
+	const destroy = socket.destroy.bind(socket);
+	socket.destroy = reason => {
+		if (!isBusy()) {
+			return destroy(reason);
+		}
+
+		socket.destroy = destroy;
+		resetConnection(socket, reason);
+		return socket;
+	};
+};
--- a/packages/gateway/src/expired-answer.ts
+++ b/packages/gateway/src/expired-answer.ts
@@ -1,15 +1,9 @@
 /** Reports answers from versions that had expired when the answer began, although the request should have been cancelled. */
-import type {AcceptedRequest} from './accepted-request.js';
-import type {GatewayContext} from './gateway-context.js';
-import type {UpstreamState} from './upstream-state.js';
+import type {TransmitOptions} from './transmit-options.js';
 
-export type ExpiredAnswer = {
-	readonly request: Pick<AcceptedRequest, 'requestId' | 'service'>;
-	readonly state: UpstreamState;
-	readonly version: number;
-
-	/** Time in milliseconds since the version expired. */
-	readonly expiredMs: number;
+export type BegunAnswer = {
+	/** Version that the answer states; undefined if it states none. */
+	readonly version: number | undefined;
 
 	/** Monotonic milliseconds. */
 	readonly sentAt: number;
@@ -21,10 +15,16 @@
 	readonly msUntilCancelAtSend: number | undefined;
 };
 
+/** Reports the answer if its version has expired. */
 export const reportExpiredAnswer = (
-	{clock, decisions, metrics}: Pick<GatewayContext, 'clock' | 'decisions' | 'metrics'>,
-	{request, state, version, expiredMs, sentAt, msUntilCancelAtSend}: ExpiredAnswer,
+	{context: {clock, decisions, metrics}, request, state, msSinceExpiry}: Pick<TransmitOptions, 'context' | 'request' | 'state' | 'msSinceExpiry'>,
+	{version, sentAt, msUntilCancelAtSend}: BegunAnswer,
 ): void => {
+	const expiredMs = version === undefined ? undefined : msSinceExpiry(version);
+	if (expiredMs === undefined) {
+		return;
+	}
+
 	const now = clock.monotonic();
 	metrics.count('gateway.expired_answers', {service: request.service});
 	decisions.unusual(request.requestId, 'An upstream answered from an expired version.', () => ({
--- a/packages/gateway/src/record-outcome.ts
+++ b/packages/gateway/src/record-outcome.ts
@@ -1,4 +1,6 @@
 /** Derives the health of an upstream from the outcome of one attempt. */
+import {isMalformed} from '@yuccawood/common';
+import type {AcceptedRequest} from './accepted-request.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {SendResult} from './send-result.js';
 import type {ConnectedUpstream} from './upstream-states.js';
@@ -50,3 +52,15 @@
 		}));
 	}
 };
+
+/** Records that the body of a refusal ended with bytes that are no answer. Other errors say nothing about the upstream. */
+export const recordMalformedRefusal = ({context: {clock, decisions}, request: {requestId}, state}: {
+	readonly context: Pick<GatewayContext, 'clock' | 'decisions'>;
+	readonly request: Pick<AcceptedRequest, 'requestId'>;
+	readonly state: ConnectedUpstream;
+}, error: Error): void => {
+	if (isMalformed(error)) {
+		state.recordFailure(clock.monotonic(), false);
+		decisions.unusual(requestId, 'The body of a refusal was cut.', () => ({upstream: state.upstream.id, detail: error.message}));
+	}
+};
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -3,6 +3,7 @@
 import {BufferedAnswer} from './answer-sinks.js';
 import {MAX_UNSIZED_ANSWER_BYTES} from './constants.js';
 import {recordAnnouncement} from './record-announcement.js';
+import {recordMalformedRefusal} from './record-outcome.js';
 import {reportExpiredAnswer} from './expired-answer.js';
 import type {UnansweredSend} from './expiry-watch.js';
 import {
@@ -14,6 +15,7 @@
 import type {TransmitOptions} from './transmit-options.js';
 import type {AnswerHeaders} from './types.js';
 import type {AnswerHead, Send} from './upstream-link.js';
+import {watchedSend} from './watched-send.js';
 import {WrittenSend} from './written-send.js';
 
 /** Resolves when the attempt succeeded, failed or was ended early. */
@@ -55,13 +57,12 @@
 		this.#resolve = resolve;
 		this.#sentAt = options.context.clock.monotonic();
 		this.#pendingSendKey = options.state.addPendingSend(this.#sentAt, options.request.promptTokens);
-		this.#unanswered = {
-			msUntilCancel: () => this.#msUntilCancel,
-			cancel: () => {
-				options.context.metrics.count('gateway.cancelled', {service: options.request.service});
-				this.#send?.abort(new CancellationError('the upstream leaves, or its version is about to expire'));
+		this.#unanswered = watchedSend(options, {
+			written: () => this.#written,
+			abort: reason => {
+				this.#send?.abort(reason);
 			},
-		};
+		});
 		this.#evidence = new RunEvidence(options);
 		this.#silence = new SilenceWatch({
 			clock: options.context.clock, limitMs: options.noDataTimeoutMs,
@@ -99,7 +100,8 @@
 			},
 			error: (error, wasSent) => {
 				if (this.#isFinished) {
-					this.#recordMalformedRefusal(error);
+					this.#refusalBody?.end();
+					recordMalformedRefusal(this.#options, error);
 				} else {
 					this.#finish(this.#resultOfError(error, wasSent));
 				}
@@ -171,7 +173,7 @@
 			return;
 		}
 
-		this.#reportExpiry(head.version);
+		reportExpiredAnswer(this.#options, {version: head.version, sentAt: this.#sentAt, msUntilCancelAtSend: this.#msUntilCancelAtSend});
 		if (relay?.hasStarted && status !== 200) {
 			// The caller has the head of a stream and a part of it, which no other answer may follow.
 			this.#finish(brokenRun(`status ${status} after the stream had begun`, 'answered-error'));
@@ -191,16 +193,6 @@
 		}
 	}
 
-	#reportExpiry(version: number | undefined): void {
-		const {context, request, state, msSinceExpiry} = this.#options;
-		const expiredMs = version === undefined ? undefined : msSinceExpiry(version);
-		if (version !== undefined && expiredMs !== undefined) {
-			reportExpiredAnswer(context, {
-				request, state, version, expiredMs, sentAt: this.#sentAt, msUntilCancelAtSend: this.#msUntilCancelAtSend,
-			});
-		}
-	}
-
 	/** @returns whether to continue reading; false while the caller's connection applies backpressure */
 	#handleData(chunk: Uint8Array): boolean {
 		if (this.#refusalBody) {
@@ -240,28 +232,11 @@
 		return wantsMore;
 	}
 
-	/** Time in milliseconds until the request has to be cancelled; undefined if it may wait. */
-	get #msUntilCancel(): number | undefined {
-		const {msUntilCancel, canRetryElsewhere} = this.#options;
-		const untilExpiry = msUntilCancel();
-		const untilMove = this.#written?.msUntilMove;
-		return untilMove === undefined || !canRetryElsewhere() ? untilExpiry : Math.min(untilMove, untilExpiry ?? untilMove);
-	}
-
 	get #isSilent(): boolean {
 		const {noDataTimeoutMs, context: {clock}} = this.#options;
 		return !this.#hasReceivedData && clock.monotonic() - this.#sentAt >= (noDataTimeoutMs() ?? Number.POSITIVE_INFINITY);
 	}
 
-	#recordMalformedRefusal(error: Error): void {
-		this.#refusalBody?.end();
-		if (isMalformed(error)) {
-			const {context, request, state} = this.#options;
-			state.recordFailure(context.clock.monotonic(), false);
-			context.decisions.unusual(request.requestId, 'The body of a refusal was cut.', () => ({upstream: state.upstream.id, detail: error.message}));
-		}
-	}
-
 	#resultOfRefusal(detail: string): SendResult {
 		return {
 			kind: 'failed', failure: 'not-run', detail, mayHaveRun: false, isMisdirected: this.#head?.isMisdirected,
