Allow for late reads on a path, and leave time after the last accepts

- An entry that is behind with its reads took a path for silent whose answers waited in its own sockets.
The limit now counts the longest time for which responses may have waited ('path-room').

--- a/packages/bench/src/soak/tcp-relay.ts
+++ b/packages/bench/src/soak/tcp-relay.ts
@@ -100,10 +100,15 @@
 			one.on('error', () => {
 				one.destroy();
 			});
+			// When data and a reset arrive together, the stream ends without an error, but the socket has no remote address any more.
+			let wasReset = false;
+			one.once('end', () => {
+				wasReset = one.remoteAddress === undefined;
+			});
 			one.on('close', (hadError: boolean) => {
 				this.#sockets.delete(one);
 				this.#silent.delete(one);
-				if (hadError) {
+				if (hadError || wasReset) {
 					other.resetAndDestroy();
 					return;
 				}
--- a/packages/dispatch/src/path-room.test.ts
+++ b/packages/dispatch/src/path-room.test.ts
@@ -48,6 +48,16 @@
 		});
 	});
 
+	describe('in an entry that is behind with reading', () => {
+		it('allows for the time for which responses may have waited', () => {
+			const underWay = {
+				...NOTHING_UNDER_WAY, sends: 1, bytes: 100, oldestMs: SILENCE_MS + 100, newestMs: 10,
+			};
+			expect(hasPathRoom({underWay}, {usualStartMs: USUAL_START_MS, readDelayMs: 100})).to.equal(true);
+			expect(hasPathRoom({underWay}, {usualStartMs: USUAL_START_MS, readDelayMs: 99})).to.equal(false);
+		});
+	});
+
 	describe('of a plain service', () => {
 		it('allows for the time that its answers may take', () => {
 			expect(hasRoom({
--- a/packages/dispatch/src/path-room.ts
+++ b/packages/dispatch/src/path-room.ts
@@ -9,11 +9,11 @@
 import type {PlacementRequirements, UpstreamView} from './types.js';
 
 type PathView = Pick<UpstreamView, 'underWay'>;
-type PathRequirements = Pick<PlacementRequirements, 'usualStartMs' | 'answerGoalMs'>;
+type PathRequirements = Pick<PlacementRequirements, 'usualStartMs' | 'answerGoalMs' | 'readDelayMs'>;
 
 /** Time, in milliseconds, from which the silence of a path is no longer explained by the time that answers usually take. */
-export const pathSilenceMs = ({usualStartMs, answerGoalMs = 0}: PathRequirements): number =>
-	Math.max(MIN_PATH_SILENCE_MS, Math.min(MAX_PATH_SILENCE_MS, usualStartMs * PATH_SILENCE_FACTOR), answerGoalMs);
+export const pathSilenceMs = ({usualStartMs, answerGoalMs = 0, readDelayMs = 0}: PathRequirements): number =>
+	readDelayMs + Math.max(MIN_PATH_SILENCE_MS, Math.min(MAX_PATH_SILENCE_MS, usualStartMs * PATH_SILENCE_FACTOR), answerGoalMs);
 
 /** Whether nothing has shown for too long that the path delivers what was written, or it did so too late. */
 export const isPathSilent = ({underWay: {oldestMs, windowBytes}}: PathView, requirements: PathRequirements): boolean =>
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -90,6 +90,9 @@
 	/** Time within which a plain service should answer. Absent for engines, whose answers begin long before they end. */
 	readonly answerGoalMs?: number;
 
+	/** Longest time for which responses may have waited until this entry read them. */
+	readonly readDelayMs?: number;
+
 	/** Absent for services that read no prompts. */
 	readonly reading?: PromptReading;
 };
--- a/packages/gateway/src/request-needs.ts
+++ b/packages/gateway/src/request-needs.ts
@@ -31,7 +31,7 @@
 	}
 
 	placement(attempt: Pick<PlacementRequirements, 'excludedKeys' | 'isRetry'>): Omit<PlacementRequirements, 'usualStartMs'> {
-		const {view, clock, versionBoundMs, failureDomain} = this.#context;
+		const {view, clock, versionBoundMs, failureDomain, readDelay} = this.#context;
 		const {route, promptTokens} = this.#request;
 		const engine = this.#engine;
 		const model = this.#model;
@@ -42,7 +42,7 @@
 		return {
 			...attempt, failureDomain, needsWeights: engine !== undefined, oldestVersion: requiredVersionAt(now), oldestVersionSoon: requiredVersionAt(now + EXPIRING_VERSION_MS),
 			oldestVersionOnSlowPath: requiredVersionAt(now + SLOW_PATH_MS),
-			answerGoalMs: engine ? undefined : route.goalMs,
+			answerGoalMs: engine ? undefined : route.goalMs, readDelayMs: readDelay.boundMs,
 			reading: engine && {promptTokens: promptTokens ?? engine.usualPromptTokens, tokensPerMs: readingTokensPerMs(engine), limitMs: route.goalMs * MAX_READING_GOAL_SHARE},
 		};
 	}
@@ -71,8 +71,9 @@
 
 	/** Time in milliseconds after which an answer that has not begun counts as delayed on its way. */
 	pathSilenceMs(): number {
+		const {placer, readDelay} = this.#context;
 		const {route, service} = this.#request;
-		return pathSilenceMs({usualStartMs: this.#context.placer.usualStartMs(service), answerGoalMs: this.#engine ? undefined : route.goalMs});
+		return pathSilenceMs({usualStartMs: placer.usualStartMs(service), answerGoalMs: this.#engine ? undefined : route.goalMs, readDelayMs: readDelay.boundMs});
 	}
 
 	/**
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -56,6 +56,9 @@
 export const READINESS_GROUP_SIZE = 6;
 export const READINESS_GROUP_INTERVAL_MS = 50;
 
+/** Time before the last answers at which a stopping entry stops listening, so that no connection is cut that was accepted last. */
+export const LAST_ACCEPTS_MS = 800;
+
 /** Time without a connection after which a stopping entry that no other has replaced stops listening. */
 export const UNUSED_STOP_MS = 1000;
 
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -5,7 +5,7 @@
 import type {Clock, Log} from '@yuccawood/common';
 import type {Gateway} from '@yuccawood/gateway';
 import {
-	ACCEPT_AFTER_SIGTERM_MS, FINAL_ANSWERS_MS, IDLE_CHECK_MS, READINESS_ASK_INTERVAL_MS, STOP_MARGIN_MS, UNUSED_STOP_MS,
+	ACCEPT_AFTER_SIGTERM_MS, FINAL_ANSWERS_MS, IDLE_CHECK_MS, LAST_ACCEPTS_MS, READINESS_ASK_INTERVAL_MS, STOP_MARGIN_MS, UNUSED_STOP_MS,
 } from './constants.js';
 import type {HandoverClaim} from './handover-claim.js';
 import {
@@ -65,7 +65,7 @@
 		this.#readyForMs = 0;
 		gateway.beginDraining();
 		await clock.sleep(Math.min(ACCEPT_AFTER_SIGTERM_MS, graceMs / 3));
-		await this.#acceptUntilReplaced(answerBy);
+		await this.#acceptUntilReplaced(answerBy - LAST_ACCEPTS_MS);
 		await gateway.stopListening();
 		while (await gateway.closeIdleConnections() > 0 && clock.monotonic() < closeAt) {
 			await clock.sleep(IDLE_CHECK_MS);
@@ -133,10 +133,10 @@
 	While no other entry is ready, the load balancer uses all of them. This one takes connections as long as it can answer, and
 	stops when nobody has used it for {@link UNUSED_STOP_MS}.
 	*/
-	async #acceptUntilReplaced(answerBy: number): Promise<void> {
+	async #acceptUntilReplaced(until: number): Promise<void> {
 		const {others, gateway, clock} = this.#options;
-		while (clock.monotonic() < answerBy && gateway.unusedMs < UNUSED_STOP_MS) {
-			const observed = await Promise.race([others.ask(({kind}) => kind === 'ready'), clock.sleep(Math.max(0, answerBy - clock.monotonic()))]);
+		while (clock.monotonic() < until && gateway.unusedMs < UNUSED_STOP_MS) {
+			const observed = await Promise.race([others.ask(({kind}) => kind === 'ready'), clock.sleep(Math.max(0, until - clock.monotonic()))]);
 			if (observed?.some(({kind}) => kind === 'ready')) {
 				return;
 			}
