Test the answer to the balancer and the relay's resets by themselves

Cause: with the limit taken out of the answer to the load balancer no test of failed, since the timers of the test were on time.

Change: 'planned-stop' has a process whose timers are 1.5 s late; 'TcpRelay' gets 20 requests, each with a reset right behind it, while it holds data.

--- a/packages/bench/src/soak/tcp-relay.test.ts
+++ b/packages/bench/src/soak/tcp-relay.test.ts
@@ -48,6 +48,21 @@
 		expect(await call()).to.equal(200);
 	});
 
+	it('drops what it holds of a connection that was reset, also if data and reset arrive together', async () => {
+		relay.hold('toTarget');
+		for (let count = 0; count < 20; count++) {
+			const socket = net.connect(Number(address.split(':')[1]), '127.0.0.1');
+			await once(socket, 'connect');
+			socket.write('GET / HTTP/1.1\r\nhost: x\r\n\r\n');
+			socket.resetAndDestroy();
+		}
+
+		await sleep(100);
+		relay.release();
+		await sleep(100);
+		expect(service.counters.run ?? 0).to.equal(0);
+	});
+
 	it('passes the end of a connection on', async () => {
 		const socket = net.connect(Number(address.split(':')[1]), '127.0.0.1');
 		socket.write('GET / HTTP/1.1\r\nhost: x\r\n\r\n');
--- a/packages/node/src/planned-stop.test.ts
+++ b/packages/node/src/planned-stop.test.ts
@@ -84,6 +84,16 @@
 		}).timeout(15_000);
 	});
 
+	describe('in a process whose timers are late', () => {
+		it('does not count as ready beyond the limit, although nothing has decided so yet', async () => {
+			const lateClock = {...clock, sleep: async (milliseconds: number) => clock.sleep(milliseconds + 1500)};
+			const stop = new PlannedStop({
+				gateway, claim: NEVER, clock: lateClock, log: SILENT_LOG, others: {isSelfListed: () => true, ask: async () => []},
+			});
+			expect(await lastReadyTime(stop)).to.be.lessThan(LAST_READY_MS);
+		}).timeout(15_000);
+	});
+
 	describe('in a process that handles SIGTERM late', () => {
 		it('counts the time from when it may have come', async () => {
 			const readDelayMs = 400;
