Break off a run at two events that arrive as one

Callers saw: a stream that ends as complete without its last event. One wrong or lost byte in the blank line before that event was enough.

In the middle of a stream the next number shows the gap; at its end nothing comes after it.

Change: an event with two id lines, or with another line that ends in the id of the next event, breaks the run off, and another upstream continues it. Lines of data are not searched, since their text may be anything.

--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -1,6 +1,7 @@
 /** Splits the bytes of a server-sent event stream into complete events, and drops events that the caller has already received. */
 import {Buffer} from 'node:buffer';
 import {MAX_BYTES_WITHOUT_EVENT} from './constants.js';
+import {hasData, isJoined, readEventId} from './event-lines.js';
 
 export type EventBatch = {
 	/** Complete events as the upstream sent them, without those that the caller has already. */
@@ -13,7 +14,7 @@
 	readonly fault?: StreamFault;
 };
 
-/** An event does not follow the one before it or has no number, or {@link MAX_BYTES_WITHOUT_EVENT} contained no new event. */
+/** An event does not follow the one before it, has no number or is two events joined, or {@link MAX_BYTES_WITHOUT_EVENT} contained no new event. */
 export type StreamFault = 'gap' | 'no-event';
 
 const EVENT_END = '\n\n';
@@ -122,6 +123,10 @@
 	one higher than the caller's last.
 	*/
 	#classify(event: string): 'new' | 'known' | 'gap' {
+		if (isJoined(event, this.#eventNumber)) {
+			return 'gap';
+		}
+
 		const id = readEventId(event);
 		const number = id === undefined ? undefined : this.#eventNumber(id);
 		if (id === undefined || number === undefined) {
@@ -154,16 +159,3 @@
 		return 'new';
 	}
 }
-
-/** Comments, which keep a connection alive, have none. */
-const hasData = (event: string): boolean => event.startsWith('data') || event.includes('\ndata');
-
-const readEventId = (event: string): string | undefined => {
-	const start = event.startsWith('id:') ? 0 : event.indexOf('\nid:') + 1;
-	if (start === 0 && !event.startsWith('id:')) {
-		return undefined;
-	}
-
-	const end = event.indexOf('\n', start);
-	return event.slice(start + 3, end === -1 ? undefined : end).trim();
-};
--- a/packages/gateway/src/spoilt-events.test.ts
+++ b/packages/gateway/src/spoilt-events.test.ts
@@ -1,49 +1,15 @@
-import {Buffer} from 'node:buffer';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {EventSplitter} from './event-stream.js';
+import {
+	deliverStream, eventTexts as events, feedRun as run, plainEvent as event,
+} from './testing/stream-delivery.js';
 
 const SEED = 20_261_206;
-const event = (number: number): string => `id: ${number}\ndata: event ${number}\n\n`;
-const events = (from: number, to: number): string => Array.from({length: Math.max(0, to - from + 1)}, (_, index) => event(from + index)).join('');
-
-/** What a caller has after a run, and what follows from it. */
-type Outcome = {readonly received: string; readonly isBroken: boolean; readonly canContinue: boolean; readonly lastId: string | undefined};
-
-/** Feeds the bytes of one run, in parts of the given size, until a fault or the end. */
-const run = (splitter: EventSplitter, text: string, partBytes: number): Outcome => {
-	splitter.beginRun();
-	let received = '';
-	let isBroken = false;
-	for (let at = 0; at < text.length && !isBroken; at += partBytes) {
-		const {bytes, fault} = splitter.push(Buffer.from(text.slice(at, at + partBytes), 'latin1'));
-		received += Buffer.from(bytes).toString('latin1');
-		isBroken = fault !== undefined;
-	}
-
-	return {
-		received, isBroken: isBroken || splitter.hasPartial || splitter.endsShort, canContinue: splitter.canContinue, lastId: splitter.lastId,
-	};
-};
-
-/** Lets other upstreams continue the stream until it ends as complete or is cut. @returns the numbers of the data that the caller has; undefined if it was cut */
+/** @returns the numbers of the data that the caller has; undefined if the stream was cut */
 const deliver = (length: number, spoilt: string, partBytes: number): readonly number[] | undefined => {
-	const splitter = new EventSplitter({eventNumber: text => /^\d+$/u.test(text) ? Number(text) : undefined});
-	let received = '';
-	for (let runs = 0; runs < 3; runs++) {
-		const text = runs === 0 ? spoilt : events(Number(splitter.lastId ?? 0) + 1, length);
-		const outcome = run(splitter, text, partBytes);
-		received += outcome.received;
-		if (!outcome.isBroken) {
-			return [...received.matchAll(/event (\d+)\n/gu)].map(([, number]) => Number(number));
-		}
-
-		if (!outcome.canContinue) {
-			return undefined;
-		}
-	}
-
-	return undefined;
+	const received = deliverStream({length, partBytes, spoil: (sent, runs) => runs === 0 ? spoilt : sent});
+	return received === undefined ? undefined : [...received.matchAll(/event (\d+)\n/gu)].map(([, number]) => Number(number));
 };
 
 const all = (length: number): readonly number[] => Array.from({length}, (_, index) => index + 1);
