Don't continue a stream after data without a number

Callers saw: the text of the first event twice, if its id line was spoilt and the stream broke off before the next event.

Cause: the first event of a run is passed on whatever its id, but only a readable id moves the point at which another upstream goes on. It was asked for the whole stream, and its first event was new.

Change: such a stream is cut, until an event with a number follows.

Result: "is not continued after data without a number" fails without the change.

--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -38,6 +38,9 @@
 	/** Text of that event. */
 	#runText: string | undefined;
 
+	/** Whether the caller has data after the last event with a number, so that nothing tells up to where it has the stream. */
+	#hasUnnumberedData = false;
+
 	/** Whether two events in a row, or an earlier stream, bear out the last number. */
 	#isLastNumberCertain: boolean;
 	#isContradicted = false;
@@ -64,9 +67,12 @@
 		return this.#partialBytes > 0;
 	}
 
-	/** Whether the stream can be continued after the last event. It can't if the second one contradicts the first: either may have a wrong digit. */
+	/**
+	Whether the stream can be continued after the last event. It can't if that one has no number, or if the second event
+	contradicts the first: either may have a wrong digit.
+	*/
 	get canContinue(): boolean {
-		return !this.#isContradicted;
+		return !this.#isContradicted && !this.#hasUnnumberedData;
 	}
 
 	/** Whether the run stopped among events that the caller has already. */
@@ -130,7 +136,16 @@
 		const id = readEventId(event);
 		const number = id === undefined ? undefined : this.#eventNumber(id);
 		if (id === undefined || number === undefined) {
-			return this.#runNumber !== undefined && hasData(event) ? 'gap' : 'new';
+			if (!hasData(event)) {
+				return 'new';
+			}
+
+			if (this.#runNumber !== undefined) {
+				return 'gap';
+			}
+
+			this.#hasUnnumberedData = true;
+			return 'new';
 		}
 
 		// The same bytes again are a repetition, which says nothing against the number.
@@ -153,6 +168,7 @@
 			return 'known';
 		}
 
+		this.#hasUnnumberedData = false;
 		this.#lastId = id;
 		this.#lastNumber = number;
 		this.#bytesSinceNewEvent = 0;
--- a/packages/gateway/src/spoilt-bytes.test.ts
+++ b/packages/gateway/src/spoilt-bytes.test.ts
@@ -1,8 +1,10 @@
 import {expect} from 'chai';
+import fc from 'fast-check';
 import {
 	deliverStream, eventTexts, plainEvent, type EventText,
 } from './testing/stream-delivery.js';
 
+const SEED = 20_261_207;
 const FORMS: Readonly<Record<string, EventText>> = {
 	'one line of data': plainEvent,
 	'several lines of data': number => `id: ${number}\ndata: event ${number}\ndata: id: ${number + 1}\ndata:\n\n`,
@@ -103,4 +105,24 @@
 			}
 		}
 	});
+
+	// Guards against the same with a continued stream whose upstream sends a wrong byte, too.
+	it('of up to 60 events, once in each of two runs, ends complete with all sound events, or is cut', () => {
+		const spoilage = fc.record({kind: fc.constantFrom(...KINDS), at: fc.nat(1500), byte: fc.constantFrom(...BYTES)});
+		fc.assert(fc.property(fc.integer({min: 1, max: 60}), fc.tuple(spoilage, spoilage), fc.integer({min: 1, max: 400}), (length, spoilages, partBytes) => {
+			const touched = new Set<number>();
+			const received = deliverStream({
+				length, partBytes, spoil(text, run) {
+					if (run >= spoilages.length || text.length === 0) {
+						return text;
+					}
+
+					const at = spoilages[run].at % text.length;
+					touched.add(eventAt(eventTexts(1, length).length - text.length + at, plainEvent));
+					return spoilBytes(text, {...spoilages[run], at});
+				},
+			});
+			expect(received === undefined ? [] : wrongEvents(received, {length, event: plainEvent, spoilt: number => touched.has(number)})).to.deep.equal([]);
+		}), {seed: SEED, numRuns: 2000});
+	});
 });
--- a/packages/gateway/src/spoilt-events.test.ts
+++ b/packages/gateway/src/spoilt-events.test.ts
@@ -96,4 +96,12 @@
 			expect(numbers === undefined || numbers.join(' ') === all(length).join(' ')).to.equal(true);
 		}), {seed: SEED, numRuns: 400});
 	});
+
+	// Guards against an event that the caller gets twice: nothing tells the next upstream that the caller has it.
+	it('is not continued after data without a number', () => {
+		const splitter = new EventSplitter({eventNumber: Number});
+		run(splitter, 'xd: 1\ndata: event 1\n\n', 1000);
+		expect(splitter.canContinue).to.equal(false);
+		expect(run(splitter, events(2, 3), 1000).canContinue).to.equal(true);
+	});
 });
