Don't take an empty run for the end after a number that stands alone

Callers saw: a stream of one event that ends as complete, if the id of that event was too high and the stream broke off before the next one.

Cause: the next upstream was asked to go on after the last event that there is, and an empty run counted as the rest of the stream.

Change: an empty run ends a stream only after a number that two events in a row, or the caller, bear out. Otherwise the stream is cut.

Result: "does not end as complete when the run after a single event ..." fails without the change. What is left: both bytes of a blank line spoilt, and coordinated digits.

--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -75,9 +75,16 @@
 		return !this.#isContradicted && !this.#hasUnnumberedData;
 	}
 
-	/** Whether the run stopped among events that the caller has already. */
+	/**
+	Whether the run stopped among events that the caller has already, or had no event that bears out the number after which it was
+	to go on: a number that is too high leaves an upstream nothing to send.
+	*/
 	get endsShort(): boolean {
-		return this.#runNumber !== undefined && this.#lastNumber !== undefined && this.#runNumber < this.#lastNumber;
+		if (this.#lastNumber === undefined) {
+			return false;
+		}
+
+		return this.#runNumber === undefined ? !this.#isLastNumberCertain : this.#runNumber < this.#lastNumber;
 	}
 
 	/** Begins another run, and drops an incomplete event of the one before. */
--- a/packages/gateway/src/spoilt-events.test.ts
+++ b/packages/gateway/src/spoilt-events.test.ts
@@ -104,4 +104,18 @@
 		expect(splitter.canContinue).to.equal(false);
 		expect(run(splitter, events(2, 3), 1000).canContinue).to.equal(true);
 	});
+
+	// Guards against a stream that ends as complete after its first event, whose number was too high.
+	it('does not end as complete when the run after a single event brings nothing that bears out its number', () => {
+		const splitter = new EventSplitter({eventNumber: Number});
+		run(splitter, 'id: 91\ndata: event 1\n\nid: 2\nda', 1000);
+		expect(run(splitter, '', 1000).isBroken).to.equal(true);
+	});
+
+	it('ends as complete when another upstream has nothing to add after a number that is certain', () => {
+		const splitter = new EventSplitter({eventNumber: Number});
+		run(splitter, `${events(1, 2)}id`, 1000);
+		expect(run(splitter, '', 1000).isBroken).to.equal(false);
+		expect(run(new EventSplitter({eventNumber: Number, lastId: '2'}), '', 1000).isBroken).to.equal(false);
+	});
 });
