Judge late streams without published costs by their deadline

Answers that are no streams keep the estimate: a failure replaces them while they have not begun. Judging these by their deadline, too, was tried: stopped-together.test.ts then got 503 for all requests of the last seconds while no other entry was ready.

Result: two tests fail without the change, and pass with it.

--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -163,6 +163,12 @@
 /** Time in milliseconds after which a number of held slots counts for 1/e of the present one in their average. */
 export const USUAL_HELD_MEMORY_MS = 1000;
 
+/**
+Time after the beginning of a stop in milliseconds within which callers may not know of it: the load balancer removes an entry after
+two failed readiness checks, which are 1 s apart.
+*/
+export const UNREMOVED_MS = 2600;
+
 /** Number of answers from which the longest one says how long others take. */
 export const MIN_OBSERVED_ANSWERS = 8;
 
--- a/packages/dispatch/src/stop-admission.test.ts
+++ b/packages/dispatch/src/stop-admission.test.ts
@@ -7,7 +7,7 @@
 
 /** A request of a stopping entry that has 2 s left; its caller waits for 6 s. */
 const request = (changes: Partial<LateRequest> = {}): LateRequest => ({
-	now: 1000, answerBy: 3000, deadlineAt: 7000, isRepeatable: true, observed: {count: 50, longestMs: 1200}, ...changes,
+	now: 1000, answerBy: 3000, deadlineAt: 7000, isRepeatable: true, isStream: true, arrivedAfterMs: 500, observed: {count: 50, longestMs: 1200}, ...changes,
 });
 
 describe('isAnswerable', () => {
@@ -37,6 +37,24 @@
 		});
 	});
 
+	// Guards against an answer that is cut because it takes longer than all others did lately.
+	describe('for a stream that arrives after the load balancer has removed the entry', () => {
+		it('refuses it unless its deadline is earlier, however short the answers of its route were lately', () => {
+			for (const isRepeatable of [true, false]) {
+				expect(isAnswerable(request({arrivedAfterMs: 3001, isRepeatable, observed: {count: 500, longestMs: 20}}))).to.equal(false);
+				expect(isAnswerable(request({arrivedAfterMs: 3001, isRepeatable, deadlineAt: 2900}))).to.equal(true);
+			}
+		});
+
+		it('goes by how long others took where a failure can replace the answer', () => {
+			expect(isAnswerable(request({arrivedAfterMs: 3001, isStream: false, observed: {count: 500, longestMs: 900}}))).to.equal(true);
+		});
+
+		it('still counts the published costs of an engine', () => {
+			expect(isAnswerable(request({arrivedAfterMs: 3001, boundMs: 900}))).to.equal(true);
+		});
+	});
+
 	it('refuses everything from the time on at which the last answers must have ended', () => {
 		expect(isAnswerable(request({now: 3000, deadlineAt: 3000}))).to.equal(false);
 	});
--- a/packages/gateway/src/running-exchanges.ts
+++ b/packages/gateway/src/running-exchanges.ts
@@ -1,6 +1,6 @@
 /** Exchanges that have no final answer yet, and how they end when the entry stops. */
 import type {Exchange} from './exchange.js';
-import {StopLimit, type StopLimitOptions} from './stop-limit.js';
+import {StopLimit, type StopLimitOptions, type StopTimes} from './stop-limit.js';
 
 export class RunningExchanges {
 	readonly stopLimit: StopLimit;
@@ -19,9 +19,9 @@
 		}
 	}
 
-	/** From now on, requests that can't be answered until then are refused. @param answerBy monotonic time in milliseconds */
-	limitAnswers(answerBy: number): void {
-		this.stopLimit.set(answerBy);
+	/** From now on, requests that can't be answered in time are refused. */
+	limitAnswers(stop: StopTimes): void {
+		this.stopLimit.set(stop);
 	}
 
 	/** Refuses the waiting requests that can no longer be answered in time. To be called repeatedly after {@link limitAnswers}. */
--- a/packages/gateway/src/stop-limit.test.ts
+++ b/packages/gateway/src/stop-limit.test.ts
@@ -23,8 +23,8 @@
 	let now: number;
 	let limit: StopLimit;
 
-	const canAnswer = (answerTokens: number | undefined): boolean => limit.canAnswer({
-		route, table, service: 'engines', promptTokens: 200, answerTokens, deadlineAt: now + 20_000,
+	const canAnswer = (answerTokens: number | undefined, arrivedAt = now): boolean => limit.canAnswer({
+		route, table, service: 'engines', promptTokens: 200, answerTokens, arrivedAt, deadlineAt: now + 20_000,
 	});
 
 	beforeEach(() => {
@@ -40,13 +40,21 @@
 	});
 
 	it('counts the longest answer that the published costs of the engine allow, however short others were lately', () => {
-		limit.set(now + 2000);
+		limit.set({startedAt: now, answerBy: now + 2000});
 		expect(canAnswer(100)).to.equal(false);
 		expect(canAnswer(10)).to.equal(true);
 	});
 
 	it('goes by the answers lately where no number of tokens bounds the answer', () => {
-		limit.set(now + 2000);
+		limit.set({startedAt: now, answerBy: now + 2000});
 		expect(canAnswer(undefined)).to.equal(true);
 	});
+
+	// Guards against an answer that is cut because it takes longer than all others did lately.
+	it('goes by the deadline there for streams that arrive more than 3 s after the beginning of the stop', () => {
+		limit.set({startedAt: now - 3001, answerBy: now + 2000});
+		expect(canAnswer(undefined)).to.equal(false);
+		expect(canAnswer(undefined, now - 1000)).to.equal(true);
+		expect(canAnswer(10)).to.equal(true);
+	});
 });
--- a/packages/gateway/src/stop-limit.ts
+++ b/packages/gateway/src/stop-limit.ts
@@ -5,20 +5,30 @@
 } from '@yuccawood/dispatch';
 import type {AcceptedRequest} from './accepted-request.js';
 
+type AdmittedFields = Pick<AcceptedRequest, 'route' | 'table' | 'service' | 'promptTokens' | 'answerTokens' | 'arrivedAt' | 'deadlineAt'>;
+
 export type StopLimitOptions = {readonly clock: Pick<Clock, 'monotonic'>};
 
+/** Monotonic times in milliseconds. */
+export type StopTimes = {
+	/** Earliest time at which the stop may have begun. */
+	readonly startedAt: number;
+
+	/** When the last answers must have ended. */
+	readonly answerBy: number;
+};
+
 export class StopLimit {
 	readonly #clock: Pick<Clock, 'monotonic'>;
 	readonly #answerTimes = new AnswerTimes();
-	#answerBy: number | undefined;
+	#stop: StopTimes | undefined;
 
 	constructor({clock}: StopLimitOptions) {
 		this.#clock = clock;
 	}
 
-	/** @param answerBy monotonic time in milliseconds */
-	set(answerBy: number): void {
-		this.#answerBy = answerBy;
+	set(stop: StopTimes): void {
+		this.#stop = stop;
 	}
 
 	/** Records how long a request took that an upstream ran. */
@@ -28,15 +38,15 @@
 	}
 
 	/** Whether a request that is sent to an upstream now can be answered before this entry ends. */
-	canAnswer({route, table, service, promptTokens, answerTokens, deadlineAt}: Pick<AcceptedRequest, 'route' | 'table' | 'service' | 'promptTokens' | 'answerTokens' | 'deadlineAt'>): boolean {
-		if (this.#answerBy === undefined) {
+	canAnswer({route, table, service, promptTokens, answerTokens, arrivedAt, deadlineAt}: AdmittedFields): boolean {
+		if (this.#stop === undefined) {
 			return true;
 		}
 
 		const now = this.#clock.monotonic();
 		const engine = table.configuration.services.find(({name}) => name === service)?.engine;
 		return isAnswerable({
-			now, answerBy: this.#answerBy, deadlineAt, isRepeatable: isRetryable(route), observed: this.#answerTimes.of(route.name, now),
+			now, answerBy: this.#stop.answerBy, arrivedAfterMs: arrivedAt - this.#stop.startedAt, deadlineAt, isRepeatable: isRetryable(route), isStream: route.kind === 'stream', observed: this.#answerTimes.of(route.name, now),
 			boundMs: engine && answerTokens !== undefined ? longestAnswerMs(engine, {promptTokens, answerTokens}) : undefined,
 		});
 	}
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -59,7 +59,7 @@
 		this.#startedAt = clock.monotonic() - gateway.readDelayMs;
 		const closeAt = this.#startedAt + graceMs - STOP_MARGIN_MS;
 		const answerBy = closeAt - FINAL_ANSWERS_MS;
-		gateway.exchanges.limitAnswers(answerBy);
+		gateway.exchanges.limitAnswers({startedAt: this.#startedAt, answerBy});
 		const ended = new AbortController();
 		void this.#reviewRequests(answerBy, ended.signal);
 		await this.#handOver(graceMs);
