Refuse calls that last beyond the time limit of a stopping entry

Cause: a draining entry accepted every call, however little of the limit was left.

Change: a call whose deadline is later than the limit is answered at once with 503, not run, Retry-After. Calls that were accepted before the stop still run until they end or the limit is reached.

--- a/packages/daemon/src/entry-process.ts
+++ b/packages/daemon/src/entry-process.ts
@@ -59,7 +59,7 @@
 				},
 				{
 					name: 'finish requests',
-					run: async () => this.server.drain(),
+					run: async () => this.server.drain({limitMs: stopLimitMs}),
 					limitMs: stopLimitMs,
 				},
 				{
--- a/packages/requests/src/entry-server.ts
+++ b/packages/requests/src/entry-server.ts
@@ -43,6 +43,9 @@
 	#address = '';
 	#inProgress = 0;
 	#isDraining = false;
+
+	/** Monotonic time in milliseconds from which connections may be closed with requests in progress. */
+	#answerBy = Number.POSITIVE_INFINITY;
 	#onIdle: (() => void) | undefined;
 
 	constructor(options: EntryServerOptions) {
@@ -117,9 +120,15 @@
 		this.#readDelay.start();
 	}
 
-	/** Reports unhealthy but accepts requests for a grace period, then closes the listener. Resolves when no request is in progress. */
-	async drain(): Promise<void> {
+	/**
+	Reports unhealthy but accepts requests for a grace period, then closes the listener. Resolves when no request is in progress.
+
+	@param limitMs time in milliseconds after which the caller of this method closes all connections. A request whose deadline is
+	later is refused, as it could be cut.
+	*/
+	async drain({limitMs = Number.POSITIVE_INFINITY}: {readonly limitMs?: number} = {}): Promise<void> {
 		this.#isDraining = true;
+		this.#answerBy = this.#clock.monotonic() + limitMs;
 		await this.#clock.sleep(this.#options.drainGraceMs ?? DRAIN_GRACE_MS);
 		this.#server.close();
 		this.#server.closeIdleConnections();
@@ -188,6 +197,12 @@
 		}
 
 		const call = await readCall(request, {requestId, configuration: current.configuration, arrivedAt});
+		if (call.deadlineAt > this.#answerBy) {
+			throw new RequestError({
+				kind: 'leaving', detail: 'This entry stops before the deadline of the request.', remedy: 'Send it again on a new connection.', retryAfterSeconds: RETRY_AFTER_SECONDS,
+			});
+		}
+
 		const permit = await this.#admit(call);
 		try {
 			await new Forwarding({
--- a/packages/requests/src/load.test.ts
+++ b/packages/requests/src/load.test.ts
@@ -133,6 +133,32 @@
 		});
 	});
 
+	describe('drain with a time limit', () => {
+		const limitMs = 2000;
+
+		// Guards against a late call that is passed on and then cut with all others when the limit is reached.
+		it('refuses a call that may last longer at once as not run, and answers one that can not', async () => {
+			let isOpen = false;
+			const upstream = await gatedStream(() => isOpen);
+			await fleet.agent('engine-1', upstream);
+			const entry = await fleet.entry({drainGraceMs: 500});
+			const running = textOf(chat(entry, 'hello', {stream: true}));
+			await waitUntil(() => upstream.receivedIds.length === 1);
+			const drained = entry.drain({limitMs});
+			const call = async (deadlineMs: number): Promise<Reply> => send(entry, '/v1/chat/completions', {
+				method: 'POST', body: chatBody(`for ${deadlineMs} ms`, {stream: true}), headers: {'content-type': 'application/json', 'yuccawood-deadline-ms': String(deadlineMs)},
+			});
+			const refused = await call(limitMs * 2);
+			const served = call(limitMs / 2);
+			await waitUntil(() => upstream.receivedIds.length === 2);
+			isOpen = true;
+			expect([refused.status, refused.json().outcome, refused.headers.get('retry-after')]).to.deep.equal([503, 'not-run', '1']);
+			expect(await textOf(served)).to.contain('[DONE]');
+			expect(await running).to.contain('[DONE]');
+			await drained;
+		});
+	});
+
 	describe('caller disconnect', () => {
 		it('cancels a repeatable call at the upstream', async () => {
 			let isCancelled = false;
