Answer 504 when an agent notices the passed deadline first

Cause: entry and agent each look for passed deadlines every 100 ms. If the agent's look came first, its answer with the reason "deadline" was taken for a failure of the upstream, and the call was retried or answered 502.

Change: an agent's "deadline" ends the call with 504. Its outcome stays what the agent says.

--- a/packages/requests/src/forwarding.ts
+++ b/packages/requests/src/forwarding.ts
@@ -203,10 +203,16 @@
 		}
 	}
 
-	/** @throws {RequestError} when a non-repeatable call may have been run. */
+	/** @throws {RequestError} when the deadline has passed, or when a non-repeatable call may have been run. */
 	#handleRejection(agent: Agent, {reason, outcome, death}: Rejection): RequestError {
 		const {router, metrics, deathReporter} = this.#context;
 		metrics.count('requests.rejected', {reason});
+		if (reason === 'deadline') {
+			// The agent may notice earlier than this entry.
+			this.#mayHaveRun ||= outcome !== 'not-run';
+			throw this.#createFailure('deadline', 'The deadline passed at the agent.');
+		}
+
 		if (reason === 'overloaded') {
 			agent.load.recordRejection(this.#context.clock.monotonic());
 		}
--- a/packages/requests/src/load.test.ts
+++ b/packages/requests/src/load.test.ts
@@ -208,6 +208,19 @@
 			await waitUntil(() => isCancelled);
 		});
 
+		// Guards against a 502 or 503 when the agent notices the passed deadline before the entry does.
+		it('answers 504 whichever process notices first that the deadline has passed', async () => {
+			await fleet.agent('engine-1', await slowEngine(1000), {capacity: 20});
+			// Both look for passed deadlines every 100 ms.
+			await delay(50);
+			const entry = await fleet.entry();
+			const replies = await Promise.all(Array.from({length: 20}, async (_, index) => send(entry, '/v1/chat/completions', {
+				method: 'POST', body: chatBody(`call ${index}`), headers: {'yuccawood-deadline-ms': String(200 + (index * 5))},
+			})));
+			expect(replies.map(({status}) => status)).to.deep.equal(Array.from({length: 20}, () => 504));
+			expect(replies.every(reply => reply.json().outcome === 'unknown')).to.equal(true);
+		});
+
 		it('reports outcome unknown for a non-repeatable call past its deadline, and lets it run to its end', async () => {
 			const upstream = await slowEngine(600);
 			await fleet.agent('orders-1', upstream, {kind: 'service'});
