Go on accepting connections while they wait and grace is left

Callers saw: a reset, when they had connected to a stopping entry that was behind with accepting connections.

Cause: the entry closed its listener 500 ms after it had been replaced, even if connections waited, and the kernel resets those.

Change: it goes on until 300 ms before its last answers. Requests that are too late for an answer then get a refusal that says so.

Result: the test "goes on listening until shortly before its last answers" fails without the change (4.5 s after SIGTERM) and passes with it.

--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -62,6 +62,12 @@
 /** Time before the last answers at which a stopping entry stops listening, so that no connection is cut that was accepted last. */
 export const LAST_ACCEPTS_MS = 800;
 
+/**
+Time before the last answers at which a stopping entry stops listening even if connections wait to be accepted. The kernel resets
+those, while accepted ones get an answer or a refusal.
+*/
+export const LAST_REFUSALS_MS = 300;
+
 /** Time without a connection after which a stopping entry that no other has replaced stops listening. */
 export const UNUSED_STOP_MS = 1000;
 
--- a/packages/node/src/planned-stop.test.ts
+++ b/packages/node/src/planned-stop.test.ts
@@ -101,6 +101,23 @@
 		}).timeout(15_000);
 	});
 
+	// Guards against connections that the kernel resets because the entry is behind with accepting them.
+	describe('while more connections wait than it accepts', () => {
+		it('goes on listening until shortly before its last answers', async () => {
+			const startedAt = clock.monotonic();
+			let listensUntilMs = 0;
+			const stop = new PlannedStop({
+				gateway: {
+					...gateway, async stopListening({maxWaitMs = 0} = {}) {
+						listensUntilMs = clock.monotonic() - startedAt + maxWaitMs;
+					},
+				}, claim: NEVER, clock, log: SILENT_LOG, others: {isSelfListed: () => true, ask: async () => []},
+			});
+			await stop.run(GRACE_MS);
+			expect(listensUntilMs).to.be.within(GRACE_MS - 1500, GRACE_MS - 600);
+		}).timeout(15_000);
+	});
+
 	describe('while a question to the others gets no answer at all', () => {
 		it('does not stay ready for longer than all may', async () => {
 			expect(await lastReadyTime(stopOf({claim: new OneClaim(), ask: unanswered}))).to.be.lessThan(LAST_READY_MS);
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -5,7 +5,7 @@
 import type {Clock, Log} from '@yuccawood/common';
 import type {Gateway} from '@yuccawood/gateway';
 import {
-	ACCEPT_AFTER_SIGTERM_MS, FINAL_ANSWERS_MS, IDLE_CHECK_MS, LAST_ACCEPTS_MS, MAX_READY_WHEN_UNSURE_MS, READINESS_ASK_INTERVAL_MS, STOP_MARGIN_MS, UNUSED_STOP_MS,
+	ACCEPT_AFTER_SIGTERM_MS, FINAL_ANSWERS_MS, IDLE_CHECK_MS, LAST_ACCEPTS_MS, LAST_REFUSALS_MS, MAX_READY_WHEN_UNSURE_MS, READINESS_ASK_INTERVAL_MS, STOP_MARGIN_MS, UNUSED_STOP_MS,
 } from './constants.js';
 import type {HandoverClaim} from './handover-claim.js';
 import {
@@ -69,7 +69,7 @@
 		gateway.beginDraining();
 		await clock.sleep(Math.min(ACCEPT_AFTER_SIGTERM_MS, graceMs / 3));
 		await this.#acceptUntilReplaced(answerBy - LAST_ACCEPTS_MS);
-		await gateway.stopListening();
+		await gateway.stopListening({maxWaitMs: Math.max(0, answerBy - LAST_REFUSALS_MS - clock.monotonic())});
 		while (await gateway.closeIdleConnections() > 0 && clock.monotonic() < closeAt) {
 			await clock.sleep(IDLE_CHECK_MS);
 		}
