--- a/packages/gateway/src/stop-limit.test.ts
+++ b/packages/gateway/src/stop-limit.test.ts
@@ -51,7 +51,7 @@
 	});
 
 	// Guards against an answer that is cut because it takes longer than all others did lately.
-	it('goes by the deadline there for streams that arrive more than 3 s after the beginning of the stop', () => {
+	it('goes by the deadline there for streams that arrive after callers know of the stop', () => {
 		limit.set({startedAt: now - 3001, answerBy: now + 2000});
 		expect(canAnswer(undefined)).to.equal(false);
 		expect(canAnswer(undefined, now - 1000)).to.equal(true);
--- a/packages/gateway/src/stop-limit.ts
+++ b/packages/gateway/src/stop-limit.ts
@@ -5,7 +5,8 @@
 } from '@yuccawood/dispatch';
 import type {AcceptedRequest} from './accepted-request.js';
 
-type AdmittedFields = Pick<AcceptedRequest, 'route' | 'table' | 'service' | 'promptTokens' | 'answerTokens' | 'arrivedAt' | 'deadlineAt'>;
+/** What the time that an answer takes depends on. */
+type AdmittedRequest = Pick<AcceptedRequest, 'route' | 'table' | 'service' | 'promptTokens' | 'answerTokens' | 'arrivedAt' | 'deadlineAt'>;
 
 export type StopLimitOptions = {readonly clock: Pick<Clock, 'monotonic'>};
 
@@ -38,7 +39,7 @@
 	}
 
 	/** Whether a request that is sent to an upstream now can be answered before this entry ends. */
-	canAnswer({route, table, service, promptTokens, answerTokens, arrivedAt, deadlineAt}: AdmittedFields): boolean {
+	canAnswer({route, table, service, promptTokens, answerTokens, arrivedAt, deadlineAt}: AdmittedRequest): boolean {
 		if (this.#stop === undefined) {
 			return true;
 		}
@@ -46,7 +47,13 @@
 		const now = this.#clock.monotonic();
 		const engine = table.configuration.services.find(({name}) => name === service)?.engine;
 		return isAnswerable({
-			now, answerBy: this.#stop.answerBy, arrivedAfterMs: arrivedAt - this.#stop.startedAt, deadlineAt, isRepeatable: isRetryable(route), isStream: route.kind === 'stream', observed: this.#answerTimes.of(route.name, now),
+			now,
+			answerBy: this.#stop.answerBy,
+			deadlineAt,
+			isRepeatable: isRetryable(route),
+			isStream: route.kind === 'stream',
+			arrivedAfterMs: arrivedAt - this.#stop.startedAt,
+			observed: this.#answerTimes.of(route.name, now),
 			boundMs: engine && answerTokens !== undefined ? longestAnswerMs(engine, {promptTokens, answerTokens}) : undefined,
 		});
 	}
