Let entries that were stopped first leave first while none is ready

Cause: a stopping entry took connections until another one was ready. Each refused what it could no longer answer, but counted as used by that, and stayed until 0.8 s before its last answers.

Change: an entry also leaves for one that was stopped over 0.5 s later. The last one stays as before, and so do entries that stop at the same time.

"leaves first if it was stopped first" fails without the change (6.6 s).

--- a/packages/node/src/handover.ts
+++ b/packages/node/src/handover.ts
@@ -31,6 +31,13 @@
 export const isReplacement = (other: ObservedEntry, stoppingMs: number): boolean =>
 	other.kind === 'ready' || (other.kind === 'stopping' && other.forMs < stoppingMs + SIMULTANEOUS_STOPS_MS);
 
+/**
+Whether another entry takes connections for longer than this one. Of entries that stop, those that were stopped first leave first:
+the sooner they have ended, the sooner one is back. @param stoppingMs time since this one was asked to stop
+*/
+export const outlasts = (other: ObservedEntry, stoppingMs: number): boolean =>
+	other.kind === 'ready' || (other.kind === 'stopping' && other.forMs + SIMULTANEOUS_STOPS_MS < stoppingMs);
+
 /** Time after SIGTERM, in milliseconds, until which an entry may count as ready. It holds whatever becomes known later, or fails to. */
 export const readinessLimitMs = ({graceMs, isListed, hasClaim, others}: Pick<HandoverSituation, 'graceMs' | 'isListed' | 'hasClaim' | 'others'>): number => {
 	const isSure = hasClaim && isListed && others.every(({kind}) => kind !== 'silent');
--- a/packages/node/src/planned-stop.test.ts
+++ b/packages/node/src/planned-stop.test.ts
@@ -101,6 +101,35 @@
 		}).timeout(15_000);
 	});
 
+	describe('while another entry that stops takes connections, too', () => {
+		/** Milliseconds from SIGTERM until the entry stops listening, although callers use it. @param forMs time since the other one was asked to stop */
+		const listeningMs = async (forMs: (stoppingMs: number) => number): Promise<number> => {
+			const startedAt = clock.monotonic();
+			let untilMs = 0;
+			const stop = new PlannedStop({
+				gateway: {
+					...gateway, unusedMs: 0, async stopListening() {
+						untilMs = clock.monotonic() - startedAt;
+					},
+				}, claim: NEVER, clock, log: SILENT_LOG, others: {isSelfListed: () => true, ask: async () => [{kind: 'stopping', forMs: forMs(clock.monotonic() - startedAt)}]},
+			});
+			await stop.run(GRACE_MS);
+			return untilMs;
+		};
+
+		// Guards against entries that wait for the end of their grace one after the other, so that none is back for seconds.
+		it('leaves first if it was stopped first', async () => {
+			expect(await listeningMs(stoppingMs => stoppingMs - 1000)).to.be.lessThan(GRACE_MS / 2);
+		}).timeout(15_000);
+
+		it('stays if it was stopped last, or at the same time', async () => {
+			const times = await Promise.all([listeningMs(stoppingMs => stoppingMs + 1000), listeningMs(stoppingMs => stoppingMs)]);
+			for (const ms of times) {
+				expect(ms).to.be.greaterThan(GRACE_MS * 0.75);
+			}
+		}).timeout(15_000);
+	});
+
 	// Guards against connections that the kernel resets because the entry is behind with accepting them.
 	describe('while more connections wait than it accepts', () => {
 		it('goes on listening until shortly before its last answers', async () => {
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -9,7 +9,7 @@
 } from './constants.js';
 import type {HandoverClaim} from './handover-claim.js';
 import {
-	isReplacement, readinessLimitMs, staysReady, type EntryState, type ObservedEntry,
+	isReplacement, outlasts, readinessLimitMs, staysReady, type EntryState, type ObservedEntry,
 } from './handover.js';
 import type {OtherEntries} from './readiness-exchange.js';
 
@@ -83,6 +83,8 @@
 
 	readonly #isReplacement = (other: ObservedEntry): boolean => isReplacement(other, this.#stoppingMs);
 
+	readonly #outlasts = (other: ObservedEntry): boolean => outlasts(other, this.#stoppingMs);
+
 	/** Resolves when another entry is ready, or when this one may no longer count as ready. */
 	async #handOver(graceMs: number): Promise<void> {
 		const {others, clock, log} = this.#options;
@@ -137,14 +139,14 @@
 	}
 
 	/**
-	While no other entry is ready, the load balancer uses all of them. This one takes connections as long as it can answer, and
-	stops when nobody has used it for {@link UNUSED_STOP_MS}.
+	While no other entry is ready, the load balancer uses all of them. The one that was stopped last takes connections as long as
+	it can answer, and stops when nobody has used it for {@link UNUSED_STOP_MS}.
 	*/
 	async #acceptUntilReplaced(until: number): Promise<void> {
 		const {others, gateway, clock} = this.#options;
 		while (clock.monotonic() < until && gateway.unusedMs < UNUSED_STOP_MS) {
-			const observed = await Promise.race([others.ask(({kind}) => kind === 'ready'), clock.sleep(Math.max(0, until - clock.monotonic()))]);
-			if (observed?.some(({kind}) => kind === 'ready')) {
+			const observed = await Promise.race([others.ask(this.#outlasts), clock.sleep(Math.max(0, until - clock.monotonic()))]);
+			if (observed?.some(other => this.#outlasts(other))) {
 				return;
 			}
 
