--- /dev/null
+++ b/review/stand-ins-3/worker.js
@@ -0,0 +1,142 @@
+/** Stand-in of a plain worker: one HTTP server on a loopback port, and its entry in the store. */
+import {createHash} from 'node:crypto';
+import http from 'node:http';
+import {readBody} from './http-tools.js';
+
+const BEAT_MS = 1200;
+const MISSED_BEATS = 3;
+
+export class Worker {
+	/** Requests that began to run, with their times. */
+	runs = [];
+	/** Requests that this worker refused, with their status. */
+	refused = [];
+	state = 'ready';
+	#options;
+	#running = 0;
+	#seq = 0;
+	#server;
+	#beatTimer;
+	#lease;
+
+	/**
+	@param options `id`, `service`, `port`, `store`, `workMs`, and `onBeat`, which may keep a beat from being written at once:
+	it gets the worker, the text and the lease, and returns whether it has taken the write over
+	*/
+	constructor(options) {
+		this.#options = {
+			slots: 6, workMs: 40, onBeat: () => false, zone: 'zone-a', ...options,
+		};
+		this.#server = http.createServer((request, response) => {
+			this.#handle(request, response);
+		});
+		this.#server.keepAliveTimeout = 15_000;
+	}
+
+	get id() {
+		return this.#options.id;
+	}
+
+	get address() {
+		return `127.0.0.1:${this.#options.port}`;
+	}
+
+	async start() {
+		await new Promise(resolve => {
+			this.#server.listen(this.#options.port, '127.0.0.1', resolve);
+		});
+		this.born = Date.now();
+		this.beat();
+	}
+
+	/** What the worker says of itself now. */
+	get entry() {
+		const {service, zone, slots} = this.#options;
+		return {
+			service, address: this.address, zone, version: 'v1', slots, state: this.state, coldLeftMs: 0, seq: this.#seq, born: this.born,
+		};
+	}
+
+	/** Writes the entry now, and at intervals from now on. */
+	beat() {
+		const {store, onBeat, id} = this.#options;
+		clearTimeout(this.#beatTimer);
+		this.#seq++;
+		this.#lease ??= store.grant(BEAT_MS * MISSED_BEATS);
+		store.keep(this.#lease);
+		const text = JSON.stringify(this.entry);
+		if (!onBeat({worker: this, text, lease: this.#lease})) {
+			store.put(`servers/${id}`, text, this.#lease);
+		}
+
+		this.#beatTimer = setTimeout(() => {
+			this.beat();
+		}, BEAT_MS);
+	}
+
+	/** Reports that it will leave. */
+	drain() {
+		this.state = 'draining';
+		this.beat();
+	}
+
+	/** Takes its entry away and goes on serving. */
+	leaveList() {
+		clearTimeout(this.#beatTimer);
+		if (this.#lease !== undefined) {
+			this.#options.store.end(this.#lease);
+			this.#lease = undefined;
+		}
+	}
+
+	/** Ends as a process does: its connections close. */
+	exit() {
+		this.leaveList();
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	async #handle(request, response) {
+		const id = request.headers['yuccawood-attempt-id'];
+		const at = Date.now();
+		const own = {
+			'yuccawood-instance-id': this.id,
+			...(id === undefined ? {} : {'yuccawood-attempt-id': id}),
+		};
+		const body = await readBody(request);
+		const expected = request.headers['yuccawood-expect-instance'];
+		if (expected !== undefined && expected !== this.id) {
+			this.refused.push({at, id, status: 421});
+			response.writeHead(421, {...own, 'content-length': 0});
+			response.end();
+			return;
+		}
+
+		if (id === undefined) {
+			response.writeHead(400, {...own, 'yuccawood-not-executed': '1', 'content-length': 0});
+			response.end();
+			return;
+		}
+
+		if (this.#running >= this.#options.slots) {
+			this.refused.push({at, id, status: 503});
+			response.writeHead(503, {...own, 'yuccawood-not-executed': '1', 'content-length': 0});
+			response.end();
+			return;
+		}
+
+		this.#running++;
+		this.runs.push({
+			at, id, service: this.#options.service, method: request.method, path: request.url, tenant: request.headers['yuccawood-tenant'], body: body.toString('latin1'),
+		});
+		setTimeout(() => {
+			this.#running--;
+			const text = `done by ${this.id} for ${id}`;
+			const seal = createHash('sha256').update(`${this.id} ${id} ${text}`).digest('hex').slice(0, 24);
+			response.writeHead(200, {
+				...own, 'yuccawood-server-seal': seal, 'yuccawood-instance-load': `${this.#running},0,${this.#options.slots}`, 'content-length': text.length,
+			});
+			response.end(text);
+		}, this.#options.workMs);
+	}
+}
