--- a/review/stand-ins-3/program.js
+++ b/review/stand-ins-3/program.js
@@ -110,6 +110,10 @@
 		this.#child.kill(name);
 	}
 
+	get pid() {
+		return this.#child.pid;
+	}
+
 	get hasEnded() {
 		return this.exit !== undefined;
 	}
--- a/review/stand-ins-3/store.js
+++ b/review/stand-ins-3/store.js
@@ -27,6 +27,7 @@
 	isSilentFor = () => false;
 	#items = new Map();
 	#leases = new Map();
+	#silences = new Map();
 	#history = [];
 	#watches = new Set();
 	#revision = 1;
@@ -46,7 +47,7 @@
 	close() {
 		this.#server.close();
 		this.#server.closeAllConnections();
-		for (const {timer} of this.#leases.values()) {
+		for (const timer of [...this.#silences.values(), ...[...this.#leases.values()].map(lease => lease.timer)]) {
 			clearTimeout(timer);
 		}
 	}
@@ -75,7 +76,17 @@
 		return this.#revision;
 	}
 
+	/** Writes the beat of a worker, whose entry is removed after so much silence. */
+	putBeat(key, text, silenceMs) {
+		clearTimeout(this.#silences.get(key));
+		this.#silences.set(key, setTimeout(() => {
+			this.remove(key);
+		}, silenceMs));
+		this.put(key, text);
+	}
+
 	remove(key) {
+		clearTimeout(this.#silences.get(key));
 		const known = this.#items.get(key);
 		if (!known) {
 			return;
--- a/review/stand-ins-3/worker.js
+++ b/review/stand-ins-3/worker.js
@@ -17,11 +17,10 @@
 	#seq = 0;
 	#server;
 	#beatTimer;
-	#lease;
 
 	/**
 	@param options `id`, `service`, `port`, `store`, `workMs`, and `onBeat`, which may keep a beat from being written at once:
-	it gets the worker, the text and the lease, and returns whether it has taken the write over
+	it gets the worker and the text, and returns whether it has taken the write over
 	*/
 	constructor(options) {
 		this.#options = {
@@ -62,11 +61,10 @@
 		const {store, onBeat, id} = this.#options;
 		clearTimeout(this.#beatTimer);
 		this.#seq++;
-		this.#lease ??= store.grant(BEAT_MS * MISSED_BEATS);
-		store.keep(this.#lease);
+		this.lastBeatAt = Date.now();
 		const text = JSON.stringify(this.entry);
-		if (!onBeat({worker: this, text, lease: this.#lease})) {
-			store.put(`servers/${id}`, text, this.#lease);
+		if (!onBeat({worker: this, text})) {
+			store.putBeat(`servers/${id}`, text, BEAT_MS * MISSED_BEATS);
 		}
 
 		this.#beatTimer = setTimeout(() => {
@@ -83,10 +81,7 @@
 	/** Takes its entry away and goes on serving. */
 	leaveList() {
 		clearTimeout(this.#beatTimer);
-		if (this.#lease !== undefined) {
-			this.#options.store.end(this.#lease);
-			this.#lease = undefined;
-		}
+		this.#options.store.remove(`servers/${this.id}`);
 	}
 
 	/** Ends as a process does: its connections close. */
