--- a/review/stand-ins-3/program.js
+++ b/review/stand-ins-3/program.js
@@ -71,8 +71,10 @@
 		});
 	}
 
-	async writeSettings(bounds = this.#options.bounds) {
-		const {role, firstPort, storeAddress, zone, region, app, service, ip = '127.0.0.1', name = `${role}-1`, more = {}} = this.#options;
+	/** Writes the settings file, with other options in place of some of those before. */
+	async writeSettings(changes = {}) {
+		Object.assign(this.#options, changes);
+		const {role, firstPort, storeAddress, zone, region, app, service, ip = '127.0.0.1', name = `${role}-1`, more = {}, bounds} = this.#options;
 		const isEntry = role === 'entry';
 		const lines = {
 			node: name, role, machineClass: isEntry ? 'front' : 'side', serves: isEntry ? 'front,control' : 'side', ip, zone, region, [`zones.${zone}`]: region,
--- a/review/stand-ins-3/store.js
+++ b/review/stand-ins-3/store.js
@@ -32,21 +32,34 @@
 	#watches = new Set();
 	#revision = 1;
 	#lastLease = 1000;
-	#server = http.createServer((request, response) => {
-		this.#handle(request, response);
-	});
+	#servers = new Map();
 
+	/** Answers at this port of 127.0.0.1, too. */
 	async listen(port) {
-		this.#server.keepAliveTimeout = 60_000;
+		const server = http.createServer((request, response) => {
+			this.#handle(request, response);
+		});
+		server.keepAliveTimeout = 60_000;
+		this.#servers.set(port, server);
 		await new Promise(resolve => {
-			this.#server.listen(port, '127.0.0.1', resolve);
+			server.listen(port, '127.0.0.1', resolve);
 		});
-		this.address = `127.0.0.1:${port}`;
+		this.address ??= `127.0.0.1:${port}`;
+	}
+
+	/** Answers no longer at this port; connections to it are closed. */
+	leave(port) {
+		const server = this.#servers.get(port);
+		this.#servers.delete(port);
+		server.close();
+		server.closeAllConnections();
 	}
 
 	close() {
-		this.#server.close();
-		this.#server.closeAllConnections();
+		for (const port of this.#servers.keys()) {
+			this.leave(port);
+		}
+
 		for (const timer of [...this.#silences.values(), ...[...this.#leases.values()].map(lease => lease.timer)]) {
 			clearTimeout(timer);
 		}
--- a/review/stand-ins-3/worker.js
+++ b/review/stand-ins-3/worker.js
@@ -20,11 +20,12 @@
 
 	/**
 	@param options `id`, `service`, `port`, `store`, `workMs`, and `onBeat`, which may keep a beat from being written at once:
-	it gets the worker and the text, and returns whether it has taken the write over
+	it gets the worker and the text, and returns whether it has taken the write over; `statusOf` gives the status of the answer to a run,
+	and `sealNameOf` the name of its header with the seal, in which a byte may be spoilt
 	*/
 	constructor(options) {
 		this.#options = {
-			slots: 6, workMs: 40, onBeat: () => false, zone: 'zone-a', ...options,
+			slots: 6, workMs: 40, onBeat: () => false, statusOf: () => 200, sealNameOf: () => 'yuccawood-server-seal', zone: 'zone-a', ...options,
 		};
 		this.#server = http.createServer((request, response) => {
 			this.#handle(request, response);
@@ -128,8 +129,8 @@
 			this.#running--;
 			const text = `done by ${this.id} for ${id}`;
 			const seal = createHash('sha256').update(`${this.id} ${id} ${text}`).digest('hex').slice(0, 24);
-			response.writeHead(200, {
-				...own, 'yuccawood-server-seal': seal, 'yuccawood-instance-load': `${this.#running},0,${this.#options.slots}`, 'content-length': text.length,
+			response.writeHead(this.#options.statusOf(), {
+				...own, [this.#options.sealNameOf()]: seal, 'yuccawood-instance-load': `${this.#running},0,${this.#options.slots}`, 'content-length': text.length,
 			});
 			response.end(text);
 		}, this.#options.workMs);
