--- a/review/stand-ins-3/program.js
+++ b/review/stand-ins-3/program.js
@@ -6,7 +6,9 @@
 import process from 'node:process';
 import {sleep, statusOf} from './http-tools.js';
 
-const PROGRAM = path.resolve(import.meta.dirname, '../../target/yuccawood-node.mjs');
+/** The platform starts programs in the root of the repository. */
+const ROOT = path.resolve(import.meta.dirname, '../..');
+const PROGRAM = 'target/yuccawood-node.mjs';
 
 /** Arguments of `node` in deploy/system.toml. */
 const RUNTIME = {
@@ -51,6 +53,7 @@
 			env: {
 				PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG, YUCCAWOOD_NODE_FILE: file,
 			},
+			cwd: ROOT,
 			stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		for (const stream of [this.#child.stdout, this.#child.stderr]) {
