Review case 15: preempted streams are given up and cut in a planned stop

The entry ends its channel to a worker after 1.2 s of silence in the middle of a stream, before another has accepted it, and cuts the stream when the others are full.

--- a/review/15/run.js
+++ b/review/15/run.js
@@ -1,4 +1,4 @@
-/** The settings file names another address of the store while the program runs. */
+/** Workers preempt their newest streams; the entry, which is being stopped, gives these up, finds no place elsewhere, and cuts them. */
 import {
 	CaseError, LIMITS, plainService, route, runCase,
 } from '../stand-ins-3/case.js';
@@ -9,30 +9,27 @@
 import {Worker} from '../stand-ins-3/worker.js';
 
 const KEY = 'jnbanfqasnmgkcuyj8pj';
+const STREAMS = 8;
 
-/** From the change of the settings file to the end of the former address. */
-const BOTH_ADDRESSES_MS = 8000;
-
-/** From then to the worker's report that it leaves; longer than `stableMs`. */
-const DRAIN_AFTER_MS = 4000;
-
-/** A worker goes on serving for `drainMs` after its report and a little longer. */
-const SERVES_LONGER_MS = 1500;
+/** A stream without a pause takes 1.8 s. Clients leave after 2.4 s without an event (eight times `gapTargetMs`). */
+const PLAN = {events: 18, gapMs: 100, pauseAfter: 5, pauseMs: 0};
+const PAUSE_MS = 1800;
+const TIMEOUT_MS = 6000;
 
 await runCase(import.meta.dirname, async ({isTroubled, note, own}) => {
 	const firstPort = await freePorts(12);
 	const store = own(new Store());
 	await store.listen(firstPort);
-	await store.listen(firstPort + 1);
 	store.put('op/config', JSON.stringify({
 		version: 7, routes: [route({
-			name: 'r-order', host: 'voka93.example', prefix: '/filo73/', service: 'orders',
-		})], services: [plainService('orders')], limits: LIMITS, tenants: [{name: 'bozi300', apiKeys: [KEY], priority: 1}],
+			name: 'r-guide', host: 'jepu9.example', prefix: '/lepu270/', service: 'assistant', kind: 'stream', timeoutMs: TIMEOUT_MS, goalMs: 400, attempts: 2, streamResume: true, gapTargetMs: 300,
+		})], services: [plainService('assistant')], limits: LIMITS, tenants: [{name: 'bozi300', apiKeys: [KEY], priority: 1}],
 	}));
+	const others = {holdSlots: false};
 	const workers = Array.from({length: 3}, (_, index) => new Worker({
-		id: `i-7f3a91c${index + 1}`, service: 'orders', port: firstPort + 2 + index, store, workMs: 150,
+		id: `i-7f3a91c${index + 1}`, service: 'assistant', port: firstPort + 1 + index, store, slots: 16, isFull: () => others.holdSlots,
+		planOf: () => ({...PLAN, pauseMs: isTroubled ? PAUSE_MS : 0}),
 	}));
-	const [leaving] = workers;
 	for (const worker of workers) {
 		await worker.start();
 		own({
@@ -42,7 +39,7 @@
 		});
 	}
 
-	const entry = own(new Program({role: 'entry', firstPort: firstPort + 6, storeAddress: `127.0.0.1:${firstPort}`}));
+	const entry = own(new Program({role: 'entry', firstPort: firstPort + 6, storeAddress: store.address}));
 	await entry.start();
 	if (!await entry.waitUntilReady()) {
 		throw new CaseError('The entry did not become ready.');
@@ -50,50 +47,34 @@
 
 	note('The entry is ready.');
 	const client = own(new Client(entry.callerPort));
-	const ending = new AbortController();
-	const load = client.load(30, count => ({
-		host: 'voka93.example', path: `/filo73/${count}`, body: `order ${count}`, key: KEY,
-	}), ending.signal);
-	await sleep(4000);
-	if (isTroubled) {
-		await entry.writeSettings({storeAddress: `127.0.0.1:${firstPort + 1}`});
-		note(`The settings file names 127.0.0.1:${firstPort + 1} as the address of the store. The store answers at both addresses.`);
-	}
+	await sleep(1000);
+	const streams = Array.from({length: STREAMS}, async (_, index) => client.send({
+		host: 'jepu9.example', path: `/lepu270/${index}`, body: `prompt ${index}`, key: KEY, deadlineMs: TIMEOUT_MS + 30,
+	}));
+	await sleep(300);
+	others.holdSlots = true;
+	note('Requests of other machines take the free slots of the workers.');
+	entry.signal('SIGTERM');
+	const stoppedAt = Date.now();
+	note(`The entry gets SIGTERM. Its grace is ${BOUNDS.graceS} s.`);
+	await Promise.all(streams);
+	await sleep(500);
+	for (const worker of workers) {
+		for (const {id, startedAt, endedAt, events, isWhole} of worker.streams) {
+			note(`worker ${worker.id}: begins ${id}`, startedAt);
+			note(`worker ${worker.id}: ${isWhole ? 'has sent all of' : 'its channel closes in'} ${id} after event ${events}`, endedAt ?? Date.now());
+		}
 
-	await sleep(BOTH_ADDRESSES_MS);
-	if (isTroubled) {
-		store.leave(firstPort);
-		note(`The store answers no longer at 127.0.0.1:${firstPort}.`);
+		for (const {id, at, status} of worker.refused) {
+			note(`worker ${worker.id}: refuses ${id} with ${status}`, at);
+		}
 	}
 
-	await sleep(DRAIN_AFTER_MS);
-	leaving.drain();
-	const ackedAt = Date.now();
-	note(`${leaving.id} reports that it leaves: ${store.text(`servers/${leaving.id}`)}`);
-	await sleep(BOUNDS.drainMs + SERVES_LONGER_MS);
-	leaving.exit();
-	note(`${leaving.id} ends.`);
-	await sleep(2500);
-	ending.abort();
-	await load;
 	for (const {id, sentAt, endedAt, status} of client.attempts) {
 		note(`client: ${id} sent`, sentAt);
 		note(`client: ${id} ended with ${status ?? 'no complete answer'}`, endedAt);
 	}
 
-	for (const worker of workers) {
-		for (const {id, at} of worker.runs) {
-			note(`worker ${worker.id}: runs ${id}`, at);
-		}
-	}
-
-	for (const line of entry.lines.filter(text => text.includes('Settings ') || text.includes('The store does not answer'))) {
-		note(`entry: ${line}`);
-	}
-
-	note(`${client.attempts.filter(({status}) => status === 200).length} of ${client.attempts.length} requests were answered with success.`);
-	return leaving.runs.filter(({at}) => at > ackedAt + BOUNDS.drainMs).map(({id, at}) => {
-		const {status} = client.attempts.find(attempt => attempt.id === id);
-		return `DRAIN: request ${id} reached ${leaving.id} ${at - ackedAt} ms after the ack of its leaving (bound ${BOUNDS.drainMs} ms); its client got ${status ?? 'no complete answer'}.`;
-	});
+	return client.attempts.filter(({id, status}) => status === undefined && workers.some(({streams: begun}) => begun.some(stream => stream.id === id))).map(({id, sentAt, endedAt, body}) =>
+		`LOST: stream ${id}, passed on to a worker, was cut ${endedAt - sentAt} ms after it was sent, ${endedAt - stoppedAt} ms after SIGTERM, with ${body.split('\n\n').length - 1} of ${PLAN.events} events.`);
 });
--- a/review/stand-ins-3/worker.js
+++ b/review/stand-ins-3/worker.js
@@ -1,7 +1,7 @@
 /** Stand-in of a plain worker: one HTTP server on a loopback port, and its entry in the store. */
 import {createHash} from 'node:crypto';
 import http from 'node:http';
-import {readBody} from './http-tools.js';
+import {readBody, sleep} from './http-tools.js';
 
 const BEAT_MS = 1200;
 const MISSED_BEATS = 3;
@@ -9,6 +9,8 @@
 export class Worker {
 	/** Requests that began to run, with their times. */
 	runs = [];
+	/** Streams that it began, with the last event that was sent and whether all were. */
+	streams = [];
 	/** Requests that this worker refused, with their status. */
 	refused = [];
 	state = 'ready';
@@ -21,11 +23,13 @@
 	/**
 	@param options `id`, `service`, `port`, `store`, `workMs`, and `onBeat`, which may keep a beat from being written at once:
 	it gets the worker and the text, and returns whether it has taken the write over; `statusOf` gives the status of the answer to a run,
-	and `sealNameOf` the name of its header with the seal, in which a byte may be spoilt
+	and `sealNameOf` the name of its header with the seal, in which a byte may be spoilt; `isFull` says whether others hold all slots;
+	`planOf` gives `{events, gapMs, pauseAfter, pauseMs}` for a request that is answered with a stream: the newest stream pauses
+	after that event, as it does when it is preempted
 	*/
 	constructor(options) {
 		this.#options = {
-			slots: 6, workMs: 40, onBeat: () => false, statusOf: () => 200, sealNameOf: () => 'yuccawood-server-seal', zone: 'zone-a', ...options,
+			slots: 6, workMs: 40, onBeat: () => false, isFull: () => false, planOf: () => undefined, statusOf: () => 200, sealNameOf: () => 'yuccawood-server-seal', zone: 'zone-a', ...options,
 		};
 		this.#server = http.createServer((request, response) => {
 			this.#handle(request, response);
@@ -114,7 +118,7 @@
 			return;
 		}
 
-		if (this.#running >= this.#options.slots) {
+		if (this.#running >= this.#options.slots || this.#options.isFull()) {
 			this.refused.push({at, id, status: 503});
 			response.writeHead(503, {...own, 'yuccawood-not-executed': '1', 'content-length': 0});
 			response.end();
@@ -125,6 +129,13 @@
 		this.runs.push({
 			at, id, service: this.#options.service, method: request.method, path: request.url, tenant: request.headers['yuccawood-tenant'], body: body.toString('latin1'),
 		});
+		const plan = this.#options.planOf(request);
+		if (plan) {
+			await this.#stream(request, response, {own, id, plan});
+			this.#running--;
+			return;
+		}
+
 		setTimeout(() => {
 			this.#running--;
 			const text = `done by ${this.id} for ${id}`;
@@ -135,4 +146,25 @@
 			response.end(text);
 		}, this.#options.workMs);
 	}
+
+	/** Sends events until the plan is done or the channel closes. */
+	async #stream(request, response, {own, id, plan: {events, gapMs, pauseAfter, pauseMs}}) {
+		const stream = {
+			id, startedAt: Date.now(), endedAt: undefined, events: 0, isWhole: false,
+		};
+		this.streams.push(stream);
+		response.writeHead(200, {...own, 'yuccawood-server-seal': createHash('sha256').update(`${this.id} ${id}`).digest('hex').slice(0, 24), 'content-type': 'text/event-stream'});
+		for (let event = Number(request.headers['last-event-id'] ?? 0) + 1; event <= events && !response.destroyed; event++) {
+			const isPreempted = event === pauseAfter + 1 && this.streams.at(-1) === stream;
+			await sleep(gapMs + (isPreempted ? pauseMs : 0));
+			if (!response.destroyed) {
+				response.write(`id: ${event}\ndata: event ${event} of ${id}\n\n`);
+				stream.events = event;
+			}
+		}
+
+		stream.isWhole = !response.destroyed;
+		stream.endedAt = Date.now();
+		response.end();
+	}
 }
