--- a/review/stand-ins-3/worker.js
+++ b/review/stand-ins-3/worker.js
@@ -22,14 +22,15 @@
 
 	/**
 	@param options `id`, `service`, `port`, `store`, `workMs`, and `onBeat`, which may keep a beat from being written at once:
-	it gets the worker and the text, and returns whether it has taken the write over; `statusOf` gives the status of the answer to a run,
-	and `sealNameOf` the name of its header with the seal, in which a byte may be spoilt; `isFull` says whether others hold all slots;
+	it gets the worker and the text, and returns whether it has taken the write over; `answerOf` gives status and reason of the answer to
+	a run, and `sealNameOf` the name of its header with the seal, in which a byte may be spoilt; `isFull` says whether others hold all slots;
 	`planOf` gives `{events, gapMs, pauseAfter, pauseMs}` for a request that is answered with a stream: the newest stream pauses
 	after that event, as it does when it is preempted
 	*/
 	constructor(options) {
 		this.#options = {
-			slots: 6, workMs: 40, onBeat: () => false, isFull: () => false, planOf: () => undefined, statusOf: () => 200, sealNameOf: () => 'yuccawood-server-seal', zone: 'zone-a', ...options,
+			slots: 6, workMs: 40, zone: 'zone-a', onBeat: () => false, isFull: () => false, planOf: () => undefined,
+			answerOf: () => ({status: 200, reason: 'OK'}), sealNameOf: () => 'yuccawood-server-seal', ...options,
 		};
 		this.#server = http.createServer((request, response) => {
 			this.#handle(request, response);
@@ -140,7 +141,8 @@
 			this.#running--;
 			const text = `done by ${this.id} for ${id}`;
 			const seal = createHash('sha256').update(`${this.id} ${id} ${text}`).digest('hex').slice(0, 24);
-			response.writeHead(this.#options.statusOf(), {
+			const {status, reason} = this.#options.answerOf();
+			response.writeHead(status, reason, {
 				...own, [this.#options.sealNameOf()]: seal, 'yuccawood-instance-load': `${this.#running},0,${this.#options.slots}`, 'content-length': text.length,
 			});
 			response.end(text);
