--- a/review/15/run.js
+++ b/review/15/run.js
@@ -12,7 +12,9 @@
 const STREAMS = 8;
 
 /** A stream without a pause takes 1.8 s. Clients leave after 2.4 s without an event (eight times `gapTargetMs`). */
-const PLAN = {events: 18, gapMs: 100, pauseAfter: 5, pauseMs: 0};
+const PLAN = {
+	events: 18, gapMs: 100, pauseAfter: 5, pauseMs: 0,
+};
 const PAUSE_MS = 1800;
 const TIMEOUT_MS = 6000;
 
