--- a/packages/gateway/src/answer-sinks.ts
+++ b/packages/gateway/src/answer-sinks.ts
@@ -1,8 +1,7 @@
-/** Sinks for the answers of upstreams: one buffers an answer until it is complete, the other forwards the events of a stream. */
+/** Sink for answers of upstreams that are no streams. */
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {MAX_BUFFERED_ANSWER_BYTES} from './constants.js';
-import {EventSplitter, type StreamFault} from './event-stream.js';
 
 export type AnswerParts = {
 	readonly status: number;
@@ -86,68 +85,3 @@
 		this.#response.end();
 	}
 }
-
-/** Forwards the events of one stream, and of its retries at other upstreams, to one caller. */
-export class EventRelay {
-	readonly #response: ServerResponse;
-	readonly #splitter: EventSplitter;
-	readonly #mustClose: () => boolean;
-	#eventCount = 0;
-
-	constructor({response, eventNumber, lastId, mustClose}: {
-		readonly response: ServerResponse;
-		readonly eventNumber: (id: string) => number | undefined;
-		readonly lastId: string | undefined;
-		readonly mustClose: () => boolean;
-	}) {
-		this.#response = response;
-		this.#splitter = new EventSplitter({eventNumber, lastId});
-		this.#mustClose = mustClose;
-	}
-
-	get lastId(): string | undefined {
-		return this.#splitter.lastId;
-	}
-
-	get eventCount(): number {
-		return this.#eventCount;
-	}
-
-	get hasStarted(): boolean {
-		return this.#response.headersSent;
-	}
-
-	/** Whether another upstream can go on after the last event that was sent. */
-	get canContinue(): boolean {
-		return this.#splitter.canContinue;
-	}
-
-	/** Whether the run stopped among events that the caller has already. */
-	get endsShort(): boolean {
-		return this.#splitter.endsShort;
-	}
-
-	get hasPartialEvent(): boolean {
-		return this.#splitter.hasPartial;
-	}
-
-	/** Starts the answer with the head of the first upstream. Heads of later attempts are not forwarded. */
-	start(rawHeaders: readonly string[]): void {
-		this.#splitter.beginRun();
-		if (!this.#response.headersSent) {
-			this.#response.writeHead(200, forwardedAnswerHeaders(rawHeaders, {withLength: false, mustClose: this.#mustClose()}));
-		}
-	}
-
-	/** @returns whether to continue reading (false while the caller's connection applies backpressure), or why the events do not continue those that were sent */
-	add(chunk: Uint8Array): boolean | StreamFault {
-		const {bytes, count, fault} = this.#splitter.push(chunk);
-		this.#eventCount += count;
-		const wantsMore = count === 0 || this.#response.write(bytes);
-		return fault ?? wantsMore;
-	}
-
-	end(): void {
-		this.#response.end();
-	}
-}
--- a/packages/gateway/src/event-stream.ts
+++ b/packages/gateway/src/event-stream.ts
@@ -87,6 +87,20 @@
 		return this.#runNumber === undefined ? !this.#isLastNumberCertain : this.#runNumber < this.#lastNumber;
 	}
 
+	/** Whether two events in a row contradicted each other, so that either may have a wrong number. */
+	get isContradicted(): boolean {
+		return this.#isContradicted;
+	}
+
+	/** A splitter for another run of the same stream, whose caller has the events up to now. */
+	branch(): EventSplitter {
+		const branch = new EventSplitter({eventNumber: this.#eventNumber, lastId: this.#lastId});
+		branch.#isLastNumberCertain = this.#isLastNumberCertain;
+		branch.#isContradicted = this.#isContradicted;
+		branch.#hasUnnumberedData = this.#hasUnnumberedData;
+		return branch;
+	}
+
 	/** Begins another run, and drops an incomplete event of the one before. */
 	beginRun(): void {
 		this.#runNumber = undefined;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,15 +1,16 @@
 /** Handles one accepted request: chooses an upstream, sends the request, forwards the answer, and retries where the route allows it. */
 import type {ServerResponse} from 'node:http';
 import type {Suspect} from '@yuccawood/crashes';
-import {decideRetry, type PlacementRequirements} from '@yuccawood/dispatch';
-import {EventRelay} from './answer-sinks.js';
 import {AnswerTiming} from './answer-timing.js';
 import {suspectsOf} from './crash-watch.js';
+import {EventRelay} from './event-relay.js';
 import {FinalAnswers} from './final-answers.js';
 import type {AcceptedRequest} from './accepted-request.js';
 import type {GatewayContext} from './gateway-context.js';
+import {HedgedSend, type SendControl} from './hedged-send.js';
 import {recordOutcome} from './record-outcome.js';
 import {RequestNeeds} from './request-needs.js';
+import {RequestRetries} from './request-retries.js';
 import {RequestSender} from './request-sender.js';
 import {wasWritten, type EarlyEnd, type SendResult} from './send-result.js';
 import {timeFields} from './time-fields.js';
@@ -31,15 +32,10 @@
 	readonly #response: ServerResponse;
 	readonly #departure: AbortSignal;
 	readonly #abortController = new AbortController();
-	readonly #excluded = new Set<string>();
 	readonly #suspects: readonly Suspect[];
 	readonly #relay: EventRelay | undefined;
 	#endedBy: EarlyEnd | undefined;
 	#isWaiting = false;
-	#possibleRunCount = 0;
-
-	/** Whether an upstream may have run the request, in any attempt. */
-	#mayHaveRun = false;
 
 	/** Whether the request is sent although upstreams crashed under it before, to find out whether they still do. */
 	#isTrial = false;
@@ -48,6 +44,8 @@
 	readonly #needs: RequestNeeds;
 	readonly #answers: FinalAnswers;
 	readonly #sender: RequestSender;
+	readonly #retries: RequestRetries;
+	readonly #hedgedSend: HedgedSend;
 
 	constructor({context, request, response, departure}: ExchangeOptions) {
 		this.#context = context;
@@ -69,10 +67,20 @@
 			suspects: this.#suspects,
 			endSignal: this.#abortController.signal,
 			endedBy: () => this.#endedBy,
-			canRetryElsewhere: state => this.#canRetryElsewhere(state),
+			canRetryElsewhere: state => this.#retries.canRetryElsewhere(state),
+		});
+		this.#retries = new RequestRetries({
+			context, request, relay: this.#relay, needs: this.#needs, suspects: this.#suspects, sends: () => this.#sender.sends,
+		});
+		this.#hedgedSend = new HedgedSend({
+			send: async (state, control) => this.#send(state, control),
+			takeSlot: (silent, refusedBy, silentMs) => this.#retries.takeHedgeSlot(silent, refusedBy, silentMs),
+			onLoss: loss => {
+				this.#retries.recordLoss(loss);
+			},
 		});
 		this.#answers = new FinalAnswers({
-			context, request, response, progress: () => ({mayHaveRun: this.#mayHaveRun, sends: this.#sender.sends, events: this.#relay?.eventCount}),
+			context, request, response, progress: () => ({mayHaveRun: this.#retries.mayHaveRun, sends: this.#sender.sends, events: this.#relay?.eventCount}),
 		});
 	}
 
@@ -145,11 +153,11 @@
 			this.#isWaiting = true;
 			const placed = await placer.place({
 				service,
-				need: () => this.#placementNeed,
+				need: () => this.#retries.placementNeed,
 				account: account ?? '',
 				priority,
 				isConfined: this.#request.allowedDomains !== undefined,
-				goalAt: this.#needs.firstDataGoalAt(this.#mayHaveRun),
+				goalAt: this.#needs.firstDataGoalAt(this.#retries.mayHaveRun),
 				deadlineAt,
 				returnRecognizedAt: this.#request.returnRecognizedAt,
 				signal: this.#abortController.signal,
@@ -169,9 +177,9 @@
 				route: route.name, upstream: placed.state.upstream.id, load: placed.load, waitedMs: Math.round(placed.waitedMs),
 				sends: this.#sender.sends + 1, ...timeFields(this.#context, this.#request),
 			}));
-			const result = await this.#send(placed.state);
+			const {state, result} = await this.#hedgedSend.run(placed.state);
 			if (result.kind === 'delivered') {
-				this.#recordDelivery(placed.state, placed.load, placed.waitedMs);
+				this.#recordDelivery(state, placed.load, placed.waitedMs);
 				stopLimit.recordAnswer(this.#request);
 				return;
 			}
@@ -179,11 +187,11 @@
 			if (result.kind === 'ended') {
 				// The answer would have taken longer still.
 				stopLimit.recordAnswer(this.#request);
-				this.#answerEndedEarly(result.by, placed.state);
+				this.#answerEndedEarly(result.by, state);
 				return;
 			}
 
-			if (!this.#mayRetry(result, placed.state)) {
+			if (!this.#retries.mayRetry(result, state)) {
 				this.#answers.failed(result);
 				return;
 			}
@@ -199,55 +207,12 @@
 		return !this.#isTrial && this.#blockedSuspects.length > 0;
 	}
 
-	get #placementNeed(): Omit<PlacementRequirements, 'usualStartMs'> {
-		return this.#needs.placement({excludedKeys: this.#excluded, isRetry: this.#sender.sends > 0});
-	}
-
-	get #remainingForRetryMs(): number {
-		const {clock, stopLimit} = this.#context;
-		return stopLimit.canAnswer(this.#request) ? this.#request.deadlineAt - clock.monotonic() : 0;
-	}
-
-	/** Decides whether to retry after a failed attempt. A granted retry excludes the failed upstream and may use up the retry budget. */
-	#mayRetry({failure, detail, bufferedAnswer, isSilence, isSuspect = false}: SendResult & {readonly kind: 'failed'}, state: ConnectedUpstream): boolean {
-		const {clock, retryBudgetOf, decisions, metrics, crashReview} = this.#context;
-		const {route, service, deadlineAt, requestId} = this.#request;
-		const now = clock.monotonic();
-		const budget = retryBudgetOf(service);
-		const decision = bufferedAnswer?.hasBegunForwarding
-			? {kind: 'give-up' as const, reason: 'answer-begun'}
-			: decideRetry({
-				kind: route.kind, isResumable: route.isResumable && this.#relay?.canContinue !== false, failure, runs: this.#possibleRunCount, sends: this.#sender.sends,
-				attempts: route.attempts, remainingMs: this.#remainingForRetryMs, hasBudget: budget.allowsRetry(now), isAfterSilence: isSilence,
-				isSuspect: isSuspect && crashReview.isSuspected(this.#suspects),
-			});
-		decisions.unusual(requestId, decision.kind === 'resend' ? 'Sent again after a failure.' : 'Given up after a failure.', () => ({
-			route: route.name, upstream: state.upstream.id, failure, detail, sends: this.#sender.sends, runs: this.#possibleRunCount,
-			reason: decision.kind === 'resend' ? undefined : decision.reason, events: this.#relay?.eventCount, remainingMs: Math.round(deadlineAt - now),
-		}));
-		metrics.count('gateway.send_failures', {failure, decision: decision.kind});
-		if (decision.kind === 'give-up') {
-			return false;
-		}
-
-		this.#excluded.add(state.upstream.key);
-		if (decision.usesBudget) {
-			budget.countRetry(now);
-		}
-
-		return true;
-	}
-
-	async #send(state: ConnectedUpstream): Promise<SendResult> {
+	async #send(state: ConnectedUpstream, control: SendControl): Promise<SendResult> {
 		const {placer, states} = this.#context;
 		const {service, requestId} = this.#request;
-		const {oldestVersion} = this.#placementNeed;
-		const result = await this.#sender.send(state);
-		if (result.mayHaveRun) {
-			this.#possibleRunCount++;
-			this.#mayHaveRun = true;
-		}
-
+		const {oldestVersion} = this.#retries.placementNeed;
+		const result = await this.#sender.send(state, control);
+		this.#retries.recordResult(result);
 		state.endRequest({wasWritten: wasWritten(result)});
 		recordOutcome(this.#context, {
 			requestId, state, result, hasExpectedVersion: oldestVersion !== undefined,
@@ -270,20 +235,6 @@
 		}));
 	}
 
-	/** Whether a retry is allowed and another upstream has a free slot now. If none has, the current upstream may still answer. */
-	#canRetryElsewhere(state: ConnectedUpstream): boolean {
-		const {clock, retryBudgetOf, placer} = this.#context;
-		const {route, service} = this.#request;
-		const now = clock.monotonic();
-		const decision = decideRetry({
-			kind: route.kind, isResumable: route.isResumable && this.#relay?.canContinue !== false, failure: 'unknown', runs: this.#possibleRunCount + 1, sends: this.#sender.sends,
-			attempts: route.attempts, remainingMs: this.#remainingForRetryMs, hasBudget: retryBudgetOf(service).allowsRetry(now),
-		});
-		return decision.kind === 'resend' && placer.hasFreeSlot(service, {
-			...this.#placementNeed, excludedKeys: new Set([...this.#excluded, state.upstream.key]), isRetry: true,
-		});
-	}
-
 	#answerEndedEarly(by: EarlyEnd, state?: ConnectedUpstream): void {
 		if (by === 'block') {
 			this.#answers.blocked(this.#blockedSuspects);
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -93,7 +93,14 @@
 
 	/** Whether a request with this need would get a slot without waiting. */
 	hasFreeSlot(service: string, need: Omit<PlacementRequirements, 'usualStartMs'>): boolean {
-		return this.#queueOf(service).queue.length === 0 && this.#choose({service, need: () => need, goalAt: Number.POSITIVE_INFINITY}, this.#options.clock.monotonic()).kind === 'send';
+		return this.#freeSlot(service, need, this.#options.clock.monotonic()) !== undefined;
+	}
+
+	/** Takes a slot for a request with this need if one is free without waiting. */
+	takeFreeSlot(service: string, need: Omit<PlacementRequirements, 'usualStartMs'>): State | undefined {
+		const now = this.#options.clock.monotonic();
+		const placement = this.#freeSlot(service, need, now);
+		return placement && this.#takeSlot(placement, {service, since: now, now}).state;
 	}
 
 	/** Records that a slot became free, and gives it to a queued request if it can be taken again. */
@@ -202,7 +209,16 @@
 		return chooseUpstream(states.viewsOf(request.service, now), need, random.next());
 	}
 
-	#takeSlot({key, load}: Placement & {readonly kind: 'send'}, {service, since, now}: {readonly service: string; readonly since: number; readonly now: number}): PlacementResult<State> {
+	#freeSlot(service: string, need: Omit<PlacementRequirements, 'usualStartMs'>, now: number): Placement & {readonly kind: 'send'} | undefined {
+		if (this.#queueOf(service).queue.length > 0) {
+			return undefined;
+		}
+
+		const placement = this.#choose({service, need: () => need, goalAt: Number.POSITIVE_INFINITY}, now);
+		return placement.kind === 'send' ? placement : undefined;
+	}
+
+	#takeSlot({key, load}: Placement & {readonly kind: 'send'}, {service, since, now}: {readonly service: string; readonly since: number; readonly now: number}): PlacementResult<State> & {readonly kind: 'placed'} {
 		const state = this.#options.states.find(key)!;
 		state.beginRequest(now);
 		this.#queueOf(service).turnover.take(now);
--- a/packages/gateway/src/request-sender.ts
+++ b/packages/gateway/src/request-sender.ts
@@ -3,10 +3,11 @@
 import type {ServerResponse} from 'node:http';
 import type {Suspect} from '@yuccawood/crashes';
 import type {AcceptedRequest} from './accepted-request.js';
-import type {EventRelay} from './answer-sinks.js';
 import type {AnswerTiming} from './answer-timing.js';
 import {MAX_LOOK_AGE_MS, MIN_START_SHARE} from './constants.js';
+import type {EventRelay} from './event-relay.js';
 import type {GatewayContext} from './gateway-context.js';
+import type {SendControl} from './hedged-send.js';
 import type {RequestNeeds} from './request-needs.js';
 import type {EarlyEnd, SendResult} from './send-result.js';
 import {timeFields} from './time-fields.js';
@@ -61,10 +62,10 @@
 	}
 
 	/** Passes the gate, again if the connection to the upstream took too long to open. */
-	async send(state: ConnectedUpstream): Promise<SendResult> {
+	async send(state: ConnectedUpstream, control: SendControl): Promise<SendResult> {
 		const {context: {gate, metrics}, request: {arrivedAt}, endSignal, endedBy} = this.#options;
 		for (let isRepeat = false; ; isRepeat = true) {
-			const passed = await gate.pass({stage: 'send', signal: endSignal, arrivedAt}, async () => this.#start(state, {isRepeat}));
+			const passed = await gate.pass({stage: 'send', signal: endSignal, arrivedAt}, async () => this.#start(state, {isRepeat, control}));
 			const result = passed.kind === 'done' ? await passed.value : undefined;
 			if (result === undefined) {
 				return {
@@ -82,7 +83,7 @@
 	}
 
 	/** @returns undefined if too little time is left */
-	async #start(state: ConnectedUpstream, {isRepeat}: {readonly isRepeat: boolean}): Promise<SendResult | undefined> {
+	async #start(state: ConnectedUpstream, {isRepeat, control}: {readonly isRepeat: boolean; readonly control: SendControl}): Promise<SendResult | undefined> {
 		const {
 			context, request, response, relay, timing, needs, suspects, endSignal, endedBy, canRetryElsewhere,
 		} = this.#options;
@@ -92,6 +93,12 @@
 			return undefined;
 		}
 
+		if (control.withdrawal.aborted) {
+			return {
+				kind: 'failed', failure: 'not-sent', detail: 'the send was withdrawn while it waited', mayHaveRun: false, isCancelled: true,
+			};
+		}
+
 		if (!context.states.has(state.upstream.key) || state.isLeaving) {
 			return {
 				kind: 'failed', failure: 'not-sent', detail: 'the upstream began to leave before the send', mayHaveRun: false, isCancelled: true,
@@ -132,6 +139,7 @@
 			suspects,
 			endSignal,
 			endedBy,
+			control,
 			noDataTimeoutMs: () => needs.noDataTimeoutMs(state, {hasAnswerBegun: timing.firstDataAt !== undefined}),
 			pathSilenceMs: () => needs.pathSilenceMs(),
 			canRetryElsewhere: () => canRetryElsewhere(state),
--- a/packages/gateway/src/send-result.ts
+++ b/packages/gateway/src/send-result.ts
@@ -40,3 +40,33 @@
 	gap: 'event numbers are missing in the stream',
 	'no-event': `no new event in ${MAX_BYTES_WITHOUT_EVENT} bytes`,
 };
+
+export type SendFailureContext = {
+	/** Whether the request was at least partly written, so that the upstream may have run it. */
+	readonly wasSent: boolean;
+
+	/** Why this entry ended the request; undefined if it did not. */
+	readonly by: EarlyEnd | undefined;
+
+	/** Whether the upstream had sent no data for longer than its load explains. */
+	readonly isSilent: boolean;
+
+	/** The part of the answer that arrived, unless it is a stream. */
+	readonly bufferedAnswer: BufferedAnswer | undefined;
+};
+
+/** Result of an attempt that ended with this error. */
+export const resultOfError = (error: Error, {wasSent, by, isSilent, bufferedAnswer}: SendFailureContext): SendResult => {
+	if (by) {
+		return {
+			kind: 'ended', by, mayHaveRun: wasSent, isSilence: isSilent,
+		};
+	}
+
+	const cause = {isCancelled: error instanceof CancellationError, isSilence: error instanceof SilenceError};
+	return wasSent
+		? {...brokenRun(error.message), ...cause, bufferedAnswer}
+		: {
+			...cause, kind: 'failed', failure: 'not-sent', detail: error.message, mayHaveRun: false, isOutdated: error instanceof OutdatedSendError,
+		};
+};
--- a/packages/gateway/src/transmit-options.ts
+++ b/packages/gateway/src/transmit-options.ts
@@ -1,10 +1,11 @@
 /** What one attempt to send a request to an upstream needs. */
 import type {ServerResponse} from 'node:http';
 import type {Suspect} from '@yuccawood/crashes';
-import type {EventRelay} from './answer-sinks.js';
 import type {AnswerTiming} from './answer-timing.js';
 import type {AcceptedRequest} from './accepted-request.js';
 import type {GatewayContext} from './gateway-context.js';
+import type {EventRelay} from './event-relay.js';
+import type {SendControl} from './hedged-send.js';
 import type {EarlyEnd} from './send-result.js';
 import type {SendRequest} from './upstream-link.js';
 import type {ConnectedUpstream} from './upstream-states.js';
@@ -24,6 +25,7 @@
 	/** Aborts when the caller disconnects or the deadline passes. */
 	readonly endSignal: AbortSignal;
 	readonly endedBy: () => EarlyEnd | undefined;
+	readonly control: SendControl;
 
 	/**
 	Time without data, in milliseconds, after which the request may be retried at another upstream; undefined if the route
--- a/packages/gateway/src/transmit.test.ts
+++ b/packages/gateway/src/transmit.test.ts
@@ -30,7 +30,7 @@
 			clock, metrics: new MemoryMetrics(), expiryWatch, decisions: {unusual: () => undefined, ordinary: () => undefined},
 		};
 		const result = await transmit({
-			context, state, request: {service: 's', requestId: 'a1'}, response: new PassThrough(), upstreamRequest: {}, endSignal: new AbortController().signal,
+			context, state, request: {service: 's', requestId: 'a1'}, response: new PassThrough(), upstreamRequest: {}, endSignal: new AbortController().signal, control: {withdrawal: new AbortController().signal},
 			endedBy: () => undefined, noDataTimeoutMs: () => undefined, canRetryElsewhere: () => false, msUntilCancel: () => 0, msSinceExpiry: () => undefined,
 		} as unknown as TransmitOptions);
 		expiryWatch.close();
@@ -57,7 +57,7 @@
 			context: {
 				clock, metrics: new MemoryMetrics(), expiryWatch, decisions: {unusual: () => undefined, ordinary: () => undefined}, crashWatch: {recordBrokenAnswer: () => undefined},
 			},
-			state, request: {service: 's', requestId: 'a1'}, response: new PassThrough(), upstreamRequest: {}, endSignal: new AbortController().signal,
+			state, request: {service: 's', requestId: 'a1'}, response: new PassThrough(), upstreamRequest: {}, endSignal: new AbortController().signal, control: {withdrawal: new AbortController().signal},
 			endedBy: () => undefined, noDataTimeoutMs: () => undefined, canRetryElsewhere: () => false, msSinceExpiry: () => undefined,
 			msUntilCancel() {
 				checks++;
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -4,10 +4,11 @@
 import {MAX_UNSIZED_ANSWER_BYTES} from './constants.js';
 import {recordAnnouncement} from './record-announcement.js';
 import {recordMalformedRefusal} from './record-outcome.js';
+import type {EventRun} from './event-relay.js';
 import {reportExpiredAnswer} from './expired-answer.js';
 import type {UnansweredSend} from './expiry-watch.js';
 import {
-	brokenRun, CancellationError, OutdatedSendError, SilenceError, STREAM_FAULT_MESSAGES, type SendResult,
+	brokenRun, resultOfError, SilenceError, STREAM_FAULT_MESSAGES, type SendResult,
 } from './send-result.js';
 import {RefusalBody} from './refusal-body.js';
 import {RunEvidence} from './run-evidence.js';
@@ -31,10 +32,9 @@
 	#send: Send | undefined;
 	#bufferedAnswer: BufferedAnswer | undefined;
 	#head: AnswerHeaders | undefined;
-	#isStream = false;
 
-	/** Events that the caller had before this attempt. */
-	#eventsAtStart = 0;
+	/** Undefined unless the answer is a stream. */
+	#run: EventRun | undefined;
 	#isForOtherRequest = false;
 	#hasReceivedData = false;
 	#receivedBytes = 0;
@@ -66,16 +66,18 @@
 		this.#evidence = new RunEvidence(options);
 		this.#silence = new SilenceWatch({
 			clock: options.context.clock, limitMs: options.noDataTimeoutMs,
-			// An answer that is being forwarded can no longer be replaced.
-			canGiveUp: () => !this.#bufferedAnswer?.hasBegunForwarding && options.canRetryElsewhere(),
+			// An answer that is being forwarded can no longer be replaced. While the caller reads nothing, nothing is read from the upstream.
+			canGiveUp: () => !this.#bufferedAnswer?.hasBegunForwarding && !options.response.writableNeedDrain && options.canRetryElsewhere(),
 			onSilence: silentMs => {
-				this.#send?.abort(new SilenceError(`no data for ${Math.round(silentMs)} ms`));
+				this.#handleSilence(silentMs);
 			},
 		});
 	}
 
 	start(): void {
-		const {context, endSignal, endedBy, response, state, upstreamRequest} = this.#options;
+		const {
+			context, endSignal, endedBy, control, response, state, upstreamRequest,
+		} = this.#options;
 		if (endSignal.aborted) {
 			this.#finish({
 				kind: 'ended', by: endedBy()!, mayHaveRun: false, isSilence: false,
@@ -84,6 +86,7 @@
 		}
 
 		endSignal.addEventListener('abort', this.#onEnded, {once: true});
+		control.withdrawal.addEventListener('abort', this.#onWithdrawn, {once: true});
 		response.on('drain', this.#onDrain);
 		this.#silence.recordProgress();
 		this.#send = state.link.send({...upstreamRequest, onSent: this.#onSent}, {
@@ -123,23 +126,39 @@
 		this.#send?.abort(new Error('the request ended early'));
 	};
 
+	readonly #onWithdrawn = (): void => {
+		this.#send?.abort(this.#options.control.withdrawal.reason as Error);
+	};
+
 	readonly #onDrain = (): void => {
 		this.#send?.resume();
 	};
 
 	#finish(result: SendResult): void {
 		this.#isFinished = true;
-		const {context, state, endSignal, response} = this.#options;
+		const {context, state, endSignal, control, response} = this.#options;
 		this.#silence.stop();
+		this.#run?.close();
 		this.#evidence.close();
 		context.expiryWatch.remove(this.#unanswered);
 		state.removePendingSend(this.#pendingSendKey);
 		this.#written?.end();
 		endSignal.removeEventListener('abort', this.#onEnded);
+		control.withdrawal.removeEventListener('abort', this.#onWithdrawn);
 		response.off('drain', this.#onDrain);
 		this.#resolve(result.kind === 'failed' && this.#evidence.isSuspect ? {...result, isSuspect: true} : result);
 	}
 
+	/** The caller can't get another answer once it has a part of one, so this one goes on until another upstream continues it. */
+	#handleSilence(silentMs: number): void {
+		if (this.#options.relay?.hasStarted) {
+			this.#silence.recordProgress();
+			this.#options.control.onStall(silentMs);
+		} else {
+			this.#send?.abort(new SilenceError(`no data for ${Math.round(silentMs)} ms`));
+		}
+	}
+
 	#handleHead({status, headers, rawHeaders, isConnectionReused}: AnswerHead): void {
 		const {context, request, response, relay, state} = this.#options;
 		const head = context.codec.readAnswerHeaders(headers, status);
@@ -182,10 +201,8 @@
 		}
 
 		this.#hasContentLength = headers['content-length'] !== undefined;
-		this.#isStream = relay !== undefined && status === 200;
-		if (this.#isStream) {
-			relay!.start(rawHeaders);
-			this.#eventsAtStart = relay!.eventCount;
+		if (relay !== undefined && status === 200) {
+			this.#run = relay.beginRun(rawHeaders);
 		} else {
 			this.#bufferedAnswer = new BufferedAnswer({
 				response, status, rawHeaders, mustClose: context.isDraining,
@@ -206,7 +223,7 @@
 			return true;
 		}
 
-		const {context, request, relay, state, timing} = this.#options;
+		const {context, request, control, state, timing} = this.#options;
 		const now = context.clock.monotonic();
 		timing.recordData(now);
 		this.#evidence.recordData();
@@ -217,15 +234,18 @@
 			context.placer.recordTimeToFirstData(request.service, now - this.#sentAt);
 		}
 
-		if (!this.#isStream) {
+		if (!this.#run) {
 			return this.#bufferedAnswer?.add(chunk) ?? true;
 		}
 
-		const eventsBefore = relay!.eventCount;
-		const wantsMore = relay!.add(chunk);
-		this.#silence.recordData(chunk.byteLength, {isEventComplete: relay!.eventCount > eventsBefore});
-		if (typeof wantsMore === 'string') {
-			this.#send?.abort(new MalformedAnswerError(STREAM_FAULT_MESSAGES[wantsMore]));
+		const {hasAdvanced, wantsMore, fault} = this.#run.add(chunk);
+		this.#silence.recordData(chunk.byteLength, {isEventComplete: hasAdvanced});
+		if (hasAdvanced) {
+			control.onAdvance();
+		}
+
+		if (fault) {
+			this.#send?.abort(new MalformedAnswerError(STREAM_FAULT_MESSAGES[fault]));
 			return true;
 		}
 
@@ -245,17 +265,15 @@
 
 	#resultOfEnd(): SendResult {
 		const bufferedAnswer = this.#bufferedAnswer;
-		if (this.#isStream) {
-			const {relay} = this.#options;
-			// Without framing, the end of the connection is also what a crash of the upstream looks like.
-			const isEmpty = !this.#evidence.isFramed && relay!.eventCount === this.#eventsAtStart;
-			if (relay!.hasPartialEvent || relay!.endsShort || isEmpty) {
+		if (this.#run) {
+			const fault = this.#run.faultOfEnd(this.#evidence);
+			if (fault !== undefined) {
 				this.#evidence.recordBreak();
-				return brokenRun(isEmpty ? 'the stream ended before any event' : (relay!.endsShort ? 'the stream ended before its new events' : 'the stream ended in the middle of an event'));
+				return brokenRun(fault);
 			}
 
 			this.#evidence.recordEnd();
-			relay!.end();
+			this.#options.relay!.end();
 			return {kind: 'delivered', mayHaveRun: true};
 		}
 
@@ -269,26 +287,14 @@
 	}
 
 	#resultOfError(error: Error, wasSent: boolean): SendResult {
-		const by = this.#options.endedBy();
-		if (by) {
-			return {
-				kind: 'ended', by, mayHaveRun: wasSent, isSilence: this.#isSilent,
-			};
-		}
-
-		if (!wasSent) {
-			return {
-				kind: 'failed', failure: 'not-sent', detail: error.message, mayHaveRun: false, isCancelled: error instanceof CancellationError, isSilence: error instanceof SilenceError,
-				isOutdated: error instanceof OutdatedSendError,
-			};
-		}
-
-		if (!this.#isForOtherRequest && !(error instanceof SilenceError) && !(error instanceof CancellationError) && !isMalformed(error)) {
+		const result = resultOfError(error, {
+			wasSent, by: this.#options.endedBy(), isSilent: this.#isSilent, bufferedAnswer: this.#bufferedAnswer,
+		});
+		const isBreak = result.kind === 'failed' && wasSent && !result.isSilence && !result.isCancelled;
+		if (isBreak && !this.#isForOtherRequest && !isMalformed(error)) {
 			this.#evidence.recordBreak();
 		}
 
-		return {
-			...brokenRun(error.message), bufferedAnswer: this.#bufferedAnswer, isCancelled: error instanceof CancellationError, isSilence: error instanceof SilenceError,
-		};
+		return result;
 	}
 }
