--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -72,6 +72,15 @@
 /** Time after the store becomes reachable again until which a live upstream is listed again, with a margin. */
 export const LEASE_EXPIRY_WINDOW_MS = 3000;
 
+/**
+Time after an upstream left the list in which a report that it had written before may still take effect. TCP sends bytes that a
+partition has held up again after pauses that double, so they arrive up to twice the length of the partition later.
+*/
+export const LATE_REPORT_WINDOW_MS = 15_000;
+
+/** Number of heartbeat intervals after which an entry that no upstream keeps up has been removed, with a margin. The platform waits for three. */
+export const UNKEPT_HEARTBEATS = 4;
+
 /** Time after the store went back to a copy in which its writers write their items again. */
 export const REWRITE_GRACE_MS = 4500;
 
--- a/packages/fleet/src/fleet-view.ts
+++ b/packages/fleet/src/fleet-view.ts
@@ -31,7 +31,7 @@
 	#engines: StoredDirectory | undefined;
 	#isInitialized = false;
 
-	constructor({clock, log, metrics = new MemoryMetrics(), initialTargetAgeMs = () => 0}: {
+	constructor({clock, log, metrics = new MemoryMetrics(), initialTargetAgeMs = () => 0, heartbeatMs}: {
 		readonly clock: Clock;
 		readonly log: Log;
 		readonly metrics?: Metrics;
@@ -41,13 +41,16 @@
 		when they were set.
 		*/
 		readonly initialTargetAgeMs?: () => number;
+
+		/** Interval at which upstreams report, in milliseconds; undefined if unknown. */
+		readonly heartbeatMs?: number;
 	}) {
 		this.#initialTargetAgeMs = initialTargetAgeMs;
 		this.#clock = clock;
 		this.#log = log.part('fleet');
 		this.#evacuations = new Evacuations(this.#log);
 		this.#upstreams = new UpstreamList({
-			log: this.#log,
+			clock, log: this.#log, heartbeatMs,
 			onChange: () => {
 				this.#changes.publish('upstreams');
 			},
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -182,6 +182,9 @@
 	/** Unix milliseconds of the start, if listed. */
 	readonly startedAt: number | undefined;
 
+	/** Number of the report that says so, which counts up within one start; absent if the platform tells none. */
+	readonly sequence?: number;
+
 	/** Time for which it stays cold from when it was listed so, in milliseconds; 0 or absent if it is warm. */
 	readonly coldForMs?: number;
 	readonly model: HeldModel | undefined;
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -103,7 +103,7 @@
 	const metrics = new PrometheusMetrics();
 	const store = new StoreClient({address: settings.storeAddress, timeoutMs: STORE_TIMEOUT_MS, watchSlackMs: WATCH_SLACK_MS});
 	const view = new FleetView({
-		clock, log, metrics,
+		clock, log, metrics, heartbeatMs: first.val.upstreamHeartbeatMs,
 		// When a version was set that the store already holds is unknown. Its staleness bound is assumed to end `stableMs`
 		// after the start of this process, or immediately if that time has passed. Loading the modules may take a good part
 		// of it.
