--- a/packages/node/src/entry-node.ts
+++ b/packages/node/src/entry-node.ts
@@ -103,6 +103,8 @@
 	const following = follower.run(stopping.signal);
 	const presence = new EntryRegistration({
 		store, id: vm, address: context.peerAddress(ip), log,
+		// A stopping entry is to leave the list.
+		isListed: () => stop.hasBegun || view.entries.has(vm),
 	}).run(stopping.signal);
 	const publishing = new EngineDirectoryPublisher({
 		store, view, clock, random, log,
