--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -18,7 +18,7 @@
 export {SlotTurnover, type SlotUse} from './slot-turnover.js';
 export {RetryBudget, type RetryBudgetOptions} from './retry-budget.js';
 export {
-	afterFailure, afterSuccess, afterTrialStart, HEALTHY, healthStatus, type UpstreamHealth,
+	afterFailure, afterSuccess, afterTrialStart, afterTrialWithoutVerdict, HEALTHY, healthStatus, type UpstreamHealth,
 } from './upstream-health.js';
 export {entriesSharingUpstream, upstreamSubset} from './upstream-subset.js';
 export {pickBackend, RouteTable} from './match-route.js';
--- a/packages/dispatch/src/upstream-health.ts
+++ b/packages/dispatch/src/upstream-health.ts
@@ -43,6 +43,9 @@
 
 export const afterTrialStart = (health: UpstreamHealth): UpstreamHealth => ({...health, isTrialRunning: true});
 
+/** For a trial whose request ended without showing whether the upstream is sound: it was refused, or its caller left. */
+export const afterTrialWithoutVerdict = (health: UpstreamHealth): UpstreamHealth => health.isTrialRunning ? {...health, isTrialRunning: false} : health;
+
 /** Returns the status of the upstream. After a suspension it gets one trial request at a time until one succeeds. */
 export const healthStatus = (health: UpstreamHealth, now: number): 'good' | 'suspended' | 'trial' => {
 	if (health.suspensions === 0) {
--- a/packages/gateway/src/record-outcome.ts
+++ b/packages/gateway/src/record-outcome.ts
@@ -26,12 +26,15 @@
 		// while.
 		if (result.isSilence) {
 			recordFailure(context, outcome, {detail: `no data until the request ended (${result.by})`, isFatal: false});
+		} else {
+			state.recordNoVerdict();
 		}
 
 		return;
 	}
 
 	if (result.isCancelled === true || (result.failure === 'not-run' && !result.isMisdirected)) {
+		state.recordNoVerdict();
 		return;
 	}
 
--- a/packages/gateway/src/upstream-state.ts
+++ b/packages/gateway/src/upstream-state.ts
@@ -1,6 +1,6 @@
 /** Load and health of one upstream, as this entry observes them. Performs no I/O. */
 import {
-	afterFailure, afterSuccess, afterTrialStart, ColdShare, HEALTHY, healthStatus, SendsUnderWay, type ColdLimit, type UpstreamHealth, type UpstreamView,
+	afterFailure, afterSuccess, afterTrialStart, afterTrialWithoutVerdict, ColdShare, HEALTHY, healthStatus, SendsUnderWay, type ColdLimit, type UpstreamHealth, type UpstreamView,
 } from '@yuccawood/dispatch';
 import type {Upstream, UpstreamReport} from '@yuccawood/fleet';
 import {MomentaryPace} from './momentary-pace.js';
@@ -151,6 +151,11 @@
 		this.#health = afterSuccess(this.#health);
 	}
 
+	/** Records that a request ended without showing whether the upstream is sound. */
+	recordNoVerdict(): void {
+		this.#health = afterTrialWithoutVerdict(this.#health);
+	}
+
 	/** @returns whether the upstream was suspended by this failure */
 	recordFailure(now: number, isFatal: boolean): boolean {
 		const before = this.#health;
