--- a/packages/fleet/src/upstream-list.ts
+++ b/packages/fleet/src/upstream-list.ts
@@ -53,7 +53,9 @@
 				this.#hold(upstream, heartbeatMs * UNKEPT_HEARTBEATS);
 			}
 
-			log.info('An outdated report of an upstream is ignored.', {id, state: upstream.state, sequence: upstream.sequence, known: known.sequence});
+			log.info('An outdated report of an upstream is ignored.', {
+				id, state: upstream.state, sequence: upstream.sequence, known: known.sequence,
+			});
 			return;
 		}
 
