--- a/packages/fleet/src/store-follower.ts
+++ b/packages/fleet/src/store-follower.ts
@@ -157,9 +157,10 @@
 			const announcement = decoded.ok ? decoded.val : withdrawalOf(item, decoder);
 			if (announcement) {
 				// A lease that expires removes its items.
-				const leaseGraceMs = item.value === undefined ? this.#reachability.leaseGraceMs : 0;
+				const isRemoved = item.value === undefined;
+				const leaseGraceMs = isRemoved ? this.#reachability.leaseGraceMs : 0;
 				view.apply(announcement, {
-					revision: item.revision, mayBeLeaseExpiry: leaseGraceMs > 0, leaseGraceMs, isDelivered: learnedBy === 'delivered', sinceUnreachableMs: this.#reachability.sinceUnreachableMs,
+					revision: item.revision, isRemoved, mayBeLeaseExpiry: leaseGraceMs > 0, leaseGraceMs, isDelivered: learnedBy === 'delivered', sinceUnreachableMs: this.#reachability.sinceUnreachableMs,
 					...this.#estimateAges(item, {part, learnedBy}),
 				});
 			}
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -273,6 +273,9 @@
 	/** Whether a removal may be a lease that expired because of a store outage. The upstream then stays usable for a grace period. */
 	readonly mayBeLeaseExpiry: boolean;
 
+	/** Whether the item was removed from the store. Otherwise it may be there and not usable. */
+	readonly isRemoved?: boolean;
+
 	/** Length of that grace period in milliseconds. */
 	readonly leaseGraceMs?: number;
 
--- a/packages/fleet/src/upstream-list.test.ts
+++ b/packages/fleet/src/upstream-list.test.ts
@@ -5,8 +5,8 @@
 import {UpstreamList} from './upstream-list.js';
 
 const HEARTBEAT_MS = 30;
-const REMOVAL = {mayBeLeaseExpiry: false};
-const OUTAGE = {mayBeLeaseExpiry: true, leaseGraceMs: 10};
+const REMOVAL = {isRemoved: true, mayBeLeaseExpiry: false};
+const OUTAGE = {isRemoved: true, mayBeLeaseExpiry: true, leaseGraceMs: 10};
 
 const report = (changes: Partial<Upstream> = {}): Upstream => {
 	const {startedAt = 1000} = changes;
@@ -17,7 +17,7 @@
 
 describe('UpstreamList', () => {
 	let list: UpstreamList;
-	const apply = (upstream: Upstream | undefined, context = REMOVAL): void => {
+	const apply = (upstream: Upstream | undefined, context: Parameters<UpstreamList['apply']>[2] = REMOVAL): void => {
 		list.apply('i', upstream, context);
 	};
 
@@ -141,6 +141,14 @@
 		expect(listed()).to.deep.equal([{state: 'ready', sequence: 4}]);
 	});
 
+	it('uses an upstream at once whose entry another writer made unusable for a while', () => {
+		apply(report({sequence: 1}));
+		apply(undefined, {isRemoved: false, mayBeLeaseExpiry: false});
+		expect(listed()).to.deep.equal([]);
+		apply(report({sequence: 4}));
+		expect(listed()).to.deep.equal([{state: 'ready', sequence: 4}]);
+	});
+
 	it('uses an upstream at once where the interval of the reports is unknown', () => {
 		list = new UpstreamList({clock: new SystemClock(), log: SILENT_LOG, onChange: () => undefined});
 		apply(report());
--- a/packages/fleet/src/upstream-list.ts
+++ b/packages/fleet/src/upstream-list.ts
@@ -18,6 +18,8 @@
 	readonly heartbeatMs?: number;
 };
 
+type RemovalContext = Pick<AnnouncementContext, 'isRemoved' | 'mayBeLeaseExpiry' | 'leaseGraceMs'>;
+
 /** An upstream that is not listed yet. */
 type HeldUpstream = {upstream: Upstream; readonly timer: NodeJS.Timeout};
 
@@ -40,7 +42,7 @@
 	}
 
 	/** @param upstream undefined if it is no longer listed */
-	apply(id: string, upstream: Upstream | undefined, context: Pick<AnnouncementContext, 'mayBeLeaseExpiry' | 'leaseGraceMs'>): void {
+	apply(id: string, upstream: Upstream | undefined, context: RemovalContext): void {
 		const {clock, log, heartbeatMs} = this.#options;
 		const known = this.#upstreams.get(id);
 		if (!upstream) {
@@ -94,7 +96,7 @@
 		onChange();
 	}
 
-	#applyRemoval(id: string, {mayBeLeaseExpiry, leaseGraceMs = LEASE_EXPIRY_GRACE_MS}: Pick<AnnouncementContext, 'mayBeLeaseExpiry' | 'leaseGraceMs'>): void {
+	#applyRemoval(id: string, {isRemoved = false, mayBeLeaseExpiry, leaseGraceMs = LEASE_EXPIRY_GRACE_MS}: RemovalContext): void {
 		const {clock, log} = this.#options;
 		this.#endGrace(id);
 		const known = this.#upstreams.get(id);
@@ -106,8 +108,9 @@
 			return;
 		}
 
+		// An entry of another writer that can't be used says nothing of the upstream, whose next report replaces it.
 		const left = known ?? this.#held.get(id)?.upstream;
-		if (left) {
+		if (left && isRemoved) {
 			this.#left.record(left, clock.monotonic());
 		}
 
