Log each answer that is cut, with its cause and how far the stop is

What callers saw: a stream that ends without a whole answer around SIGTERM. The entry's log did not say that an answer was cut: its warnings tell why a request ended, not whether the caller had a part, nor the time since SIGTERM, and 100 refusals a second push them out. An answer that was passed on whole and not written left no line at all.

Change: 'An answer was cut.' with cause, detail, upstream, events, time since SIGTERM and time left, under a limit of its own; a line for answers that are whole and not written when this entry closes the connection; sinceStopMs on the lines that have sinceArrivalMs; gateway.cut_answers by cause. A connection that this entry closes no longer counts as a departure of its caller. No decision on requests changes.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -8,6 +8,9 @@
 import type {Socket} from 'node:net';
 import {STOPPING_IDLE_MS} from './constants.js';
 
+/** This entry has closed a caller's connection. */
+export class ClosedConnectionError extends Error {}
+
 type ConnectionState = {
 	/** Requests that were read and have no complete answer yet. */
 	requests: number;
@@ -28,6 +31,9 @@
 
 	/** Called when the caller ends what it sends, or closes the connection. */
 	readonly departures: Set<() => void>;
+
+	/** Whether this entry closes the connection. */
+	isClosing: boolean;
 };
 
 export class CallerConnections {
@@ -53,7 +59,7 @@
 		socket.once('end', depart);
 		socket.once('close', depart);
 		this.#states.set(socket, {
-			requests: 0, idleSince: now, bytesBeforeIdle: 0, acceptedAt: now, openedAt, departures,
+			requests: 0, idleSince: now, bytesBeforeIdle: 0, acceptedAt: now, openedAt, departures, isClosing: false,
 		});
 		socket.on('close', () => {
 			this.#states.delete(socket);
@@ -72,14 +78,18 @@
 		return state?.openedAt !== undefined && arrivedAt <= state.acceptedAt ? state.openedAt : arrivedAt;
 	}
 
-	/** @returns a signal that aborts when the caller leaves before it has the whole answer */
+	/**
+	@returns a signal that aborts when the caller leaves before it has the whole answer, with a {@link ClosedConnectionError} if
+	this entry has closed its connection
+	*/
 	departureDuring(response: ServerResponse, socket: Socket): AbortSignal {
 		const controller = new AbortController();
-		const departures = this.#states.get(socket)?.departures;
+		const state = this.#states.get(socket);
+		const departures = state?.departures;
 		const depart = (): void => {
 			departures?.delete(depart);
 			if (!response.writableFinished) {
-				controller.abort();
+				controller.abort(state?.isClosing ? new ClosedConnectionError('the connection was closed before the answer was written') : undefined);
 			}
 		};
 
@@ -122,7 +132,8 @@
 	}
 
 	closeAll(): void {
-		for (const socket of this.#states.keys()) {
+		for (const [socket, state] of this.#states) {
+			state.isClosing = true;
 			socket.destroy();
 		}
 	}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,6 +2,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Suspect} from '@yuccawood/crashes';
 import {AnswerTiming} from './answer-timing.js';
+import {ClosedConnectionError} from './caller-connections.js';
 import {suspectsOf} from './crash-watch.js';
 import {EventRelay} from './event-relay.js';
 import {FinalAnswers} from './final-answers.js';
@@ -22,7 +23,7 @@
 	readonly request: AcceptedRequest;
 	readonly response: ServerResponse;
 
-	/** Aborts when the caller leaves. */
+	/** Aborts when the caller leaves, with a {@link ClosedConnectionError} if this entry has closed its connection. */
 	readonly departure: AbortSignal;
 };
 
@@ -95,7 +96,7 @@
 			},
 		});
 		const onDeparture = (): void => {
-			this.#end('caller');
+			this.#end(this.#departure.reason instanceof ClosedConnectionError ? 'stop' : 'caller');
 		};
 
 		if (this.#departure.aborted) {
@@ -192,7 +193,7 @@
 			}
 
 			if (!this.#retries.mayRetry(result, state)) {
-				this.#answers.failed(result);
+				this.#answers.failed(result, state);
 				return;
 			}
 		}
@@ -223,6 +224,7 @@
 	}
 
 	#recordDelivery(state: ConnectedUpstream, load: number, waitedMs: number): void {
+		this.#watchWriting();
 		const {metrics, decisions, clock} = this.#context;
 		const {service, arrivedAt, goalAt, route, requestId, promptTokens} = this.#request;
 		const firstMs = (this.#timing.firstDataAt ?? clock.monotonic()) - arrivedAt;
@@ -235,11 +237,20 @@
 		}));
 	}
 
+	/** Reports if this entry closes the connection while bytes of the whole answer still wait for the caller to read them. */
+	#watchWriting(): void {
+		this.#departure.addEventListener('abort', () => {
+			if (this.#departure.reason instanceof ClosedConnectionError) {
+				this.#answers.unwritten();
+			}
+		}, {once: true});
+	}
+
 	#answerEndedEarly(by: EarlyEnd, state?: ConnectedUpstream): void {
 		if (by === 'block') {
 			this.#answers.blocked(this.#blockedSuspects);
 		} else if (by === 'stop') {
-			this.#answers.stopping();
+			this.#answers.stopping(state);
 		} else {
 			this.#answers.endedEarly(by, state);
 		}
--- a/packages/gateway/src/final-answers.ts
+++ b/packages/gateway/src/final-answers.ts
@@ -27,6 +27,15 @@
 	readonly progress: () => ExchangeProgress;
 };
 
+/** Why there is no answer of an upstream. */
+type AnswerEnding = {
+	readonly cause: string;
+	readonly detail?: string;
+
+	/** The last upstream that worked on the request. */
+	readonly state?: ConnectedUpstream;
+};
+
 export class FinalAnswers {
 	readonly #options: FinalAnswersOptions;
 
@@ -41,7 +50,7 @@
 			? {status: 502, outcome: 'unknown', reason: 'No other upstream is free to repeat the request.'}
 			: {
 				status: 503, outcome: 'not-run', reason: `Not served: ${reason}.`, retryAfterMs: Math.max(retryAfterMs, reason.startsWith('no-upstream') ? UNAVAILABLE_RETRY_MS : 0),
-			});
+			}, {cause: reason});
 	}
 
 	/** Upstreams crash under these suspects. */
@@ -54,19 +63,19 @@
 			? {status: 502, outcome: 'unknown', reason}
 			: {
 				status: 503, outcome: 'not-run', reason, retryAfterMs,
-			});
+			}, {cause: 'crashes'});
 	}
 
-	/** This entry ends before it could answer. */
-	stopping(): void {
+	/** This entry ends before it could answer. @param state the upstream that worked on the request; undefined if none did */
+	stopping(state?: ConnectedUpstream): void {
 		const {random} = this.#options.context;
-		const {mayHaveRun} = this.#reject('stopping', {});
+		const {mayHaveRun} = this.#reject('stopping', timeFields(this.#options.context, this.#options.request));
 		const reason = 'This entry stops.';
 		this.#answer(mayHaveRun
 			? {status: 504, outcome: 'unknown', reason}
 			: {
 				status: 503, outcome: 'not-run', reason, retryAfterMs: Math.round(STOPPING_RETRY_MS * (0.5 + random.next())),
-			}, {mustClose: true});
+			}, {cause: 'stopping', state, mustClose: true});
 	}
 
 	endedEarly(by: Exclude<EarlyEnd, 'block' | 'stop'>, state: ConnectedUpstream | undefined): void {
@@ -81,12 +90,12 @@
 		if (by === 'deadline') {
 			this.#answer(mayHaveRun
 				? {status: 504, outcome: 'unknown', reason: 'The time limit was reached.'}
-				: {status: 503, outcome: 'not-run', reason: 'The time limit was reached before an upstream was free.'});
+				: {status: 503, outcome: 'not-run', reason: 'The time limit was reached before an upstream was free.'}, {cause: by, state});
 		}
 	}
 
 	/** The last attempt failed, and the request is not retried. */
-	failed({failure, bufferedAnswer}: SendResult & {readonly kind: 'failed'}): void {
+	failed({failure, detail, bufferedAnswer}: SendResult & {readonly kind: 'failed'}, state: ConnectedUpstream): void {
 		if (bufferedAnswer && failure === 'answered-error') {
 			bufferedAnswer.deliver();
 			return;
@@ -96,7 +105,12 @@
 			? {status: 502, outcome: 'unknown', reason: 'The upstream broke off.'}
 			: {
 				status: 503, outcome: 'not-run', reason: 'No upstream took the request.', retryAfterMs: UNAVAILABLE_RETRY_MS,
-			});
+			}, {cause: failure, detail, state});
+	}
+
+	/** Logs that an answer was passed on whole, but its connection was closed before it was written. */
+	unwritten(): void {
+		this.#lose('The connection of an answer was closed before it was written.', {cause: 'unwritten'});
 	}
 
 	#reject(reason: string, fields: Readonly<Record<string, unknown>>): ExchangeProgress {
@@ -110,14 +124,26 @@
 	}
 
 	/** Sends an error answer of the gateway. If an upstream's answer has begun, closes the connection so that it does not look complete. */
-	#answer(answer: GatewayAnswer, {mustClose = this.#options.context.isDraining()}: {readonly mustClose?: boolean} = {}): void {
-		const {context: {codec, metrics}, request: {requestId}, response} = this.#options;
+	#answer(answer: GatewayAnswer, {mustClose = this.#options.context.isDraining(), ...ending}: AnswerEnding & {readonly mustClose?: boolean}): void {
+		const {context: {codec}, request: {requestId}, response} = this.#options;
 		if (response.headersSent) {
-			metrics.count('gateway.cut_answers');
+			this.#lose('An answer was cut.', ending);
 			response.destroy();
 			return;
 		}
 
 		sendGatewayAnswer(response, answer, {codec, requestId, mustClose});
 	}
+
+	#lose(message: string, {cause, detail, state}: AnswerEnding): void {
+		const {context, request, progress} = this.#options;
+		const {requestId, route} = request;
+		context.metrics.count('gateway.cut_answers', {cause});
+		context.decisions.lost(requestId, message, () => {
+			const {sends, events} = progress();
+			return {
+				route: route.name, cause, detail, upstream: state?.upstream.id, sends, events, ...timeFields(context, request), ...pathFields(context, state),
+			};
+		});
+	}
 }
--- a/packages/gateway/src/stop-limit.ts
+++ b/packages/gateway/src/stop-limit.ts
@@ -28,6 +28,11 @@
 		this.#clock = clock;
 	}
 
+	/** Undefined before a stop. */
+	get times(): StopTimes | undefined {
+		return this.#stop;
+	}
+
 	set(stop: StopTimes): void {
 		this.#stop = stop;
 	}
--- a/packages/gateway/src/time-fields.ts
+++ b/packages/gateway/src/time-fields.ts
@@ -1,12 +1,14 @@
-/** Log fields that tell how late a decision on a request is, and what is known of the path to its upstream. */
+/** Log fields that tell how late a decision on a request is, how far a stop of this entry is, and what is known of the path to its upstream. */
 import type {LogFields} from '@yuccawood/common';
 import type {AcceptedRequest} from './accepted-request.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {UpstreamState} from './upstream-state.js';
 
-export const timeFields = ({clock, lag}: Pick<GatewayContext, 'clock' | 'lag'>, {arrivedAt, deadlineAt}: Pick<AcceptedRequest, 'arrivedAt' | 'deadlineAt'>): LogFields => {
+export const timeFields = ({clock, lag, stopLimit}: Pick<GatewayContext, 'clock' | 'lag' | 'stopLimit'>, {arrivedAt, deadlineAt}: Pick<AcceptedRequest, 'arrivedAt' | 'deadlineAt'>): LogFields => {
 	const now = clock.monotonic();
+	const {startedAt} = stopLimit.times ?? {};
 	return {
+		sinceStopMs: startedAt === undefined ? undefined : Math.round(now - startedAt),
 		sinceArrivalMs: Math.round(now - arrivedAt), remainingMs: Math.round(deadlineAt - now), loopDelayMs: Math.round(lag.loopDelayMs), acceptBacklogMs: Math.round(lag.acceptBacklogMs),
 	};
 };
