--- a/packages/node/src/late-in-grace.test.ts
+++ b/packages/node/src/late-in-grace.test.ts
@@ -1,19 +1,18 @@
 import {type ChildProcess, spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import http from 'node:http';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {SystemClock} from '@yuccawood/common';
 import {
-	callerHeaders, CONFIGURATION_KEY, configurationItem, DEFAULT_FLEET_BOUNDS, PacedWorker, PLAIN_SERVICE, REQUEST_KINDS, settingsEnvironment, settingsText, StoreStandIn, type RequestKind, UPSTREAM_PREFIX, upstreamItem,
+	CONFIGURATION_KEY, configurationItem, DEFAULT_FLEET_BOUNDS, PacedWorker, PLAIN_SERVICE, REQUEST_KINDS, settingsEnvironment, settingsText, StoreStandIn, type RequestKind, UPSTREAM_PREFIX, upstreamItem,
 } from '@yuccawood/platform/testing';
 import {expect} from 'chai';
+import {KeptCaller, type Call, type Outcome} from './testing/kept-caller.js';
 
 const ENTRY_IP = '127.0.45.1';
-const CALLER_PORT = 8005;
 const STOP_GRACE_MS = DEFAULT_FLEET_BOUNDS.stopGraceMs;
 
 /** Longer than the grace, so that the time limit of a request says nothing about the time that its answer takes. */
@@ -32,67 +31,9 @@
 	}
 };
 
-type Outcome = {
-	readonly id: string;
-	readonly kind: RequestKind;
-	readonly status: number | undefined;
-	readonly headers: http.IncomingHttpHeaders;
-	readonly isComplete: boolean;
-	readonly error: string | undefined;
+type KindOutcome = Outcome & {readonly kind: RequestKind};
 
-	/** Milliseconds since the last byte of the request. */
-	readonly tookMs: number;
-};
-
-/** A caller with one connection, which it keeps for as long as the entry does. */
-class KeptCaller {
-	readonly #agent = new http.Agent({keepAlive: true, maxSockets: 1});
-
-	/** @param beforeBody resolves when the last byte of the request may be sent */
-	async call(kind: RequestKind, {id, workMs, beforeBody, onHead = () => undefined}: {
-		readonly id: string;
-		readonly workMs: number;
-		readonly beforeBody?: Promise<void>;
-		readonly onHead?: () => void;
-	}): Promise<Outcome> {
-		const request = http.request({
-			host: ENTRY_IP, port: CALLER_PORT, method: 'POST', path: `/${kind}/x?ms=${workMs}`, agent: this.#agent, headers: {...callerHeaders({requestId: id, remainingMs: TIMEOUT_MS}), 'content-length': 1},
-		});
-		let status: number | undefined;
-		let headers: http.IncomingHttpHeaders = {};
-		let sentAt = clock.monotonic();
-		let error: string | undefined;
-		const ended = new Promise<Outcome>(resolve => {
-			const finish = (isComplete: boolean) => (): void => {
-				resolve({
-					id, kind, status, headers, isComplete, error, tookMs: clock.monotonic() - sentAt,
-				});
-			};
-
-			request.on('error', ({message}) => {
-				error = message;
-				finish(false)();
-			});
-			request.on('response', response => {
-				status = response.statusCode;
-				headers = response.headers;
-				onHead();
-				response.resume();
-				response.on('end', finish(true));
-				response.on('error', finish(false));
-			});
-		});
-		request.flushHeaders();
-		await beforeBody;
-		sentAt = clock.monotonic();
-		request.end('x');
-		return ended;
-	}
-
-	close(): void {
-		this.#agent.destroy();
-	}
-}
+type KindCall = Pick<Call, 'id' | 'beforeBody' | 'onHead'> & {readonly workMs: number};
 
 describe('an entry in a planned stop', () => {
 	let store: StoreStandIn;
@@ -103,10 +44,11 @@
 	let callers: KeptCaller[];
 	let output: string;
 
-	const connect = (): KeptCaller => {
-		const caller = new KeptCaller();
+	/** Opens a connection, and returns a function that sends a request on it. */
+	const connect = (): (kind: RequestKind, call: KindCall) => Promise<KindOutcome> => {
+		const caller = new KeptCaller(ENTRY_IP);
 		callers.push(caller);
-		return caller;
+		return async (kind, {workMs, ...call}) => ({...await caller.call({...call, path: `/${kind}/x?ms=${workMs}`, remainingMs: TIMEOUT_MS}), kind});
 	};
 
 	const stop = (): void => {
@@ -145,7 +87,7 @@
 		});
 		const end = clock.monotonic() + 8000;
 		for (;;) {
-			const outcomes = await Promise.all(REQUEST_KINDS.map(async kind => connect().call(kind, {id: `first-${kind}`, workMs: 10})));
+			const outcomes = await Promise.all(REQUEST_KINDS.map(async kind => connect()(kind, {id: `first-${kind}`, workMs: 10})));
 			if (outcomes.every(({status}) => status === 200)) {
 				return;
 			}
@@ -170,17 +112,17 @@
 	});
 
 	/** The requests, each with what the entry logged about it. */
-	const describeAll = (outcomes: readonly Outcome[]): readonly string[] =>
+	const describeAll = (outcomes: readonly KindOutcome[]): readonly string[] =>
 		outcomes.map(({id, status, error, tookMs}) => [`${id}: ${status ?? error} after ${Math.round(tookMs)} ms`, ...output.split('\n').filter(line => line.includes(`"${id}"`))].join('\n'));
 
 	/** Requests that were passed on and have no complete answer. */
-	const cut = (outcomes: readonly Outcome[]): readonly string[] => describeAll(outcomes.filter(({id, isComplete}) => !isComplete && seen.has(id)));
+	const cut = (outcomes: readonly KindOutcome[]): readonly string[] => describeAll(outcomes.filter(({id, isComplete}) => !isComplete && seen.has(id)));
 
 	/** Requests that may run once, were passed on, and of which the caller knows no result. */
-	const unknown = (outcomes: readonly Outcome[]): readonly string[] =>
+	const unknown = (outcomes: readonly KindOutcome[]): readonly string[] =>
 		describeAll(outcomes.filter(({id, kind, status, isComplete}) => kind === 'once' && seen.has(id) && !(isComplete && status === 200)));
 
-	const expectRefused = (outcome: Outcome): void => {
+	const expectRefused = (outcome: KindOutcome): void => {
 		const {status, headers, id, tookMs} = outcome;
 		expect(status, describeAll([outcome])[0]).to.equal(503);
 		expect(Number(headers['retry-after']), id).to.be.within(0.01, 2);
@@ -193,23 +135,23 @@
 
 	/** Lets the entry see how long the answers of each route take. */
 	const observeAnswers = async (): Promise<void> => {
-		await Promise.all(REQUEST_KINDS.flatMap(kind => answerTimes.flatMap(workMs => [1, 2, 3, 4].map(async number => connect().call(kind, {id: `seen-${kind}-${workMs}-${number}`, workMs})))));
+		await Promise.all(REQUEST_KINDS.flatMap(kind => answerTimes.flatMap(workMs => [1, 2, 3, 4].map(async number => connect()(kind, {id: `seen-${kind}-${workMs}-${number}`, workMs})))));
 	};
 
 	describe('whose callers send the next request after a long stream', () => {
 		it('cuts no request that it passed on, and refuses at once what it cannot answer', async () => {
 			await observeAnswers();
-			const calls: Array<Promise<Outcome>> = [];
+			const calls: Array<Promise<KindOutcome>> = [];
 			let begunStreams = 0;
-			const follow = async (kind: RequestKind, workMs: number, afterMs: number): Promise<Outcome> => {
-				const caller = connect();
-				const before = await caller.call('stream', {
+			const follow = async (kind: RequestKind, workMs: number, afterMs: number): Promise<KindOutcome> => {
+				const call = connect();
+				const before = await call('stream', {
 					id: `before-${kind}-${workMs}-${afterMs}`, workMs: afterMs, onHead() {
 						begunStreams++;
 					},
 				});
 				expect(before.isComplete, describeAll([before])[0]).to.equal(true);
-				return caller.call(kind, {id: `next-${kind}-${workMs}-${afterMs}`, workMs});
+				return call(kind, {id: `next-${kind}-${workMs}-${afterMs}`, workMs});
 			};
 
 			for (const kind of REQUEST_KINDS) {
@@ -238,7 +180,7 @@
 		it('answers it or refuses it at once', async () => {
 			await observeAnswers();
 			const times = [500, 1500, 2500, 3500, 4500, 5000, 5300, 5450];
-			const calls = REQUEST_KINDS.flatMap(kind => times.flatMap(afterMs => answerTimes.map(async workMs => connect().call(kind, {
+			const calls = REQUEST_KINDS.flatMap(kind => times.flatMap(afterMs => answerTimes.map(async workMs => connect()(kind, {
 				id: `late-${kind}-${workMs}-${afterMs}`, workMs, beforeBody: clock.sleep(afterMs),
 			}))));
 			await clock.sleep(50);
@@ -257,7 +199,7 @@
 
 	describe('with answers that take longer than the grace', () => {
 		it('says so before it ends, and promises nothing that it cannot know', async () => {
-			const calls = (['once', 'repeatable'] as const).map(async kind => connect().call(kind, {id: `long-${kind}`, workMs: STOP_GRACE_MS * 2}));
+			const calls = (['once', 'repeatable'] as const).map(async kind => connect()(kind, {id: `long-${kind}`, workMs: STOP_GRACE_MS * 2}));
 			await until(() => seen.has('long-once') && seen.has('long-repeatable'));
 			stop();
 			const outcomes = await Promise.all(calls);
@@ -266,7 +208,7 @@
 	});
 
 	it('refuses at once what may take longer than the grace, while it knows little of the answers of its route', async () => {
-		const calls = REQUEST_KINDS.map(async kind => connect().call(kind, {id: `unknown-${kind}`, workMs: 100, beforeBody: clock.sleep(1000)}));
+		const calls = REQUEST_KINDS.map(async kind => connect()(kind, {id: `unknown-${kind}`, workMs: 100, beforeBody: clock.sleep(1000)}));
 		await clock.sleep(50);
 		stop();
 		for (const outcome of await Promise.all(calls)) {
