Refuse late streams of a stopping entry unless their deadline is earlier

What callers saw: a stream that was sent over 3 s after SIGTERM on an open connection began and was cut 7.4 s after SIGTERM, long before its time limit.

Cause: an answer that can only be cut was admitted by an estimate. Published costs bound a pass of an engine, not a stream: a worker preempts the newest one in its middle, turns slow, or loads other weights. The same decision counted the arrival and the deadline from the earliest moment at which the request may have come, which is the optimistic side here: an entry that is behind took a late stream for an early one, and a caller's limit for earlier than it is.

Change: the deadline alone counts for streams that callers send after they can know of the stop, with and without published costs.

The test of stop-admission that let published costs admit a late stream asked for the fault; in its place such a stream must be refused unless its deadline is earlier.

--- a/packages/dispatch/src/stop-admission.test.ts
+++ b/packages/dispatch/src/stop-admission.test.ts
@@ -50,8 +50,10 @@
 			expect(isAnswerable(request({arrivedAfterMs: 3001, isStream: false, observed: {count: 500, longestMs: 900}}))).to.equal(true);
 		});
 
-		it('still counts the published costs of an engine', () => {
-			expect(isAnswerable(request({arrivedAfterMs: 3001, boundMs: 900}))).to.equal(true);
+		// Its worker may preempt it in its middle.
+		it('refuses it however little time the published costs of its engine allow, unless its deadline is earlier', () => {
+			expect(isAnswerable(request({arrivedAfterMs: 3001, boundMs: 20}))).to.equal(false);
+			expect(isAnswerable(request({arrivedAfterMs: 3001, boundMs: 900, deadlineAt: 2900}))).to.equal(true);
 		});
 	});
 
--- a/packages/dispatch/src/stop-admission.ts
+++ b/packages/dispatch/src/stop-admission.ts
@@ -2,12 +2,15 @@
 Decides whether a stopping entry can still answer a request in the time that it has left.
 
 A request that is passed on too late is cut, and its caller can't know whether it ran. One that is refused at once costs its
-caller a short delay at another entry. Where the published costs of an engine bound the answer, that bound counts: the longest
-answers are rare, and how long others took lately does not show them. Elsewhere only the deadline is certain.
+caller a short delay at another entry.
 
-Without such costs, how long others took counts where little is lost if it is too short: for answers that are no streams, as they
-are replaced by a failure as long as they have not begun, and for the requests of the first seconds, which callers send before the
-load balancer has removed this entry.
+A stream can only be cut once it has begun, and nothing but its deadline bounds it: a worker may preempt it, turn slow or load other
+weights in its middle, whatever its published costs and other answers say. So the deadline counts for all streams that callers send
+after they can know of the stop.
+
+Elsewhere little is lost by a limit that is too short: answers that are no streams are replaced by a failure as long as they have not
+begun, and the requests of the first seconds would fail at once without it, as the load balancer has not removed this entry yet.
+There the published costs of an engine count, and without them how long others took.
 */
 import {
 	BOUNDED_ANSWER_FACTOR, MIN_OBSERVED_ANSWERS, ONCE_ANSWER_FACTOR, REPEATABLE_ANSWER_FACTOR, UNREMOVED_MS,
@@ -15,7 +18,7 @@
 import type {ObservedAnswers} from './answer-times.js';
 
 export type LateRequest = {
-	/** Monotonic times in milliseconds: now, when the entry's last answers must have ended, and when the caller stops waiting. */
+	/** Monotonic times in milliseconds: now, when the entry's last answers must have ended, and when the caller stops waiting at the latest. */
 	readonly now: number;
 	readonly answerBy: number;
 	readonly deadlineAt: number;
@@ -29,7 +32,7 @@
 	/** Longest time that the published costs of its engine allow for the answer, in milliseconds; absent if nothing bounds it but the deadline. */
 	readonly boundMs?: number;
 
-	/** Time from the beginning of the stop until the request arrived, in milliseconds; negative if it arrived before. */
+	/** Longest time from the beginning of the stop until the caller had sent the request, in milliseconds; negative if it was read before. */
 	readonly arrivedAfterMs: number;
 
 	/** Answers to requests on the same route. */
@@ -39,11 +42,15 @@
 /** Time in milliseconds after which the answer has very likely ended. */
 const expectedEndMs = ({now, deadlineAt, isRepeatable, isStream, boundMs, arrivedAfterMs, observed: {count, longestMs}}: LateRequest): number => {
 	const untilDeadlineMs = deadlineAt - now;
+	if (isStream && arrivedAfterMs > UNREMOVED_MS) {
+		return untilDeadlineMs;
+	}
+
 	if (boundMs !== undefined) {
 		return Math.min(untilDeadlineMs, Math.max(boundMs, longestMs) * BOUNDED_ANSWER_FACTOR);
 	}
 
-	return count < MIN_OBSERVED_ANSWERS || (isStream && arrivedAfterMs > UNREMOVED_MS)
+	return count < MIN_OBSERVED_ANSWERS
 		? untilDeadlineMs
 		: Math.min(untilDeadlineMs, longestMs * (isRepeatable ? REPEATABLE_ANSWER_FACTOR : ONCE_ANSWER_FACTOR));
 };
--- a/packages/gateway/src/accepted-request.ts
+++ b/packages/gateway/src/accepted-request.ts
@@ -24,6 +24,12 @@
 	/** Earliest monotonic time in milliseconds at which the request may have reached this VM. */
 	readonly arrivedAt: number;
 
+	/** Monotonic time in milliseconds at which this entry had read all of the request. */
+	readonly readAt: number;
+
+	/** Latest monotonic time in milliseconds at which the caller stops waiting. The deadline is the earliest. */
+	readonly lastDeadlineAt: number;
+
 	/**
 	Monotonic time in milliseconds at which an answer in progress ends. The deadline counts from the earliest arrival, and the
 	caller may have more time.
--- a/packages/gateway/src/request-intake.ts
+++ b/packages/gateway/src/request-intake.ts
@@ -106,6 +106,8 @@
 			answerTokens: caller.answerTokens,
 			sharedParts: caller.sharedParts,
 			arrivedAt,
+			readAt: clock.monotonic(),
+			lastDeadlineAt: times.deadlineAt + readAt - arrivedAt,
 			endsAt: times.deadlineAt + Math.min(readAt - arrivedAt, MAX_ANSWER_OVERTIME_MS),
 			...times,
 		};
--- a/packages/gateway/src/stop-limit.test.ts
+++ b/packages/gateway/src/stop-limit.test.ts
@@ -23,8 +23,8 @@
 	let now: number;
 	let limit: StopLimit;
 
-	const canAnswer = (answerTokens: number | undefined, arrivedAt = now): boolean => limit.canAnswer({
-		route, table, service: 'engines', promptTokens: 200, answerTokens, arrivedAt, deadlineAt: now + 20_000,
+	const canAnswer = (answerTokens: number | undefined, {readAt = now, lastDeadlineAt = now + 20_000} = {}): boolean => limit.canAnswer({
+		route, table, service: 'engines', promptTokens: 200, answerTokens, readAt, lastDeadlineAt,
 	});
 
 	beforeEach(() => {
@@ -50,11 +50,13 @@
 		expect(canAnswer(undefined)).to.equal(true);
 	});
 
-	// Guards against an answer that is cut because it takes longer than all others did lately.
-	it('goes by the deadline there for streams that arrive after callers know of the stop', () => {
+	// Guards against an answer that is cut because it takes longer than was to be expected.
+	it('goes by the deadline for streams that are read after callers know of the stop', () => {
 		limit.set({startedAt: now - 3001, answerBy: now + 2000});
-		expect(canAnswer(undefined)).to.equal(false);
-		expect(canAnswer(undefined, now - 1000)).to.equal(true);
-		expect(canAnswer(10)).to.equal(true);
+		for (const answerTokens of [undefined, 10]) {
+			expect(canAnswer(answerTokens)).to.equal(false);
+			expect(canAnswer(answerTokens, {readAt: now - 1000})).to.equal(true);
+			expect(canAnswer(answerTokens, {lastDeadlineAt: now + 1900})).to.equal(true);
+		}
 	});
 });
--- a/packages/gateway/src/stop-limit.ts
+++ b/packages/gateway/src/stop-limit.ts
@@ -6,7 +6,7 @@
 import type {AcceptedRequest} from './accepted-request.js';
 
 /** What the time that an answer takes depends on. */
-type AdmittedRequest = Pick<AcceptedRequest, 'route' | 'table' | 'service' | 'promptTokens' | 'answerTokens' | 'arrivedAt' | 'deadlineAt'>;
+type AdmittedRequest = Pick<AcceptedRequest, 'route' | 'table' | 'service' | 'promptTokens' | 'answerTokens' | 'readAt' | 'lastDeadlineAt'>;
 
 export type StopLimitOptions = {readonly clock: Pick<Clock, 'monotonic'>};
 
@@ -44,7 +44,7 @@
 	}
 
 	/** Whether a request that is sent to an upstream now can be answered before this entry ends. */
-	canAnswer({route, table, service, promptTokens, answerTokens, arrivedAt, deadlineAt}: AdmittedRequest): boolean {
+	canAnswer({route, table, service, promptTokens, answerTokens, readAt, lastDeadlineAt}: AdmittedRequest): boolean {
 		if (this.#stop === undefined) {
 			return true;
 		}
@@ -54,10 +54,10 @@
 		return isAnswerable({
 			now,
 			answerBy: this.#stop.answerBy,
-			deadlineAt,
+			deadlineAt: lastDeadlineAt,
 			isRepeatable: isRetryable(route),
 			isStream: route.kind === 'stream',
-			arrivedAfterMs: arrivedAt - this.#stop.startedAt,
+			arrivedAfterMs: readAt - this.#stop.startedAt,
 			observed: this.#answerTimes.of(route.name, now),
 			boundMs: engine && answerTokens !== undefined ? longestAnswerMs(engine, {promptTokens, answerTokens}) : undefined,
 		});
