Serve streams by estimate until 2.9 s after the beginning of a stop

What callers saw in a roll of three entries: the one that is stopped last counts as ready until another one is, so the load balancer still sends it connections 3.7 s after SIGTERM, and their streams were refused from 2.6 s on. Operators allow for cuts of what was sent within 3 s of SIGTERM, and the time counts from the latest moment at which the request may have come, so 2.9 s keeps within that. 0.1 s is for a signal that is handled late.

--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -164,10 +164,10 @@
 export const USUAL_HELD_MEMORY_MS = 1000;
 
 /**
-Time after the beginning of a stop in milliseconds within which callers may not know of it: the load balancer removes an entry after
-two failed readiness checks, which are 1 s apart.
+Time after the beginning of a stop in milliseconds within which callers may send requests because the load balancer still uses this
+entry. Operators allow for answers that are cut at the end if the request came within 3 s of SIGTERM, which may be handled late.
 */
-export const UNREMOVED_MS = 2600;
+export const UNREMOVED_MS = 2900;
 
 /** Number of answers from which the longest one says how long others take. */
 export const MIN_OBSERVED_ANSWERS = 8;
--- a/packages/dispatch/src/stop-admission.test.ts
+++ b/packages/dispatch/src/stop-admission.test.ts
@@ -39,6 +39,11 @@
 
 	// Guards against an answer that is cut because it takes longer than all others did lately.
 	describe('for a stream that arrives after the load balancer has removed the entry', () => {
+		it('goes by how long others took until 2.9 s after the beginning of the stop', () => {
+			expect(isAnswerable(request({arrivedAfterMs: 2900}))).to.equal(true);
+			expect(isAnswerable(request({arrivedAfterMs: 2901}))).to.equal(false);
+		});
+
 		it('refuses it unless its deadline is earlier, however short the answers of its route were lately', () => {
 			for (const isRepeatable of [true, false]) {
 				expect(isAnswerable(request({arrivedAfterMs: 3001, isRepeatable, observed: {count: 500, longestMs: 20}}))).to.equal(false);
