Close the listener of a stopping entry only after a short turn of the event loop

What callers saw: connections that were open, to an entry that stopped, were reset, and their requests had not run.

Cause: the kernel resets what waits to be accepted when a listener closes. The entry closed it in a turn in which none had been accepted, whatever that turn took: a connection that opened after the turn's poll of the sockets was lost. Turns of up to 20 ms counted as quick, and after six slow ones any would do.

Change: it looks for a turn of at most 1 ms, or a fiftieth of the time that it has looked, within the limit as before. Node.js can't make the kernel take no more connections while the listener is open, so the rest of that turn remains.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,7 @@
 import type {GatewayContext} from './gateway-context.js';
 import type {GatewayOptions} from './gateway-options.js';
 import {LagWatch} from './lag-watch.js';
-import {handlePendingEvents} from './pending-events.js';
+import {endOfShortTurn, handlePendingEvents} from './pending-events.js';
 import {PathProbes} from './path-probes.js';
 import {scheduleTimer} from './placement.js';
 import {Placer} from './placer.js';
@@ -208,18 +208,17 @@
 	}
 
 	/**
-	Stops accepting connections once none waits, because the kernel resets those that do. Open ones stay open: the HTTP
-	server's own method would close those whose request has not been read.
+	Stops accepting connections once none waits, because the kernel resets those that do. One that opens after the last poll of the
+	sockets can't be seen, so that poll must be recent. Open ones stay open: the HTTP server's own method would close those whose
+	request has not been read.
 
 	@param maxWaitMs time after which it stops all the same, in milliseconds
 	*/
 	async stopListening({maxWaitMs = DEFAULT_STOP_LISTENING_MS}: {readonly maxWaitMs?: number} = {}): Promise<void> {
 		const {clock} = this.#context;
 		const end = clock.monotonic() + maxWaitMs;
-		do {
-			await handlePendingEvents(clock);
-		} while (this.#backlog.isDraining && clock.monotonic() < end);
-
+		await handlePendingEvents(clock);
+		await endOfShortTurn(clock, {end, isHeld: () => this.#backlog.isDraining});
 		if (this.#server) {
 			NetServer.prototype.close.call(this.#server);
 		}
