Keep a silent stream's upstream when another one can't begin in time

What callers saw in a test: a resumable stream whose worker paused for a second near the end of the caller's time was cut 1.3 s before the caller's limit, in a planned stop and without one, although the worker then went on and ended well.

Cause: HedgedSend took any end of one of two sends for the end of the request. A send that finds too little time left to begin, by the shortest time to first data of late, ends with "deadline". That withdrew the first worker, and the caller's stream was cut. The retry was allowed, as it asks for 60 ms only, while the send asks for three quarters of a start. Slow engines make the gap long.

Change: only a whole answer ends the other send. Of sends that failed or ended, the last one decides. A request that ends by itself ends all its sends, as before. An ended one is logged as "One of two sends ended.".

--- a/packages/gateway/src/hedged-send.ts
+++ b/packages/gateway/src/hedged-send.ts
@@ -23,14 +23,17 @@
 /** The last result of a request's sends, and the upstream that it came from. */
 export type SendOutcome = {readonly state: ConnectedUpstream; readonly result: SendResult};
 
+/** The outcome of a send that brought no whole answer. */
+export type SendLoss = SendOutcome & {readonly result: {readonly kind: 'failed' | 'ended'}};
+
 export type HedgedSendOptions = {
 	readonly send: (state: ConnectedUpstream, control: SendControl) => Promise<SendResult>;
 
 	/** Takes a free slot of another upstream for the rest of the stream; undefined if none is free or the request may not be sent once more. */
 	readonly takeSlot: (silent: ConnectedUpstream, refusedBy: ReadonlySet<string>, silentMs: number) => ConnectedUpstream | undefined;
 
-	/** Called when one of two sends has failed and the other one goes on. */
-	readonly onLoss: (outcome: SendOutcome & {readonly result: {readonly kind: 'failed'}}) => void;
+	/** Called when one of two sends has failed or ended and the other one goes on. */
+	readonly onLoss: (loss: SendLoss) => void;
 };
 
 type Attempt = {
@@ -71,7 +74,12 @@
 		});
 	}
 
-	/** @returns undefined if the send failed and another one goes on */
+	/**
+	A send may end by itself, for example because too little time is left to begin it. That doesn't end another one, which ends with
+	the request.
+
+	@returns undefined if the send brought no whole answer and another one goes on
+	*/
 	async #follow(state: ConnectedUpstream, begin: (state: ConnectedUpstream) => Promise<void>): Promise<SendOutcome | undefined> {
 		const attempt: Attempt = {state, controller: new AbortController(), isSilent: false};
 		this.#attempts.add(attempt);
@@ -87,7 +95,7 @@
 			},
 		});
 		this.#attempts.delete(attempt);
-		if (result.kind !== 'failed') {
+		if (result.kind === 'delivered') {
 			this.#withdrawAllBut(attempt);
 			return {state, result};
 		}
@@ -97,7 +105,7 @@
 		}
 
 		this.#options.onLoss({state, result});
-		if (result.failure === 'not-run' && !attempt.controller.signal.aborted) {
+		if (result.kind === 'failed' && result.failure === 'not-run' && !attempt.controller.signal.aborted) {
 			this.#refusedBy.add(state.upstream.key);
 			this.#hedge(0, begin);
 		}
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -6,7 +6,7 @@
 import type {AcceptedRequest} from './accepted-request.js';
 import type {EventRelay} from './event-relay.js';
 import type {GatewayContext} from './gateway-context.js';
-import type {SendOutcome} from './hedged-send.js';
+import type {SendLoss} from './hedged-send.js';
 import type {RequestNeeds} from './request-needs.js';
 import type {SendResult} from './send-result.js';
 import type {ConnectedUpstream} from './upstream-states.js';
@@ -91,8 +91,13 @@
 		return next;
 	}
 
-	/** Records that one of two sends failed and the other one goes on. */
-	recordLoss({state, result}: SendOutcome & {readonly result: Failed}): void {
+	/** Records that one of two sends failed or ended and the other one goes on. */
+	recordLoss({state, result}: SendLoss): void {
+		if (result.kind === 'ended') {
+			this.#log('One of two sends ended.', state, {by: result.by});
+			return;
+		}
+
 		const {failure, detail, isCancelled} = result;
 		this.#log('One of two sends failed.', state, {failure, detail});
 		this.#options.context.metrics.count('gateway.send_failures', {failure, decision: 'other-send'});
