Tell from the first poll whether a request may have waited for the accept

Cause, as traced before: a request counted as sent while its connection waited if the time at which it may have arrived, by the read delay, was not after the accept. The read delay takes idle time off, and a poll that is preempted counts as idle, so a request that was read in the first turn after the accept came out 0.7 ms after it, and the wait of 1.3 s was left out.

Change: times are not compared any more. The first poll after the accept shows all heads that were there before it. What it shows may have waited as long as the connection; what later polls show has not, so the read delay alone counts, also where that reaches back past the accept (the wait counted there before, and took time off that the caller had). A head that is not complete at that poll counts from its end, as on other connections.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -23,11 +23,10 @@
 	bytesBeforeIdle: number;
 
 	/**
-	Earliest monotonic time in milliseconds at which the connection may have been opened; undefined once a request was read on
-	it.
+	Earliest monotonic time in milliseconds at which the connection may have been opened; undefined once no request can be
+	read that arrived before the accept.
 	*/
 	openedAt: number | undefined;
-	readonly acceptedAt: number;
 
 	/** Called when the caller ends what it sends, or closes the connection. */
 	readonly departures: Set<() => void>;
@@ -39,13 +38,19 @@
 export class CallerConnections {
 	readonly #states = new Map<Socket, ConnectionState>();
 	readonly #now: () => number;
+	readonly #afterPoll: (call: () => void) => void;
 
-	/** @param now monotonic time in milliseconds */
-	constructor(now: () => number) {
+	/** @param now monotonic time in milliseconds @param afterPoll runs a function after the next poll of the sockets, or after the present one */
+	constructor(now: () => number, {afterPoll = setImmediate}: {readonly afterPoll?: (call: () => void) => void} = {}) {
 		this.#now = now;
+		this.#afterPoll = afterPoll;
 	}
 
-	/** @param openedAt earliest monotonic time in milliseconds at which the connection may have been opened */
+	/**
+	To be called when the connection is accepted.
+
+	@param openedAt earliest monotonic time in milliseconds at which the connection may have been opened
+	*/
 	add(socket: Socket, openedAt: number): void {
 		const now = this.#now();
 		const departures = new Set<() => void>();
@@ -58,8 +63,15 @@
 		// The close follows some turns of the event loop after the end.
 		socket.once('end', depart);
 		socket.once('close', depart);
-		this.#states.set(socket, {
-			requests: 0, idleSince: now, bytesBeforeIdle: 0, acceptedAt: now, openedAt, departures, isClosing: false,
+		const state: ConnectionState = {
+			requests: 0, idleSince: now, bytesBeforeIdle: 0, openedAt, departures, isClosing: false,
+		};
+		this.#states.set(socket, state);
+		// The poll that showed the connection did not look at its bytes, and the next one reads all that were there.
+		this.#afterPoll(() => {
+			this.#afterPoll(() => {
+				state.openedAt = undefined;
+			});
 		});
 		socket.on('close', () => {
 			this.#states.delete(socket);
@@ -67,15 +79,13 @@
 	}
 
 	/**
-	Earliest monotonic time in milliseconds at which a request may have arrived that is read now. The first one may have
-	arrived while its connection waited to be accepted.
+	Earliest monotonic time in milliseconds at which a request may have arrived that is read now. One that the first poll after
+	the accept shows may have arrived while its connection waited for that.
 
 	@param readDelayMs longest time for which its bytes may have waited on an accepted connection
 	*/
 	arrivalOf(socket: Socket, readDelayMs: number): number {
-		const arrivedAt = this.#now() - readDelayMs;
-		const state = this.#states.get(socket);
-		return state?.openedAt !== undefined && arrivedAt <= state.acceptedAt ? state.openedAt : arrivedAt;
+		return this.#states.get(socket)?.openedAt ?? this.#now() - readDelayMs;
 	}
 
 	/**
