Refuse late requests of a stopping entry for answers that it can't keep

What callers saw: an answer of more than 256 KB, asked for over 3 s after SIGTERM on an open connection, was cut 7.4 s after SIGTERM in its middle.

Cause: a stopping entry admits plain answers by 1.25 or 2 times the longest one of late on the route, because a failure can replace them as long as they have not begun. An answer over MAX_BUFFERED_ANSWER_BYTES is passed on as it arrives, so it can only be cut, like a stream.

Change: AnswerTimes remembers for each route whether a part of an answer of late was passed on before its end, from the moment at which that begins. After the first seconds of a stop the deadline alone counts for such routes, as for streams.

Open: the first such answer on a route in the last 30 to 60 s isn't foreseen. The whole route is treated so, also for its small answers.

--- a/packages/dispatch/src/stop-admission.test.ts
+++ b/packages/dispatch/src/stop-admission.test.ts
@@ -1,13 +1,15 @@
 import type {EngineProfile} from '@yuccawood/fleet';
 import {expect} from 'chai';
-import {AnswerTimes} from './answer-times.js';
+import {AnswerTimes, type ObservedAnswers} from './answer-times.js';
 import {ANSWER_TIMES_PERIOD_MS} from './constants.js';
 import {longestAnswerMs} from './longest-answer.js';
 import {isAnswerable, type LateRequest} from './stop-admission.js';
 
+const observed = (count: number, longestMs: number, hasPartial = false): ObservedAnswers => ({count, longestMs, hasPartial});
+
 /** A request of a stopping entry that has 2 s left; its caller waits for 6 s. */
 const request = (changes: Partial<LateRequest> = {}): LateRequest => ({
-	now: 1000, answerBy: 3000, deadlineAt: 7000, isRepeatable: true, isStream: true, arrivedAfterMs: 500, observed: {count: 50, longestMs: 1200}, ...changes,
+	now: 1000, answerBy: 3000, deadlineAt: 7000, isRepeatable: true, isStream: true, arrivedAfterMs: 500, observed: observed(50, 1200), ...changes,
 });
 
 describe('isAnswerable', () => {
@@ -17,23 +19,23 @@
 		});
 
 		it('refuses it if they do not', () => {
-			expect(isAnswerable(request({observed: {count: 50, longestMs: 1700}}))).to.equal(false);
+			expect(isAnswerable(request({observed: observed(50, 1700)}))).to.equal(false);
 		});
 
 		it('leaves more time to a request that may run once', () => {
 			expect(isAnswerable(request({isRepeatable: false}))).to.equal(false);
-			expect(isAnswerable(request({isRepeatable: false, observed: {count: 50, longestMs: 900}}))).to.equal(true);
+			expect(isAnswerable(request({isRepeatable: false, observed: observed(50, 900)}))).to.equal(true);
 		});
 
 		it('refuses it while few answers of its route are known', () => {
-			expect(isAnswerable(request({observed: {count: 2, longestMs: 10}}))).to.equal(false);
+			expect(isAnswerable(request({observed: observed(2, 10)}))).to.equal(false);
 		});
 	});
 
 	describe('for a request whose deadline is earlier', () => {
 		it('accepts it whatever is known of its route', () => {
-			expect(isAnswerable(request({deadlineAt: 2900, observed: {count: 0, longestMs: 0}, isRepeatable: false}))).to.equal(true);
-			expect(isAnswerable(request({deadlineAt: 2900, observed: {count: 50, longestMs: 5000}}))).to.equal(true);
+			expect(isAnswerable(request({deadlineAt: 2900, observed: observed(0, 0), isRepeatable: false}))).to.equal(true);
+			expect(isAnswerable(request({deadlineAt: 2900, observed: observed(50, 5000)}))).to.equal(true);
 		});
 	});
 
@@ -41,13 +43,20 @@
 	describe('for a stream that arrives after the load balancer has removed the entry', () => {
 		it('refuses it unless its deadline is earlier, however short the answers of its route were lately', () => {
 			for (const isRepeatable of [true, false]) {
-				expect(isAnswerable(request({arrivedAfterMs: 3001, isRepeatable, observed: {count: 500, longestMs: 20}}))).to.equal(false);
+				expect(isAnswerable(request({arrivedAfterMs: 3001, isRepeatable, observed: observed(500, 20)}))).to.equal(false);
 				expect(isAnswerable(request({arrivedAfterMs: 3001, isRepeatable, deadlineAt: 2900}))).to.equal(true);
 			}
 		});
 
 		it('goes by how long others took where a failure can replace the answer', () => {
-			expect(isAnswerable(request({arrivedAfterMs: 3001, isStream: false, observed: {count: 500, longestMs: 900}}))).to.equal(true);
+			expect(isAnswerable(request({arrivedAfterMs: 3001, isStream: false, observed: observed(500, 900)}))).to.equal(true);
+		});
+
+		it('refuses it as a stream where a part of an answer was passed on before its end', () => {
+			const late = request({arrivedAfterMs: 3001, isStream: false, observed: observed(500, 20, true)});
+			expect(isAnswerable(late)).to.equal(false);
+			expect(isAnswerable({...late, deadlineAt: 2900})).to.equal(true);
+			expect(isAnswerable({...late, arrivedAfterMs: 500})).to.equal(true);
 		});
 
 		// Its worker may preempt it in its middle.
@@ -64,15 +73,15 @@
 
 describe('isAnswerable with the published costs of an engine', () => {
 	it('refuses a request whose longest answer ends too late, however short the answers of its route were lately', () => {
-		expect(isAnswerable(request({boundMs: 1900, observed: {count: 500, longestMs: 300}}))).to.equal(false);
+		expect(isAnswerable(request({boundMs: 1900, observed: observed(500, 300)}))).to.equal(false);
 	});
 
 	it('accepts one whose longest answer ends in time, also while no answer of its route is known', () => {
-		expect(isAnswerable(request({boundMs: 1200, observed: {count: 0, longestMs: 0}}))).to.equal(true);
+		expect(isAnswerable(request({boundMs: 1200, observed: observed(0, 0)}))).to.equal(true);
 	});
 
 	it('refuses a request if answers of its route took longer than the costs allow', () => {
-		expect(isAnswerable(request({boundMs: 1200, observed: {count: 1, longestMs: 1900}}))).to.equal(false);
+		expect(isAnswerable(request({boundMs: 1200, observed: observed(1, 1900)}))).to.equal(false);
 	});
 });
 
@@ -100,8 +109,18 @@
 		times.record('a', 30, 100);
 		times.record('a', 20, 200);
 		times.record('b', 900, 200);
-		expect(times.of('a', 300)).to.deep.equal({count: 2, longestMs: 30});
-		expect(times.of('c', 300)).to.deep.equal({count: 0, longestMs: 0});
+		expect(times.of('a', 300)).to.deep.equal(observed(2, 30));
+		expect(times.of('c', 300)).to.deep.equal(observed(0, 0));
+	});
+
+	it('tells on which routes a part of an answer was passed on before its end, until the end of the next period', () => {
+		const times = new AnswerTimes();
+		times.recordPartial('a', ANSWER_TIMES_PERIOD_MS);
+		times.record('a', 30, ANSWER_TIMES_PERIOD_MS);
+		times.record('b', 30, ANSWER_TIMES_PERIOD_MS);
+		expect(times.of('a', (ANSWER_TIMES_PERIOD_MS * 3) - 1)).to.deep.equal(observed(1, 30, true));
+		expect(times.of('b', (ANSWER_TIMES_PERIOD_MS * 3) - 1)).to.deep.equal(observed(1, 30));
+		expect(times.of('a', ANSWER_TIMES_PERIOD_MS * 4)).to.deep.equal(observed(0, 0));
 	});
 
 	it('forgets it after the next period', () => {
--- a/packages/dispatch/src/stop-admission.ts
+++ b/packages/dispatch/src/stop-admission.ts
@@ -4,12 +4,11 @@
 A request that is passed on too late is cut, and its caller can't know whether it ran. One that is refused at once costs its
 caller a short delay at another entry.
 
-A stream can only be cut once it has begun, and nothing but its deadline bounds it: a worker may preempt it, turn slow or load other
-weights in its middle, whatever its published costs and other answers say. So the deadline counts for all streams that callers send
-after they can know of the stop.
+An answer that is passed on as it arrives can only be cut once it has begun, and nothing but its deadline bounds it: a worker may
+preempt it, turn slow or load other weights in its middle, whatever its published costs and other answers say. So the deadline counts
+for all streams that callers send after they can know of the stop, and for all requests on routes with answers too large to be kept.
 
-Elsewhere little is lost by a limit that is too short: answers that are no streams are replaced by a failure as long as they have not
-begun, and the requests of the first seconds would fail at once without it, as the load balancer has not removed this entry yet.
+Elsewhere little is lost by a limit that is too short: other answers are replaced by a failure as long as they have not begun, and the requests of the first seconds would fail at once without it, as the load balancer has not removed this entry yet.
 There the published costs of an engine count, and without them how long others took.
 */
 import {
@@ -40,9 +39,9 @@
 };
 
 /** Time in milliseconds after which the answer has very likely ended. */
-const expectedEndMs = ({now, deadlineAt, isRepeatable, isStream, boundMs, arrivedAfterMs, observed: {count, longestMs}}: LateRequest): number => {
+const expectedEndMs = ({now, deadlineAt, isRepeatable, isStream, boundMs, arrivedAfterMs, observed: {count, longestMs, hasPartial}}: LateRequest): number => {
 	const untilDeadlineMs = deadlineAt - now;
-	if (isStream && arrivedAfterMs > UNREMOVED_MS) {
+	if ((isStream || hasPartial) && arrivedAfterMs > UNREMOVED_MS) {
 		return untilDeadlineMs;
 	}
 
--- a/packages/gateway/src/answer-sinks.ts
+++ b/packages/gateway/src/answer-sinks.ts
@@ -1,7 +1,9 @@
 /** Sink for answers of upstreams that are no streams. */
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import type {AcceptedRequest} from './accepted-request.js';
 import {MAX_BUFFERED_ANSWER_BYTES} from './constants.js';
+import type {StopLimit} from './stop-limit.js';
 
 export type AnswerParts = {
 	readonly status: number;
@@ -34,18 +36,24 @@
 	readonly #response: ServerResponse;
 	readonly #answer: AnswerParts;
 	readonly #mustClose: () => boolean;
+	readonly #request: AcceptedRequest;
+	readonly #stopLimit: Pick<StopLimit, 'recordPartialAnswer'>;
 	#bufferedBytes = 0;
 	#hasBegunForwarding = false;
 
-	constructor({response, status, rawHeaders, mustClose}: {
+	constructor({response, status, rawHeaders, mustClose, request, stopLimit}: {
 		readonly response: ServerResponse;
 		readonly status: number;
 		readonly rawHeaders: readonly string[];
 		readonly mustClose: () => boolean;
+		readonly request: AcceptedRequest;
+		readonly stopLimit: Pick<StopLimit, 'recordPartialAnswer'>;
 	}) {
 		this.#response = response;
 		this.#answer = {status, rawHeaders, parts: []};
 		this.#mustClose = mustClose;
+		this.#request = request;
+		this.#stopLimit = stopLimit;
 	}
 
 	/** Whether bytes have been sent to the caller, so that the answer can no longer be replaced by that of a retry. */
@@ -66,6 +74,7 @@
 		this.#bufferedBytes += chunk.byteLength;
 		if (this.#bufferedBytes > MAX_BUFFERED_ANSWER_BYTES) {
 			this.#hasBegunForwarding = true;
+			this.#stopLimit.recordPartialAnswer(this.#request);
 			this.#response.writeHead(this.#answer.status, forwardedAnswerHeaders(this.#answer.rawHeaders, {withLength: true, mustClose: this.#mustClose()}));
 			return this.#response.write(Buffer.concat(this.#answer.parts));
 		}
--- a/packages/gateway/src/stop-limit.ts
+++ b/packages/gateway/src/stop-limit.ts
@@ -43,6 +43,11 @@
 		this.#answerTimes.record(route.name, now - arrivedAt, now);
 	}
 
+	/** Records that a part of an answer is passed on before the answer is complete, so that no failure can replace it. */
+	recordPartialAnswer({route}: Pick<AcceptedRequest, 'route'>): void {
+		this.#answerTimes.recordPartial(route.name, this.#clock.monotonic());
+	}
+
 	/** Whether a request that is sent to an upstream now can be answered before this entry ends. */
 	canAnswer({route, table, service, promptTokens, answerTokens, readAt, lastDeadlineAt}: AdmittedRequest): boolean {
 		if (this.#stop === undefined) {
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -205,7 +205,7 @@
 			this.#run = relay.beginRun(rawHeaders);
 		} else {
 			this.#bufferedAnswer = new BufferedAnswer({
-				response, status, rawHeaders, mustClose: context.isDraining,
+				response, status, rawHeaders, mustClose: context.isDraining, request, stopLimit: context.stopLimit,
 			});
 		}
 	}
