Read the settings again at SIGTERM, before the grace is used

What callers see: an entry whose grace in the settings file was raised shortly before its stop, without a SIGHUP, cuts streams at the end of the former grace. Where it was lowered, callers get no last answers before the process is killed.

Cause: the file is read on SIGHUP and every 5 s, and may change without a signal. The planned stop took the grace that was read last. Whether the operators' platform changes the grace like this isn't known; no record shows it.

Change: an entry reads its settings file once more when SIGTERM comes. An invalid file leaves the current settings in force. A change after SIGTERM doesn't move the end of a stop that has begun.

--- a/packages/node/src/entry-node.ts
+++ b/packages/node/src/entry-node.ts
@@ -31,7 +31,7 @@
 			view.upstreams.filter(({model}) => model !== undefined).map(({address}) => `${splitAddress(address).host}:${firstPeerPort}`),
 		],
 	});
-	const {settings, view, store, log, metrics, clock, random, follower, peerServer} = context;
+	const {settings, reloadSettings, view, store, log, metrics, clock, random, follower, peerServer} = context;
 	const {vm, ip, callerAddress, readinessAddress, firstPeerPort, failureDomain, resendRatio, resendSlack, resendWindowMs} = settings();
 	if (!callerAddress || !readinessAddress) {
 		throw new Error('The settings contain no caller and readiness addresses. Run the entry role on a VM that callers connect to.');
@@ -117,6 +117,8 @@
 			return;
 		}
 
+		// The file may have changed without a signal, and says when the process is killed.
+		reloadSettings('stop');
 		log.audit('Entry stops.', {inProgress: gateway.inProgress});
 		void (async () => {
 			await stop.run(settings().stopGraceMs);
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -18,6 +18,9 @@
 export type NodeContext = {
 	/** Current settings, which are replaced when the settings file changes. */
 	readonly settings: () => NodeSettings;
+
+	/** Reads the settings file now. If it is invalid, the current settings stay. */
+	readonly reloadSettings: (cause: 'signal' | 'file changed' | 'stop') => void;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Log;
@@ -124,7 +127,7 @@
 		region: settings.region, regions: [...new Set(settings.regions.values())],
 	}).start();
 	peerServer.method(CHANGES_METHOD, (question: PeerQuestion) => follower.answerPeer(question));
-	const reload = (cause: string): void => {
+	const reloadSettings: NodeContext['reloadSettings'] = cause => {
 		const next = rereadSettings(log);
 		if (next && JSON.stringify(next) !== JSON.stringify(settings)) {
 			settings = next;
@@ -135,10 +138,10 @@
 	};
 
 	process.on('SIGHUP', () => {
-		reload('signal');
+		reloadSettings('signal');
 	});
 	const settingsTimer = setInterval(() => {
-		reload('file changed');
+		reloadSettings('file changed');
 	}, SETTINGS_CHECK_MS);
 	process.on('unhandledRejection', reason => {
 		log.error('A promise was rejected without a handler.', {error: reason instanceof Error ? reason.stack : String(reason)});
@@ -148,6 +151,7 @@
 	});
 	return {
 		settings: () => settings,
+		reloadSettings,
 		clock, random, log, metrics, store, view, follower, peers, peerServer,
 		peerAddress: ip => `${ip}:${settings.firstPeerPort}`,
 		async close() {
--- a/packages/node/src/testing/entry-fleet.ts
+++ b/packages/node/src/testing/entry-fleet.ts
@@ -56,13 +56,15 @@
 	readonly store = new StoreStandIn();
 	readonly #ips: readonly string[];
 	readonly #upstreamAddress: string;
+	readonly #stopGraceMs: number;
 	readonly #entries = new Map<string, ChildProcess>();
 	#directory = '';
 
 	/** @param ips addresses of the entries @param upstreamAddress `IP:port` of the only upstream, which need not exist */
-	constructor({ips, upstreamAddress = '127.0.0.1:1'}: {readonly ips: readonly string[]; readonly upstreamAddress?: string}) {
+	constructor({ips, upstreamAddress = '127.0.0.1:1', stopGraceMs = STOP_GRACE_MS}: {readonly ips: readonly string[]; readonly upstreamAddress?: string; readonly stopGraceMs?: number}) {
 		this.#ips = ips;
 		this.#upstreamAddress = upstreamAddress;
+		this.#stopGraceMs = stopGraceMs;
 	}
 
 	/** Starts all entries. @throws {Error} if they are not ready and listed in time */
@@ -87,12 +89,16 @@
 	}
 
 	async startEntry(ip: string): Promise<void> {
-		const settings = path.join(this.#directory, `${ip}.conf`);
-		await writeFile(settings, settingsText({
-			vm: ip, ip, storeAddress: this.store.address, entryIps: this.#ips.filter(other => other !== ip), bounds: {...DEFAULT_FLEET_BOUNDS, stopGraceMs: STOP_GRACE_MS},
-		}));
+		await this.writeSettings(ip, {stopGraceMs: this.#stopGraceMs});
 		this.#entries.set(ip, spawn(process.execPath, [fileURLToPath(new URL('../main.js', import.meta.url)), 'entry'], {
-			env: {...process.env, ...settingsEnvironment(settings)}, stdio: ['ignore', 'ignore', 'inherit'],
+			env: {...process.env, ...settingsEnvironment(this.#settingsPath(ip))}, stdio: ['ignore', 'ignore', 'inherit'],
+		}));
+	}
+
+	/** Writes the settings file of an entry, without a signal to it. */
+	async writeSettings(ip: string, {stopGraceMs}: {readonly stopGraceMs: number}): Promise<void> {
+		await writeFile(this.#settingsPath(ip), settingsText({
+			vm: ip, ip, storeAddress: this.store.address, entryIps: this.#ips.filter(other => other !== ip), bounds: {...DEFAULT_FLEET_BOUNDS, stopGraceMs},
 		}));
 	}
 
@@ -132,6 +138,10 @@
 		await rm(this.#directory, {recursive: true});
 	}
 
+	#settingsPath(ip: string): string {
+		return path.join(this.#directory, `${ip}.conf`);
+	}
+
 	async #areReady(): Promise<boolean> {
 		const {ready} = await this.sample(0);
 		return ready === this.#ips.length;
