Log all answers that a stop cuts, with the times that tell why they were admitted

The count of what was left out is written by a later line, which never comes in a process that ends.

Change: no limit for lost answers, of which there is at most one line for each open request. The lines have the latest times, too (readAfterStopMs, lastRemainingMs), because those decide on the admission. A request that fails inside the gateway is named.

--- a/packages/gateway/src/decision-log.test.ts
+++ b/packages/gateway/src/decision-log.test.ts
@@ -26,6 +26,10 @@
 				decisions.unusual(`request-${i}`, 'The caller left.', () => ({}));
 			}
 
+			for (let i = 0; i < REQUESTS; i++) {
+				decisions.lost(`request-${i}`, 'An answer was cut.', {});
+			}
+
 			lines = written;
 		});
 
@@ -39,6 +43,11 @@
 			expect(idsOf('Placed.').length).to.be.within(REQUESTS / 64, REQUESTS / 16);
 		});
 
+		// A stop cuts all that is left in the same moment.
+		it('keeps all lost answers', () => {
+			expect(idsOf('An answer was cut.').length).to.equal(REQUESTS);
+		});
+
 		it('limits the unusual decisions on other requests', () => {
 			expect(idsOf('The caller left.').length - idsOf('Placed.').length).to.equal(100);
 		});
--- a/packages/gateway/src/final-answers.ts
+++ b/packages/gateway/src/final-answers.ts
@@ -6,7 +6,7 @@
 import {sendGatewayAnswer} from './own-answer.js';
 import type {PlacementResult} from './placement.js';
 import type {EarlyEnd, SendResult} from './send-result.js';
-import {pathFields, timeFields} from './time-fields.js';
+import {latestTimeFields, pathFields, timeFields} from './time-fields.js';
 import type {GatewayAnswer} from './types.js';
 import type {ConnectedUpstream} from './upstream-states.js';
 
@@ -27,7 +27,7 @@
 	readonly progress: () => ExchangeProgress;
 };
 
-/** Why there is no answer of an upstream. */
+/** Why a caller does not get the whole answer of an upstream. */
 type AnswerEnding = {
 	readonly cause: string;
 	readonly detail?: string;
@@ -66,7 +66,11 @@
 			}, {cause: 'crashes'});
 	}
 
-	/** This entry ends before it could answer. @param state the upstream that worked on the request; undefined if none did */
+	/**
+	This entry ends before it could answer.
+
+	@param state the upstream that worked on the request; undefined if none did
+	*/
 	stopping(state?: ConnectedUpstream): void {
 		const {random} = this.#options.context;
 		const {mayHaveRun} = this.#reject('stopping', timeFields(this.#options.context, this.#options.request));
@@ -139,11 +143,9 @@
 		const {context, request, progress} = this.#options;
 		const {requestId, route} = request;
 		context.metrics.count('gateway.cut_answers', {cause});
-		context.decisions.lost(requestId, message, () => {
-			const {sends, events} = progress();
-			return {
-				route: route.name, cause, detail, upstream: state?.upstream.id, sends, events, ...timeFields(context, request), ...pathFields(context, state),
-			};
+		const {sends, events} = progress();
+		context.decisions.lost(requestId, message, {
+			route: route.name, cause, detail, upstream: state?.upstream.id, sends, events, ...timeFields(context, request), ...latestTimeFields(context, request), ...pathFields(context, state),
 		});
 	}
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -272,7 +272,7 @@
 			}
 		} catch (error) {
 			this.#options.metrics.count('gateway.faults');
-			this.#log.error('A request failed inside the gateway.', {error: error instanceof Error ? error.stack : describeError(error)});
+			this.#log.error('A request failed inside the gateway.', {requestId: this.#context.codec.readCallerHeaders(request.headers).requestId, error: error instanceof Error ? error.stack : describeError(error)});
 			response.destroy();
 		} finally {
 			this.#inProgress--;
--- a/packages/gateway/src/time-fields.ts
+++ b/packages/gateway/src/time-fields.ts
@@ -13,6 +13,15 @@
 	};
 };
 
+/**
+Log fields that count from the latest moments: the time after the beginning of a stop at which the request was read, and the time
+that its caller may still wait. Those of {@link timeFields} count from the earliest arrival.
+*/
+export const latestTimeFields = ({clock, stopLimit}: Pick<GatewayContext, 'clock' | 'stopLimit'>, {readAt, lastDeadlineAt}: Pick<AcceptedRequest, 'readAt' | 'lastDeadlineAt'>): LogFields => {
+	const {startedAt} = stopLimit.times ?? {};
+	return {readAfterStopMs: startedAt === undefined ? undefined : Math.round(readAt - startedAt), lastRemainingMs: Math.round(lastDeadlineAt - clock.monotonic())};
+};
+
 /**
 Log fields that tell whether requests lie on the way to an upstream: what was written and not confirmed, for how long, and the
 time since any data came from it.
