Keep an answer in progress until its caller's own limit if the route allows

What callers saw: a stream whose request was read late was ended before the caller's own time limit, up to 0.95 s before it by the entry, and up to 1.35 s by a worker that stops at the value that it gets.

Cause: a request that is read late may have come as early as the busy time began, and its time counts from then. An answer in progress was given back 0.4 s of that at most. The reason for this cap is the timeout of the route, half a second after which operators want a final answer, but it was applied to the caller's own limit also where that is shorter.

Change: an answer in progress ends at the caller's latest possible limit, and 0.4 s after the timeout of the route, counted from the earliest arrival, if that is sooner. It never ends earlier than before. What upstreams are told does not change.

Who gains: callers with less time than the timeout of the route, whose answer arrives after the value that its worker was given.

--- a/packages/gateway/src/accepted-request.ts
+++ b/packages/gateway/src/accepted-request.ts
@@ -32,7 +32,7 @@
 
 	/**
 	Monotonic time in milliseconds at which an answer in progress ends. The deadline counts from the earliest arrival, and the
-	caller may have more time.
+	caller may have more time, which ends soon after the timeout of the route.
 	*/
 	readonly endsAt: number;
 } & CallerTimes;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -119,7 +119,7 @@
 export const DEFAULT_STOP_LISTENING_MS = 500;
 
 /**
-Longest time after its deadline for which an answer in progress goes on, in milliseconds, because the request may have arrived
-later than assumed. Operators allow half a second.
+Longest time after the timeout of its route for which an answer in progress goes on, in milliseconds, because the request may have
+arrived later than assumed. Operators allow half a second.
 */
 export const MAX_ANSWER_OVERTIME_MS = 400;
--- a/packages/gateway/src/request-intake.ts
+++ b/packages/gateway/src/request-intake.ts
@@ -92,6 +92,7 @@
 
 		metrics.count('gateway.requests', {service});
 		retryBudgetOf(service).countRequest(clock.monotonic());
+		const lastDeadlineAt = readAt + Math.min(caller.remainingMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
 		const times = callerTimes({
 			arrivedAt, remainingMs: caller.remainingMs ?? DEFAULT_DEADLINE_MS, timeoutMs: route.timeoutMs, goalMs: route.goalMs,
 		});
@@ -107,8 +108,8 @@
 			sharedParts: caller.sharedParts,
 			arrivedAt,
 			readAt: clock.monotonic(),
-			lastDeadlineAt: times.deadlineAt + readAt - arrivedAt,
-			endsAt: times.deadlineAt + Math.min(readAt - arrivedAt, MAX_ANSWER_OVERTIME_MS),
+			lastDeadlineAt,
+			endsAt: Math.min(lastDeadlineAt, arrivedAt + route.timeoutMs + MAX_ANSWER_OVERTIME_MS),
 			...times,
 		};
 	}
