Name the times of a late request after what they count from

Found by the review: two fields were called readAt, one for the head and one for the whole request, and the admission had other names for the values that it gets. headReadAt, bodyReadAt, lastDeadlineAt and sentAfterMs replace them.

--- a/packages/dispatch/src/stop-admission.test.ts
+++ b/packages/dispatch/src/stop-admission.test.ts
@@ -9,7 +9,7 @@
 
 /** A request of a stopping entry that has 2 s left; its caller waits for 6 s. */
 const request = (changes: Partial<LateRequest> = {}): LateRequest => ({
-	now: 1000, answerBy: 3000, deadlineAt: 7000, isRepeatable: true, isStream: true, arrivedAfterMs: 500, observed: observed(50, 1200), ...changes,
+	now: 1000, answerBy: 3000, lastDeadlineAt: 7000, isRepeatable: true, isStream: true, sentAfterMs: 500, observed: observed(50, 1200), ...changes,
 });
 
 describe('isAnswerable', () => {
@@ -34,45 +34,45 @@
 
 	describe('for a request whose deadline is earlier', () => {
 		it('accepts it whatever is known of its route', () => {
-			expect(isAnswerable(request({deadlineAt: 2900, observed: observed(0, 0), isRepeatable: false}))).to.equal(true);
-			expect(isAnswerable(request({deadlineAt: 2900, observed: observed(50, 5000)}))).to.equal(true);
+			expect(isAnswerable(request({lastDeadlineAt: 2900, observed: observed(0, 0), isRepeatable: false}))).to.equal(true);
+			expect(isAnswerable(request({lastDeadlineAt: 2900, observed: observed(50, 5000)}))).to.equal(true);
 		});
 	});
 
 	// Guards against an answer that is cut because it takes longer than all others did lately.
 	describe('for a stream that arrives after the load balancer has removed the entry', () => {
 		it('goes by how long others took until 2.9 s after the beginning of the stop', () => {
-			expect(isAnswerable(request({arrivedAfterMs: 2900}))).to.equal(true);
-			expect(isAnswerable(request({arrivedAfterMs: 2901}))).to.equal(false);
+			expect(isAnswerable(request({sentAfterMs: 2900}))).to.equal(true);
+			expect(isAnswerable(request({sentAfterMs: 2901}))).to.equal(false);
 		});
 
 		it('refuses it unless its deadline is earlier, however short the answers of its route were lately', () => {
 			for (const isRepeatable of [true, false]) {
-				expect(isAnswerable(request({arrivedAfterMs: 3001, isRepeatable, observed: observed(500, 20)}))).to.equal(false);
-				expect(isAnswerable(request({arrivedAfterMs: 3001, isRepeatable, deadlineAt: 2900}))).to.equal(true);
+				expect(isAnswerable(request({sentAfterMs: 3001, isRepeatable, observed: observed(500, 20)}))).to.equal(false);
+				expect(isAnswerable(request({sentAfterMs: 3001, isRepeatable, lastDeadlineAt: 2900}))).to.equal(true);
 			}
 		});
 
 		it('goes by how long others took where a failure can replace the answer', () => {
-			expect(isAnswerable(request({arrivedAfterMs: 3001, isStream: false, observed: observed(500, 900)}))).to.equal(true);
+			expect(isAnswerable(request({sentAfterMs: 3001, isStream: false, observed: observed(500, 900)}))).to.equal(true);
 		});
 
 		it('refuses it as a stream where a part of an answer was passed on before its end', () => {
-			const late = request({arrivedAfterMs: 3001, isStream: false, observed: observed(500, 20, true)});
+			const late = request({sentAfterMs: 3001, isStream: false, observed: observed(500, 20, true)});
 			expect(isAnswerable(late)).to.equal(false);
-			expect(isAnswerable({...late, deadlineAt: 2900})).to.equal(true);
-			expect(isAnswerable({...late, arrivedAfterMs: 500})).to.equal(true);
+			expect(isAnswerable({...late, lastDeadlineAt: 2900})).to.equal(true);
+			expect(isAnswerable({...late, sentAfterMs: 500})).to.equal(true);
 		});
 
 		// Its worker may preempt it in its middle.
 		it('refuses it however little time the published costs of its engine allow, unless its deadline is earlier', () => {
-			expect(isAnswerable(request({arrivedAfterMs: 3001, boundMs: 20}))).to.equal(false);
-			expect(isAnswerable(request({arrivedAfterMs: 3001, boundMs: 900, deadlineAt: 2900}))).to.equal(true);
+			expect(isAnswerable(request({sentAfterMs: 3001, boundMs: 20}))).to.equal(false);
+			expect(isAnswerable(request({sentAfterMs: 3001, boundMs: 900, lastDeadlineAt: 2900}))).to.equal(true);
 		});
 	});
 
 	it('refuses everything from the time on at which the last answers must have ended', () => {
-		expect(isAnswerable(request({now: 3000, deadlineAt: 3000}))).to.equal(false);
+		expect(isAnswerable(request({now: 3000, lastDeadlineAt: 3000}))).to.equal(false);
 	});
 });
 
--- a/packages/dispatch/src/stop-admission.ts
+++ b/packages/dispatch/src/stop-admission.ts
@@ -6,10 +6,11 @@
 
 An answer that is passed on as it arrives can only be cut once it has begun, and nothing but its deadline bounds it: a worker may
 preempt it, turn slow or load other weights in its middle, whatever its published costs and other answers say. So the deadline counts
-for all streams that callers send after they can know of the stop, and for all requests on routes with answers too large to be kept.
+for all streams, and for all requests on routes with answers too large to be kept, except for those of the first seconds.
 
-Elsewhere little is lost by a limit that is too short: other answers are replaced by a failure as long as they have not begun, and the requests of the first seconds would fail at once without it, as the load balancer has not removed this entry yet.
-There the published costs of an engine count, and without them how long others took.
+Elsewhere little is lost by a limit that is too short: other answers are replaced by a failure as long as they have not begun, and
+operators allow for cuts of what was sent in the first seconds, when the load balancer still uses this entry. There the published
+costs of an engine count, and without them how long others took.
 */
 import {
 	BOUNDED_ANSWER_FACTOR, MIN_OBSERVED_ANSWERS, ONCE_ANSWER_FACTOR, REPEATABLE_ANSWER_FACTOR, UNREMOVED_MS,
@@ -20,7 +21,7 @@
 	/** Monotonic times in milliseconds: now, when the entry's last answers must have ended, and when the caller stops waiting at the latest. */
 	readonly now: number;
 	readonly answerBy: number;
-	readonly deadlineAt: number;
+	readonly lastDeadlineAt: number;
 
 	/** Whether the request may run again elsewhere if it is cut. */
 	readonly isRepeatable: boolean;
@@ -32,16 +33,16 @@
 	readonly boundMs?: number;
 
 	/** Longest time from the beginning of the stop until the caller had sent the request, in milliseconds; negative if it was read before. */
-	readonly arrivedAfterMs: number;
+	readonly sentAfterMs: number;
 
 	/** Answers to requests on the same route. */
 	readonly observed: ObservedAnswers;
 };
 
 /** Time in milliseconds after which the answer has very likely ended. */
-const expectedEndMs = ({now, deadlineAt, isRepeatable, isStream, boundMs, arrivedAfterMs, observed: {count, longestMs, hasPartial}}: LateRequest): number => {
-	const untilDeadlineMs = deadlineAt - now;
-	if ((isStream || hasPartial) && arrivedAfterMs > UNREMOVED_MS) {
+const expectedEndMs = ({now, lastDeadlineAt, isRepeatable, isStream, boundMs, sentAfterMs, observed: {count, longestMs, hasPartial}}: LateRequest): number => {
+	const untilDeadlineMs = lastDeadlineAt - now;
+	if ((isStream || hasPartial) && sentAfterMs > UNREMOVED_MS) {
 		return untilDeadlineMs;
 	}
 
--- a/packages/gateway/src/accepted-request.ts
+++ b/packages/gateway/src/accepted-request.ts
@@ -25,7 +25,7 @@
 	readonly arrivedAt: number;
 
 	/** Monotonic time in milliseconds at which this entry had read all of the request. */
-	readonly readAt: number;
+	readonly bodyReadAt: number;
 
 	/** Latest monotonic time in milliseconds at which the caller stops waiting. The deadline is the earliest. */
 	readonly lastDeadlineAt: number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -252,8 +252,8 @@
 	}
 
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const readAt = this.#context.clock.monotonic();
-		this.#usedAt = readAt;
+		const headReadAt = this.#context.clock.monotonic();
+		this.#usedAt = headReadAt;
 		const arrivedAt = this.#connections.arrivalOf(request.socket, this.#context.readDelay.boundMs);
 		const departure = this.#connections.departureDuring(response, request.socket);
 		this.#inProgress++;
@@ -263,7 +263,7 @@
 		});
 		try {
 			const accepted = await this.#intake.accept({
-				message: request, response, departure, arrivedAt, readAt,
+				message: request, response, departure, arrivedAt, headReadAt,
 			});
 			if (accepted) {
 				await this.exchanges.run(new Exchange({
--- a/packages/gateway/src/request-intake.ts
+++ b/packages/gateway/src/request-intake.ts
@@ -26,7 +26,7 @@
 	readonly arrivedAt: number;
 
 	/** Monotonic time in milliseconds at which its head was read. */
-	readonly readAt: number;
+	readonly headReadAt: number;
 };
 
 /** What the head of a request leads to. */
@@ -69,7 +69,7 @@
 
 	async #read(arrived: ArrivedRequest): Promise<AcceptedRequest | undefined> {
 		const {codec, clock, random, metrics, retryBudgetOf} = this.#options;
-		const {message, arrivedAt, readAt} = arrived;
+		const {message, arrivedAt, headReadAt} = arrived;
 		const caller = codec.readCallerHeaders(message.headers);
 		const destination = this.#destinationOf(message, caller);
 		if ('status' in destination) {
@@ -92,7 +92,7 @@
 
 		metrics.count('gateway.requests', {service});
 		retryBudgetOf(service).countRequest(clock.monotonic());
-		const lastDeadlineAt = readAt + Math.min(caller.remainingMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
+		const lastDeadlineAt = headReadAt + Math.min(caller.remainingMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
 		const times = callerTimes({
 			arrivedAt, remainingMs: caller.remainingMs ?? DEFAULT_DEADLINE_MS, timeoutMs: route.timeoutMs, goalMs: route.goalMs,
 		});
@@ -107,7 +107,7 @@
 			answerTokens: caller.answerTokens,
 			sharedParts: caller.sharedParts,
 			arrivedAt,
-			readAt: clock.monotonic(),
+			bodyReadAt: clock.monotonic(),
 			lastDeadlineAt,
 			endsAt: Math.min(lastDeadlineAt, arrivedAt + route.timeoutMs + MAX_ANSWER_OVERTIME_MS),
 			...times,
--- a/packages/gateway/src/stop-limit.test.ts
+++ b/packages/gateway/src/stop-limit.test.ts
@@ -23,8 +23,8 @@
 	let now: number;
 	let limit: StopLimit;
 
-	const canAnswer = (answerTokens: number | undefined, {readAt = now, lastDeadlineAt = now + 20_000} = {}): boolean => limit.canAnswer({
-		route, table, service: 'engines', promptTokens: 200, answerTokens, readAt, lastDeadlineAt,
+	const canAnswer = (answerTokens: number | undefined, {bodyReadAt = now, lastDeadlineAt = now + 20_000} = {}): boolean => limit.canAnswer({
+		route, table, service: 'engines', promptTokens: 200, answerTokens, bodyReadAt, lastDeadlineAt,
 	});
 
 	beforeEach(() => {
@@ -55,7 +55,7 @@
 		limit.set({startedAt: now - 3001, answerBy: now + 2000});
 		for (const answerTokens of [undefined, 10]) {
 			expect(canAnswer(answerTokens)).to.equal(false);
-			expect(canAnswer(answerTokens, {readAt: now - 1000})).to.equal(true);
+			expect(canAnswer(answerTokens, {bodyReadAt: now - 1000})).to.equal(true);
 			expect(canAnswer(answerTokens, {lastDeadlineAt: now + 1900})).to.equal(true);
 		}
 	});
--- a/packages/gateway/src/stop-limit.ts
+++ b/packages/gateway/src/stop-limit.ts
@@ -6,7 +6,7 @@
 import type {AcceptedRequest} from './accepted-request.js';
 
 /** What the time that an answer takes depends on. */
-type AdmittedRequest = Pick<AcceptedRequest, 'route' | 'table' | 'service' | 'promptTokens' | 'answerTokens' | 'readAt' | 'lastDeadlineAt'>;
+type AdmittedRequest = Pick<AcceptedRequest, 'route' | 'table' | 'service' | 'promptTokens' | 'answerTokens' | 'bodyReadAt' | 'lastDeadlineAt'>;
 
 export type StopLimitOptions = {readonly clock: Pick<Clock, 'monotonic'>};
 
@@ -49,7 +49,7 @@
 	}
 
 	/** Whether a request that is sent to an upstream now can be answered before this entry ends. */
-	canAnswer({route, table, service, promptTokens, answerTokens, readAt, lastDeadlineAt}: AdmittedRequest): boolean {
+	canAnswer({route, table, service, promptTokens, answerTokens, bodyReadAt, lastDeadlineAt}: AdmittedRequest): boolean {
 		if (this.#stop === undefined) {
 			return true;
 		}
@@ -59,10 +59,10 @@
 		return isAnswerable({
 			now,
 			answerBy: this.#stop.answerBy,
-			deadlineAt: lastDeadlineAt,
+			lastDeadlineAt,
 			isRepeatable: isRetryable(route),
 			isStream: route.kind === 'stream',
-			arrivedAfterMs: readAt - this.#stop.startedAt,
+			sentAfterMs: bodyReadAt - this.#stop.startedAt,
 			observed: this.#answerTimes.of(route.name, now),
 			boundMs: engine && answerTokens !== undefined ? longestAnswerMs(engine, {promptTokens, answerTokens}) : undefined,
 		});
--- a/packages/gateway/src/time-fields.ts
+++ b/packages/gateway/src/time-fields.ts
@@ -17,9 +17,9 @@
 Log fields that count from the latest moments: the time after the beginning of a stop at which the request was read, and the time
 that its caller may still wait. Those of {@link timeFields} count from the earliest arrival.
 */
-export const latestTimeFields = ({clock, stopLimit}: Pick<GatewayContext, 'clock' | 'stopLimit'>, {readAt, lastDeadlineAt}: Pick<AcceptedRequest, 'readAt' | 'lastDeadlineAt'>): LogFields => {
+export const latestTimeFields = ({clock, stopLimit}: Pick<GatewayContext, 'clock' | 'stopLimit'>, {bodyReadAt, lastDeadlineAt}: Pick<AcceptedRequest, 'bodyReadAt' | 'lastDeadlineAt'>): LogFields => {
 	const {startedAt} = stopLimit.times ?? {};
-	return {readAfterStopMs: startedAt === undefined ? undefined : Math.round(readAt - startedAt), lastRemainingMs: Math.round(lastDeadlineAt - clock.monotonic())};
+	return {readAfterStopMs: startedAt === undefined ? undefined : Math.round(bodyReadAt - startedAt), lastRemainingMs: Math.round(lastDeadlineAt - clock.monotonic())};
 };
 
 /**
