Don't leave a silent upstream when no other one can begin in time

What callers saw in a test: a request that may be repeated, or a stream without an event yet, got 504 "The time limit was reached." 1.2 to 1.3 s before its limit, though its upstream was about to answer and did so within the limit.

Cause: silence made the entry give up on the upstream if the retry was allowed and a slot free, without a look at the time that a start takes. The next send then found too little time, by the shortest time to first data of late, and the request ended.

Change: silence is a reason to leave, or to ask another upstream beside, only while another one may begin in the time that is left. Requests on their way to an upstream that leaves are still withdrawn as before, as they must not reach it late.

--- a/packages/gateway/src/request-sender.ts
+++ b/packages/gateway/src/request-sender.ts
@@ -143,6 +143,7 @@
 			noDataTimeoutMs: () => needs.noDataTimeoutMs(state, {hasAnswerBegun: timing.firstDataAt !== undefined}),
 			pathSilenceMs: () => needs.pathSilenceMs(),
 			canRetryElsewhere: () => canRetryElsewhere(state),
+			hasTimeElsewhere: () => this.hasTime,
 			msUntilCancel: () => needs.msUntilCancel(state, versionAtSend),
 			msSinceExpiry: version => needs.msSinceExpiry(version),
 		});
--- a/packages/gateway/src/transmit-options.ts
+++ b/packages/gateway/src/transmit-options.ts
@@ -34,6 +34,9 @@
 	readonly noDataTimeoutMs: () => number | undefined;
 	readonly canRetryElsewhere: () => boolean;
 
+	/** Whether another upstream may begin an answer in the time that is left. If not, silence is no reason to leave this one. */
+	readonly hasTimeElsewhere: () => boolean;
+
 	/** Time in milliseconds after which an answer that has not begun counts as delayed on its way. */
 	readonly pathSilenceMs: () => number;
 
--- a/packages/gateway/src/transmit.ts
+++ b/packages/gateway/src/transmit.ts
@@ -67,7 +67,7 @@
 		this.#silence = new SilenceWatch({
 			clock: options.context.clock, limitMs: options.noDataTimeoutMs,
 			// An answer that is being forwarded can no longer be replaced. While the caller reads nothing, nothing is read from the upstream.
-			canGiveUp: () => !this.#bufferedAnswer?.hasBegunForwarding && !options.response.writableNeedDrain && options.canRetryElsewhere(),
+			canGiveUp: () => !this.#bufferedAnswer?.hasBegunForwarding && !options.response.writableNeedDrain && options.hasTimeElsewhere() && options.canRetryElsewhere(),
 			onSilence: silentMs => {
 				this.#handleSilence(silentMs);
 			},
