--- a/packages/node/src/late-streams.test.ts
+++ b/packages/node/src/late-streams.test.ts
@@ -5,7 +5,8 @@
 } from '@yuccawood/platform/testing';
 import {expect} from 'chai';
 import {EntryFleet} from './testing/entry-fleet.js';
-import {KeptCaller, type Outcome} from './testing/kept-caller.js';
+import type {Outcome} from './testing/kept-caller.js';
+import {LateCallers} from './testing/late-callers.js';
 
 const ENTRY_IP = '127.0.50.1';
 const TIMEOUT_MS = 6000;
@@ -13,6 +14,9 @@
 /** Times after SIGTERM. The load balancer may use the entry until 3 s. */
 const SENT_AFTER_MS = [3200, 3600, 4000, 4400, 4800, 5200] as const;
 
+/** Enough for the share of an entry that assumes others, with all requests at once. */
+const MAX_CONNECTIONS = 1000;
+
 const clock = new SystemClock();
 
 /** An answer of 50 tokens takes a full engine of these costs about 0.9 s. */
@@ -20,6 +24,9 @@
 	models: [{name: 'm'}], slots: 32, step_ms: 10, per_seq_ms: 0, stride: 1, read_per_s: 30_000, chunk: 100, usual: {prompt: 100, answer: 50}, layers: 4,
 };
 
+/** Numbers of tokens of the prompt and of the answer. */
+const TOKENS = {'yuccawood-token-count': '100,50'};
+
 type Item = Readonly<Record<string, unknown>>;
 
 /** Lists a plain upstream and an engine. The route of earlier streams leads to the plain one, so they say nothing of the engine's answers. */
@@ -29,7 +36,7 @@
 	const earlier = {
 		...routes.find(({name}) => name === 'stream'), name: 'earlier', prefix: '/stream/earlier/', service: PLAIN_SERVICE,
 	};
-	const services = configuration.services.map(service => service.name === ENGINE_SERVICE ? {...service, engine: ENGINE} : service);
+	const services = configuration.services.map(service => ({...service, maxConns: MAX_CONNECTIONS, ...(service.name === ENGINE_SERVICE && {engine: ENGINE})}));
 	store.put(CONFIGURATION_KEY, {
 		...configuration, version: 2, routes: [...routes, earlier], services,
 	});
@@ -49,10 +56,14 @@
 	let workers: readonly PacedWorker[];
 	let fleet: EntryFleet;
 	let seen: Set<string>;
-	let callers: KeptCaller[];
+	let callers: LateCallers;
 
 	beforeEach(async () => {
-		[seen, callers] = [new Set(), []];
+		seen = new Set();
+		const lateCallers = new LateCallers({
+			ip: ENTRY_IP, seen, earlierPath: '/stream/earlier/x?ms=', timeoutMs: TIMEOUT_MS,
+		});
+		callers = lateCallers;
 		workers = Array.from({length: 2}, () => new PacedWorker(id => {
 			seen.add(id);
 		}));
@@ -62,7 +73,10 @@
 		putServices(fleet.store, workers.map(({address}) => address));
 		const end = clock.monotonic() + 8000;
 		for (let attempt = 0; ; attempt++) {
-			const outcomes = await Promise.all(['stream/earlier', 'stream'].map(async name => connect().call({id: `first-${name}-${attempt}`, path: `/${name}/x?ms=150`, remainingMs: TIMEOUT_MS})));
+			const outcomes = await Promise.all(['stream/earlier', 'stream'].map(async name => {
+				const id = `first-${name}-${attempt}`;
+				return lateCallers.connect().call({id, path: `/${name}/x?ms=150`, remainingMs: TIMEOUT_MS});
+			}));
 			if (outcomes.every(({status, isComplete}) => status === 200 && isComplete)) {
 				return;
 			}
@@ -73,49 +87,14 @@
 	});
 
 	afterEach(async () => {
-		for (const caller of callers) {
-			caller.close();
-		}
-
+		callers.close();
 		await fleet.close();
 		await Promise.all(workers.map(async worker => worker.close()));
 	});
 
-	const connect = (): KeptCaller => {
-		const caller = new KeptCaller(ENTRY_IP);
-		callers.push(caller);
-		return caller;
-	};
-
-	/** Sends a stream on a connection that is in use until then. */
-	const callLate = async (afterMs: number, {path, remainingMs}: {readonly path: string; readonly remainingMs: number}): Promise<Outcome> => {
-		const caller = connect();
-		await caller.call({id: `earlier-${afterMs}-${path}`, path: `/stream/earlier/x?ms=${afterMs}`, remainingMs: TIMEOUT_MS});
-		return caller.call({
-			id: `late-${afterMs}-${path}`, path, remainingMs, headers: {'yuccawood-token-count': '100,50'},
-		});
-	};
-
-	const stopAndCall = async (calls: ReadonlyArray<{readonly path: string; readonly remainingMs: number}>): Promise<readonly Outcome[]> => {
-		const seenBefore = seen.size;
-		const outcomes = SENT_AFTER_MS.flatMap(afterMs => calls.map(async call => callLate(afterMs, call)));
-		// The head of an answer that begins later tells the caller to open a new connection.
-		while (seen.size < seenBefore + outcomes.length) {
-			await clock.sleep(10);
-		}
-
-		await clock.sleep(100);
-		fleet.stop(ENTRY_IP);
-		return Promise.all(outcomes);
-	};
-
-	/** Requests that were passed on and have no complete answer. */
-	const cut = (outcomes: readonly Outcome[]): readonly string[] =>
-		outcomes.filter(({id, isComplete}) => seen.has(id) && !isComplete).map(({id, tookMs}) => `${id}: cut after ${Math.round(tookMs)} ms`);
-
 	it('cuts none of them when its worker preempts the newest ones', async () => {
-		const outcomes = await stopAndCall([2000, 2600, 3500].map(pauseMs => ({path: `/stream/x?ms=1000&pause=${pauseMs}`, remainingMs: TIMEOUT_MS})));
-		expect(cut(outcomes)).to.deep.equal([]);
+		const outcomes = await callers.stopAndCall(fleet, [2000, 2600, 3500].map(pauseMs => ({path: `/stream/x?ms=1000&pause=${pauseMs}`, remainingMs: TIMEOUT_MS, headers: TOKENS})), SENT_AFTER_MS);
+		expect(callers.cut(outcomes)).to.deep.equal([]);
 		for (const {id, status, headers} of outcomes.filter(({status}) => status !== 200)) {
 			expect(status, id).to.equal(503);
 			expect(Number(headers['retry-after']), id).to.be.within(0.01, 2);
@@ -124,7 +103,7 @@
 	}).timeout(30_000);
 
 	it('serves those whose callers stop waiting before it ends', async () => {
-		const outcomes = await stopAndCall([{path: '/stream/x?ms=1000', remainingMs: 1800}]);
+		const outcomes = await callers.stopAndCall(fleet, [{path: '/stream/x?ms=1000', remainingMs: 1800, headers: TOKENS}], SENT_AFTER_MS);
 		expect(outcomes.filter(({status, isComplete}) => status !== 200 || !isComplete)).to.deep.equal([]);
 	}).timeout(30_000);
 });
