--- a/packages/node/src/late-streams.test.ts
+++ b/packages/node/src/late-streams.test.ts
@@ -24,8 +24,7 @@
 	models: [{name: 'm'}], slots: 32, step_ms: 10, per_seq_ms: 0, stride: 1, read_per_s: 30_000, chunk: 100, usual: {prompt: 100, answer: 50}, layers: 4,
 };
 
-/** Numbers of tokens of the prompt and of the answer. */
-const TOKENS = {'yuccawood-token-count': '100,50'};
+const TOKENS = {prompt: 100, answer: 50};
 
 type Item = Readonly<Record<string, unknown>>;
 
@@ -93,7 +92,7 @@
 	});
 
 	it('cuts none of them when its worker preempts the newest ones', async () => {
-		const outcomes = await callers.stopAndCall(fleet, [2000, 2600, 3500].map(pauseMs => ({path: `/stream/x?ms=1000&pause=${pauseMs}`, remainingMs: TIMEOUT_MS, headers: TOKENS})), SENT_AFTER_MS);
+		const outcomes = await callers.stopAndCall(fleet, [2000, 2600, 3500].map(pauseMs => ({path: `/stream/x?ms=1000&pause=${pauseMs}`, remainingMs: TIMEOUT_MS, tokens: TOKENS})), SENT_AFTER_MS);
 		expect(callers.cut(outcomes)).to.deep.equal([]);
 		for (const {id, status, headers} of outcomes.filter(({status}) => status !== 200)) {
 			expect(status, id).to.equal(503);
@@ -103,7 +102,7 @@
 	}).timeout(30_000);
 
 	it('serves those whose callers stop waiting before it ends', async () => {
-		const outcomes = await callers.stopAndCall(fleet, [{path: '/stream/x?ms=1000', remainingMs: 1800, headers: TOKENS}], SENT_AFTER_MS);
+		const outcomes = await callers.stopAndCall(fleet, [{path: '/stream/x?ms=1000', remainingMs: 1800, tokens: TOKENS}], SENT_AFTER_MS);
 		expect(outcomes.filter(({status, isComplete}) => status !== 200 || !isComplete)).to.deep.equal([]);
 	}).timeout(30_000);
 });
--- a/packages/node/src/testing/kept-caller.ts
+++ b/packages/node/src/testing/kept-caller.ts
@@ -22,7 +22,9 @@
 	/** Path and query. */
 	readonly path: string;
 	readonly remainingMs: number;
-	readonly headers?: http.OutgoingHttpHeaders;
+
+	/** Numbers of tokens of the prompt, and of the answer at most. */
+	readonly tokens?: {readonly prompt: number; readonly answer: number};
 
 	/** Resolves when the last byte of the request may be sent. */
 	readonly beforeBody?: Promise<void>;
@@ -39,10 +41,10 @@
 		this.#ip = ip;
 	}
 
-	async call({id, path, remainingMs, headers: added = {}, beforeBody, onHead = () => undefined}: Call): Promise<Outcome> {
+	async call({id, path, remainingMs, tokens, beforeBody, onHead = () => undefined}: Call): Promise<Outcome> {
 		const [host, port] = callerAddressOf(this.#ip).split(':');
 		const request = http.request({
-			host, port, method: 'POST', path, agent: this.#agent, headers: {...callerHeaders({requestId: id, remainingMs}), ...added, 'content-length': 1},
+			host, port, method: 'POST', path, agent: this.#agent, headers: {...callerHeaders({requestId: id, remainingMs, tokens}), 'content-length': 1},
 		});
 		let status: number | undefined;
 		let headers: http.IncomingHttpHeaders = {};
--- a/packages/node/src/testing/late-callers.ts
+++ b/packages/node/src/testing/late-callers.ts
@@ -5,7 +5,7 @@
 
 const clock = new SystemClock();
 
-export type LateCall = Pick<Call, 'path' | 'remainingMs' | 'headers'>;
+export type LateCall = Pick<Call, 'path' | 'remainingMs' | 'tokens'>;
 
 export type LateCallersOptions = {
 	readonly ip: string;
